--- /dev/null
+++ b/Makefile
@@ -0,0 +1,44 @@
+# The README's two commands, `make demo` and `make test`, and what they need.
+#
+#   make test SANITIZE=address,undefined   builds and tests with sanitizers
+#   make soak SEED=1 CASES=2000            more cases of the property tests
+BUILD := build$(if $(SANITIZE),-$(subst $(comma),-,$(SANITIZE)))
+comma := ,
+SUDO := $(if $(filter 0,$(shell id -u)),,sudo)
+PACKAGES := $(shell cat packages.txt)
+CASES ?= 2000
+SEED ?= 1
+
+.PHONY: all packages build demo test soak format lint clean
+
+all: build
+
+# Installs what is missing; does nothing on a machine that has it all.
+packages:
+	@dpkg -s $(PACKAGES) > /dev/null 2>&1 || \
+	  ($(SUDO) apt-get update -qq && \
+	   DEBIAN_FRONTEND=noninteractive $(SUDO) apt-get install -y -qq \
+	     --no-install-recommends $(PACKAGES) > /dev/null)
+
+build: packages
+	@cmake -S . -B $(BUILD) -G Ninja -DSANITIZE="$(SANITIZE)" > /dev/null
+	@cmake --build $(BUILD)
+
+demo: build
+	@bash demo/demo.sh $(BUILD)
+
+test: build
+	@ctest --test-dir $(BUILD) --output-on-failure $(CTEST_FLAGS)
+
+soak: build
+	RC_PARAMS="seed=$(SEED) max_success=$(CASES)" $(BUILD)/coordinator_property_test
+
+format:
+	@git ls-files '*.cpp' '*.hpp' | xargs clang-format -i
+
+lint: build
+	@git ls-files 'src/*.cpp' 'standins/*.cpp' 'bench/*.cpp' 'tests/*.cpp' | \
+	  xargs -P $$(nproc) -n 2 clang-tidy -p $(BUILD) --quiet 2> /dev/null
+
+clean:
+	rm -rf build build-*
--- /dev/null
+++ b/bench/judge.cpp
@@ -0,0 +1,111 @@
+// Judges a run by the upstreams' journals.
+//
+//   bench_judge --ports 9101,9102,...
+//
+// Prints the executions, the operations that were executed twice, and the overlaps: an
+// execution of a shard that ended after one at a later epoch had started. All upstreams
+// of a run share one machine, so their times are comparable. Exits 1 if it found any.
+#include "connection/http_client.hpp"
+#include "process/event_loop.hpp"
+
+#include <CLI/CLI.hpp>
+
+#include <iostream>
+#include <map>
+#include <optional>
+#include <set>
+#include <sstream>
+
+namespace
+{
+
+using namespace buckthornusher;
+
+struct execution
+{
+    std::uint64_t epoch = 0;
+    std::uint64_t start = 0; // microseconds
+    std::uint64_t end = 0;
+};
+
+using shard_history =
+    std::map<std::pair<std::string, std::string>, std::vector<execution>>;
+
+std::string fetch_journal(event_loop& loop, int port)
+{
+    http_client client(loop,
+                       {.port = port, .max_connections = 1, .max_body = 256'000'000});
+    std::optional<std::string> body;
+    client.call({.method = "GET", .path = "/journal"}, 10s,
+                [&](http_result r)
+                { body = r.has_value() ? r.value().body : std::string(); });
+    while (!body)
+        loop.run_once();
+    return *body;
+}
+
+// Executions that ended after one of a later epoch began.
+std::uint64_t count_overlaps(std::vector<execution> const& history)
+{
+    std::map<std::uint64_t, std::uint64_t> first_start; // by epoch
+    for (auto const& e : history)
+    {
+        auto const it = first_start.try_emplace(e.epoch, e.start).first;
+        it->second = std::min(it->second, e.start);
+    }
+    std::uint64_t overlaps = 0;
+    for (auto const& e : history)
+        for (auto it = first_start.upper_bound(e.epoch); it != first_start.end(); ++it)
+            if (it->second < e.end)
+            {
+                ++overlaps;
+                break;
+            }
+    return overlaps;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    std::vector<int> ports;
+    CLI::App app("Judges a run by the upstreams' journals");
+    app.add_option("--ports", ports, "upstreams' ports on 127.0.0.1")
+        ->delimiter(',')
+        ->required();
+    CLI11_PARSE(app, argc, argv);
+    event_loop loop;
+    std::map<std::string, std::uint64_t> operations;
+    shard_history shards;
+    std::uint64_t executions = 0;
+    for (auto const port : ports)
+    {
+        std::istringstream journal(fetch_journal(loop, port));
+        std::string operation;
+        std::string service;
+        std::string shard;
+        std::string epoch;
+        std::string path;
+        execution e;
+        while (journal >> operation >> service >> shard >> epoch >> path >> e.start >>
+               e.end)
+        {
+            ++executions;
+            if (operation != "-")
+                ++operations[operation];
+            if (epoch == "-")
+                continue;
+            e.epoch = std::stoull(epoch);
+            shards[{service, shard}].push_back(e);
+        }
+    }
+    std::uint64_t doubles = 0;
+    for (auto const& entry : operations)
+        doubles += entry.second > 1 ? 1 : 0;
+    std::uint64_t overlaps = 0;
+    for (auto const& entry : shards)
+        overlaps += count_overlaps(entry.second);
+    std::cout << "executions " << executions << "\noperations " << operations.size()
+              << "\ndoubles " << doubles << "\noverlaps " << overlaps << "\n";
+    return doubles + overlaps == 0 ? 0 : 1;
+}
--- /dev/null
+++ b/demo/demo.sh
@@ -0,0 +1,47 @@
+#!/usr/bin/env bash
+# The main job in small: for each of the two users a store, two regions with two failure
+# domains, three services with four targets each and a node beside each target; load from
+# every region, one owner killed and one planned stop on the way. Exits 0 if nothing ran
+# twice or overlapped, and says what was seen.
+#
+#   demo/demo.sh BUILD_DIR
+set -uo pipefail
+cd "$(dirname "$0")/.."
+. demo/fleet.sh
+failed=0
+
+run_user() { # NAME BASE DOCUMENT SERVICES DOMAINS PREFIX
+  echo "== $1"
+  fleet_start "$build_dir" "$2" "$3" "$4" "$5"
+  sleep 0.5
+  local tries
+  for tries in 1 2 3 4 5 6; do
+    http PUT "$(($2 + 11))/v1/config?expected=0" "$3" && break
+    sleep 0.3
+  done
+  fleet_wait 128 || { failed=1; fleet_stop; return; }
+  "$build_dir/bench_load" --ports "$caller_ports" --rate 500 --seconds 12 --keys 100 \
+    --prefix "$6" --orders 0.2 > "$fleet_dir/load" &
+  local load=$!
+  sleep 2
+  echo "-- one owner killed"
+  kill -KILL "${node_pid[1]}"
+  sleep 5
+  echo "-- one planned stop"
+  kill -TERM "${node_pid[2]}"
+  wait "${node_pid[2]}"
+  echo "exit code of the planned stop: $?"
+  wait "$load"
+  cat "$fleet_dir/load"
+  "$build_dir/bench_judge" --ports "$upstream_ports" || failed=1
+  echo "store: $(http GET "$2/v1/stats" | paste -sd ' ')"
+  fleet_stop 2> /dev/null
+}
+
+build_dir=$1
+trap 'fleet_stop 2> /dev/null' EXIT
+run_user "Svečnik" 21000 examples/svecnik.toml "stand-status ordering rounds" \
+  "osrednja:lj-vic osrednja:lj-moste stajerska:mb-tabor stajerska:ce-hudinja" /stands/
+SLOTS=12 run_user "Tūī" 23000 examples/tui.toml "book-records issuing checking" \
+  "north:north-one north:north-two south:south-one south:south-two" /ranges/
+exit "$failed"
--- /dev/null
+++ b/include/buckthornusher/eviction.hpp
@@ -0,0 +1,57 @@
+// Ending the lease of a member that no longer answers.
+//
+// An eviction goes through three steps, each recorded or repeatable, so that any other
+// member can finish what an evictor that fails has begun:
+//   1. the member's record is marked `evicting`; from here its watchers are fixed;
+//   2. the watchers are told to refuse it, until a majority has confirmed, and the
+//      longest lease is waited for from the last ack that each of them gave;
+//   3. the record is marked `gone`; from here its shards may be given to others.
+// Two evictors of one member do the same work twice; neither can do harm.
+//
+// A watcher that cannot be reached counts as refusing once its own record is gone and
+// the longest lease has passed since: see lease.hpp on the permission to watch.
+//
+// The part keeps the times of step 2 for one member. They begin anew with each evictor.
+#ifndef BUCKTHORNUSHER_EVICTION_HPP
+#define BUCKTHORNUSHER_EVICTION_HPP
+
+#include "buckthornusher/lease.hpp"
+
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace buckthornusher
+{
+
+class eviction
+{
+public:
+    // `record` is the member's record, in the state `evicting`.
+    eviction(member_record const& record, lease_options opts, guards g);
+
+    // A watcher has promised to refuse the member; `elapsed` is the time since its last
+    // ack, nothing if it never acked.
+    void on_refused(member_id const& watcher, std::optional<duration> elapsed,
+                    instant now);
+
+    // The watcher's own record is known to be gone.
+    void on_watcher_gone(member_id const& watcher, instant now);
+
+    // Watchers that have neither confirmed nor gone.
+    std::vector<member_id> missing() const;
+
+    // When the member's lease is certainly over; nothing while no majority refuses.
+    std::optional<instant> over_at() const;
+
+private:
+    lease_options m_options;
+    guards m_guards;
+    std::vector<member_id> m_watchers;
+    // When the acks of each refusing watcher have run out.
+    std::map<member_id, instant> m_refusals;
+};
+
+} // namespace buckthornusher
+
+#endif
--- /dev/null
+++ b/include/buckthornusher/messages.hpp
@@ -0,0 +1,76 @@
+// Control messages between members, as values. The wire form is the shell's business.
+#ifndef BUCKTHORNUSHER_MESSAGES_HPP
+#define BUCKTHORNUSHER_MESSAGES_HPP
+
+#include "buckthornusher/ownership.hpp"
+#include "buckthornusher/record.hpp"
+#include "buckthornusher/time.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace buckthornusher
+{
+
+// Asks a watcher to renew the sender's lease.
+struct renew
+{
+    std::uint64_t sequence = 0;
+    std::uint64_t revision = 0; // of the sender's replica
+    friend bool operator==(renew const&, renew const&) = default;
+};
+
+struct renew_ack
+{
+    std::uint64_t sequence = 0;
+    bool permitted = false; // the watcher has the permission to watch
+    std::uint64_t revision = 0;
+    friend bool operator==(renew_ack const&, renew_ack const&) = default;
+};
+
+// Tells a watcher to refuse the subject from now on.
+struct refuse
+{
+    member_id subject;
+    friend bool operator==(refuse const&, refuse const&) = default;
+};
+
+struct refused
+{
+    member_id subject;
+    std::optional<duration> elapsed; // since the last ack, none if there was none
+    friend bool operator==(refused const&, refused const&) = default;
+};
+
+// All changes of the store's objects in (from, to].
+struct deltas
+{
+    std::uint64_t from = 0;
+    std::uint64_t to = 0;
+    std::vector<object> objects;
+    friend bool operator==(deltas const&, deltas const&) = default;
+};
+
+// Asks for the changes after `from`.
+struct pull
+{
+    std::uint64_t from = 0;
+    friend bool operator==(pull const&, pull const&) = default;
+};
+
+// The sender has drained these shards and will not serve them at these epochs again.
+struct released
+{
+    std::vector<shard_release> shards;
+    friend bool operator==(released const&, released const&) = default;
+};
+
+using control_message =
+    std::variant<renew, renew_ack, refuse, refused, deltas, pull, released>;
+
+} // namespace buckthornusher
+
+#endif
--- /dev/null
+++ b/include/buckthornusher/record.hpp
@@ -0,0 +1,98 @@
+// The objects that nodes keep in the platform's store, and calls on the store.
+//
+// The store gives each accepted write a version, higher than all before it in any
+// object. A write names the version that it replaces, and is refused if another write
+// came first. An answer can be lost after its write took effect.
+#ifndef BUCKTHORNUSHER_RECORD_HPP
+#define BUCKTHORNUSHER_RECORD_HPP
+
+#include "buckthornusher/member.hpp"
+#include "buckthornusher/shard_map.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace buckthornusher
+{
+
+// An accepted configuration. `document` is the operators' text, byte for byte.
+struct config_record
+{
+    std::uint64_t number = 0;
+    std::string environment;
+    std::string document;
+    friend bool operator==(config_record const&, config_record const&) = default;
+};
+
+using record = std::variant<member_record, chunk_record, config_record>;
+
+// Names of objects in the store.
+std::string member_object(member_id const& id);
+std::string chunk_object(std::string const& service, std::uint32_t first_shard);
+inline constexpr char const* config_object = "config";
+
+// An object as some write left it. No value: that write deleted it.
+struct object
+{
+    std::string name;
+    std::uint64_t version = 0;
+    std::optional<record> value;
+    friend bool operator==(object const&, object const&) = default;
+};
+
+// ---- calls ----
+
+struct store_list // all objects
+{
+    friend bool operator==(store_list const&, store_list const&) = default;
+};
+
+// Answers with the objects changed after `since`, at once or when there are some.
+struct store_watch
+{
+    std::uint64_t since = 0;
+    friend bool operator==(store_watch const&, store_watch const&) = default;
+};
+
+// Replaces version `expected` (0: creates). No value: deletes.
+struct store_write
+{
+    std::string name;
+    std::uint64_t expected = 0;
+    std::optional<record> value;
+    friend bool operator==(store_write const&, store_write const&) = default;
+};
+
+using store_operation = std::variant<store_list, store_watch, store_write>;
+
+// ---- answers ----
+
+struct store_objects // to list and watch
+{
+    std::uint64_t revision = 0; // highest version in the store
+    std::vector<object> objects;
+};
+
+struct store_written
+{
+    std::uint64_t version = 0;
+};
+
+struct store_conflict
+{
+    object current;
+};
+
+struct store_no_answer // a write may or may not have taken effect
+{
+};
+
+using store_answer =
+    std::variant<store_objects, store_written, store_conflict, store_no_answer>;
+
+} // namespace buckthornusher
+
+#endif
--- /dev/null
+++ b/include/buckthornusher/replica.hpp
@@ -0,0 +1,77 @@
+// A node's copy of the store's objects.
+//
+//   replica copy;
+//   copy.apply(object);                  // keeps the higher version
+//   copy.apply_range(from, to, objects); // all changes in (from, to]
+//
+// Objects come from the store and from peers, in any order and more than once; for
+// each name the highest version wins, so the copy never goes back. `revision` is the
+// version up to which nothing is missing. Deletions are kept as objects without a
+// value so that peers learn of them.
+//
+// The copy may lag behind the store. Safety never rests on its being fresh: an owner
+// loses a shard only by its own release or when its lease has been ended.
+//
+// Cost: apply is O(log n) in the objects; memory is that of the records.
+#ifndef BUCKTHORNUSHER_REPLICA_HPP
+#define BUCKTHORNUSHER_REPLICA_HPP
+
+#include "buckthornusher/record.hpp"
+
+#include <map>
+#include <vector>
+
+namespace buckthornusher
+{
+
+class replica
+{
+public:
+    // Returns whether the object was news.
+    bool apply(object const& o);
+
+    // Applies all changes of (from, to]. Returns false if there is a gap between the
+    // copy's revision and `from`; the objects are applied all the same.
+    bool apply_range(std::uint64_t from, std::uint64_t to,
+                     std::vector<object> const& objects);
+
+    std::uint64_t revision() const { return m_revision; }
+
+    // The objects whose versions are above `since`.
+    std::vector<object> changed_since(std::uint64_t since) const;
+
+    // The object, or null if the copy has never seen it.
+    object const* find(std::string const& name) const;
+    std::uint64_t version_of(std::string const& name) const; // 0: unknown
+
+    // Null if unknown or deleted.
+    member_record const* member(member_id const& id) const;
+    config_record const* config() const;
+    chunk_record const* chunk(shard_id const& shard) const;
+    assignment const* find_assignment(shard_id const& shard) const;
+
+    // All member records, in the order of their ids.
+    std::map<member_id, member_record> const& members() const { return m_members; }
+
+    // Changes with each applied object; lets readers keep derived tables.
+    std::uint64_t generation() const { return m_generation; }
+
+    // The same for member records only.
+    std::uint64_t member_generation() const { return m_member_generation; }
+
+private:
+    std::uint64_t m_revision = 0;
+    std::uint64_t m_generation = 0;
+    std::uint64_t m_member_generation = 0;
+    std::map<std::string, object> m_objects;
+    std::map<std::uint64_t, std::string>
+        m_by_version;                             // exactly the versions in m_objects
+    std::map<member_id, member_record> m_members; // the live values among m_objects
+    // By service and chunk number; null where the chunk is unknown. Points into
+    // m_objects.
+    std::map<std::string, std::vector<chunk_record const*>, std::less<>> m_chunks;
+};
+
+} // namespace buckthornusher
+
+#endif
--- /dev/null
+++ b/include/buckthornusher/time.hpp
@@ -0,0 +1,28 @@
+// Time as the coordination parts see it.
+//
+// Parts never read a clock: each call carries `now`. An instant belongs to the
+// process that took it, and only instants of one process are compared. The daemon
+// takes instants from CLOCK_BOOTTIME, which counts the time a VM spends suspended.
+#ifndef BUCKTHORNUSHER_TIME_HPP
+#define BUCKTHORNUSHER_TIME_HPP
+
+#include <chrono>
+
+namespace buckthornusher
+{
+
+using duration = std::chrono::microseconds;
+
+// Marks instants of CLOCK_BOOTTIME; read by process/boot_clock.hpp only.
+struct boot_time
+{
+    static constexpr bool is_steady = true;
+};
+
+using instant = std::chrono::time_point<boot_time, duration>;
+
+using namespace std::chrono_literals;
+
+} // namespace buckthornusher
+
+#endif
--- /dev/null
+++ b/src/connection/peer_socket.cpp
@@ -0,0 +1,149 @@
+// Messages between nodes: see the header.
+#include "connection/peer_socket.hpp"
+
+#include "process/event_loop.hpp"
+
+#include "wire.pb.h"
+
+#include <zmq.hpp>
+
+#include <set>
+#include <stdexcept>
+
+namespace buckthornusher
+{
+
+namespace
+{
+constexpr int queue_length = 4'000; // messages for each peer
+constexpr int largest_message = 16'777'216;
+constexpr int reconnect_ms = 100;
+constexpr int longest_reconnect_ms = 1'000;
+constexpr int give_up_unacked_ms = 5'000;
+} // namespace
+
+struct peer_socket::impl
+{
+    zmq::context_t context{1};
+    zmq::socket_t socket{context, zmq::socket_type::router};
+    handler on_message;
+    std::set<std::string> endpoints; // connected to; the routing id is the endpoint
+    peer_counts counts;
+
+    bool send_to(std::string const& identity, wire::Envelope const& message);
+    void drain();
+};
+
+bool peer_socket::impl::send_to(std::string const& identity,
+                                wire::Envelope const& message)
+{
+    auto const bytes = message.SerializeAsString();
+    bool sent = false;
+    try
+    {
+        sent = socket.send(zmq::buffer(identity),
+                           zmq::send_flags::sndmore | zmq::send_flags::dontwait) &&
+               socket.send(zmq::buffer(bytes), zmq::send_flags::dontwait);
+    }
+    catch (zmq::error_t const&)
+    {
+        sent = false; // no such connection
+    }
+    if (!sent)
+    {
+        ++counts.not_sent;
+        return false;
+    }
+    ++counts.sent;
+    counts.sent_bytes += bytes.size();
+    return true;
+}
+
+void peer_socket::impl::drain()
+{
+    zmq::message_t identity;
+    zmq::message_t body;
+    while (socket.recv(identity, zmq::recv_flags::dontwait))
+    {
+        bool const whole =
+            identity.more() && socket.recv(body, zmq::recv_flags::dontwait);
+        wire::Envelope envelope;
+        if (!whole || body.more() ||
+            !envelope.ParseFromArray(body.data(), static_cast<int>(body.size())))
+        {
+            ++counts.malformed;
+            while (whole && body.more() && socket.recv(body, zmq::recv_flags::dontwait))
+            {
+            }
+            continue;
+        }
+        ++counts.received;
+        counts.received_bytes += body.size();
+        on_message({.identity = identity.to_string()}, envelope);
+    }
+}
+
+peer_socket::peer_socket(event_loop& loop, std::string const& bind, handler on_message)
+    : m_impl(std::make_unique<impl>())
+{
+    m_impl->on_message = std::move(on_message);
+    auto& socket = m_impl->socket;
+    socket.set(zmq::sockopt::linger, 0);
+    socket.set(zmq::sockopt::router_mandatory, 1);
+    socket.set(zmq::sockopt::sndhwm, queue_length);
+    socket.set(zmq::sockopt::rcvhwm, queue_length);
+    socket.set(zmq::sockopt::maxmsgsize, std::int64_t{largest_message});
+    socket.set(zmq::sockopt::reconnect_ivl, reconnect_ms);
+    socket.set(zmq::sockopt::reconnect_ivl_max, longest_reconnect_ms);
+    socket.set(zmq::sockopt::tcp_maxrt, give_up_unacked_ms);
+    try
+    {
+        socket.bind(bind);
+    }
+    catch (zmq::error_t const& error)
+    {
+        throw std::runtime_error("peer socket: cannot bind " + bind + ": " +
+                                 error.what());
+    }
+    loop.wake_on(socket.get(zmq::sockopt::fd));
+    // The descriptor signals once for many messages, so each round reads them all.
+    loop.after_round([impl = m_impl.get()] { impl->drain(); });
+}
+
+peer_socket::~peer_socket() = default;
+
+bool peer_socket::send(std::string const& endpoint, wire::Envelope const& message)
+{
+    if (!m_impl->endpoints.contains(endpoint))
+    {
+        try
+        {
+            m_impl->socket.set(zmq::sockopt::connect_routing_id, endpoint);
+            m_impl->socket.connect(endpoint);
+        }
+        catch (zmq::error_t const&)
+        {
+            ++m_impl->counts.not_sent; // not a ZeroMQ address
+            return false;
+        }
+        m_impl->endpoints.insert(endpoint);
+    }
+    return m_impl->send_to(endpoint, message);
+}
+
+bool peer_socket::reply(peer_route const& route, wire::Envelope const& message)
+{
+    return m_impl->send_to(route.identity, message);
+}
+
+peer_counts const& peer_socket::counts() const
+{
+    return m_impl->counts;
+}
+
+std::size_t peer_socket::connections() const
+{
+    return m_impl->endpoints.size();
+}
+
+} // namespace buckthornusher
--- /dev/null
+++ b/src/connection/wire.cpp
@@ -0,0 +1,328 @@
+// Conversion between values and their protobuf and JSON forms: see the header.
+#include "connection/wire.hpp"
+
+#include "wire.pb.h"
+
+#include <google/protobuf/util/json_util.h>
+
+namespace buckthornusher
+{
+
+namespace
+{
+
+template <class Message>
+bool parse_json(std::string_view json, Message& out, std::string& why)
+{
+    google::protobuf::util::JsonParseOptions options;
+    options.ignore_unknown_fields = true; // written by a later version
+    auto const status = google::protobuf::util::JsonStringToMessage(
+        google::protobuf::StringPiece(json.data(), json.size()), &out, options);
+    if (!status.ok())
+        why = status.ToString();
+    return status.ok();
+}
+
+// ---- records ----
+
+void encode_to(member_record const& m, wire::Record& out)
+{
+    auto& w = *out.mutable_member();
+    encode(m.id, *w.mutable_id());
+    w.set_endpoint(m.endpoint);
+    w.set_region(m.region);
+    w.set_domain(m.domain);
+    w.set_state(static_cast<wire::MemberRecord::State>(m.state));
+    w.set_draining(m.draining);
+    for (auto const& id : m.watchers)
+        encode(id, *w.add_watchers());
+    for (auto const& t : m.targets)
+    {
+        auto& target = *w.add_targets();
+        target.set_service(t.service);
+        target.set_slots(t.slots);
+    }
+}
+
+void encode_to(chunk_record const& c, wire::Record& out)
+{
+    auto& w = *out.mutable_chunk();
+    w.set_service(c.service);
+    w.set_first_shard(c.first_shard);
+    for (auto const& a : c.assignments)
+    {
+        auto& assignment = *w.add_assignments();
+        assignment.set_epoch(a.epoch);
+        if (a.owner)
+            encode(a.owner, *assignment.mutable_owner());
+        if (a.successor)
+            encode(a.successor, *assignment.mutable_successor());
+    }
+}
+
+void encode_to(config_record const& c, wire::Record& out)
+{
+    auto& w = *out.mutable_config();
+    w.set_number(c.number);
+    w.set_environment(c.environment);
+    w.set_document(c.document);
+}
+
+member_record decode_member(wire::MemberRecord const& w)
+{
+    member_record m;
+    m.id = decode(w.id());
+    m.endpoint = w.endpoint();
+    m.region = w.region();
+    m.domain = w.domain();
+    m.state = static_cast<member_state>(w.state());
+    m.draining = w.draining();
+    for (auto const& id : w.watchers())
+        m.watchers.push_back(decode(id));
+    for (auto const& t : w.targets())
+        m.targets.push_back({.service = t.service(), .slots = t.slots()});
+    return m;
+}
+
+chunk_record decode_chunk(wire::ChunkRecord const& w)
+{
+    chunk_record c;
+    c.service = w.service();
+    c.first_shard = w.first_shard();
+    for (auto const& a : w.assignments())
+        c.assignments.push_back({.owner = decode(a.owner()),
+                                 .epoch = a.epoch(),
+                                 .successor = decode(a.successor())});
+    return c;
+}
+
+decoded<record> decode_value(wire::Record const& w)
+{
+    switch (w.kind_case())
+    {
+    case wire::Record::kMember:
+        if (!wire::MemberRecord::State_IsValid(w.member().state()) ||
+            w.member().id().node().empty())
+            return decode_error{.step = "member record",
+                                .reason = "unknown state or no id"};
+        return record(decode_member(w.member()));
+    case wire::Record::kChunk:
+        if (w.chunk().first_shard() % shards_per_chunk != 0 ||
+            w.chunk().assignments_size() > static_cast<int>(shards_per_chunk))
+            return decode_error{.step = "chunk record", .reason = "shards out of range"};
+        return record(decode_chunk(w.chunk()));
+    case wire::Record::kConfig:
+        return record(config_record{.number = w.config().number(),
+                                    .environment = w.config().environment(),
+                                    .document = w.config().document()});
+    case wire::Record::KIND_NOT_SET:
+        break;
+    }
+    return decode_error{.step = "record", .reason = "unknown kind"};
+}
+
+decoded<object> decode_value(wire::StoreObject const& w)
+{
+    object o{.name = w.name(), .version = w.version(), .value = {}};
+    if (w.deleted())
+        return o;
+    auto value = decode_record(w.value());
+    if (!value)
+        return decode_error{.step = "object " + w.name(), .reason = value.error().reason};
+    o.value = std::move(value).value();
+    return o;
+}
+
+// ---- control messages ----
+
+void encode_to(renew const& m, wire::Envelope& out)
+{
+    out.mutable_renew()->set_sequence(m.sequence);
+    out.mutable_renew()->set_revision(m.revision);
+}
+
+void encode_to(renew_ack const& m, wire::Envelope& out)
+{
+    auto& w = *out.mutable_renew_ack();
+    w.set_sequence(m.sequence);
+    w.set_permitted(m.permitted);
+    w.set_revision(m.revision);
+}
+
+void encode_to(refuse const& m, wire::Envelope& out)
+{
+    encode(m.subject, *out.mutable_refuse()->mutable_subject());
+}
+
+void encode_to(refused const& m, wire::Envelope& out)
+{
+    auto& w = *out.mutable_refused();
+    encode(m.subject, *w.mutable_subject());
+    if (m.elapsed)
+        w.set_elapsed(static_cast<std::uint64_t>(m.elapsed->count()));
+}
+
+void encode_to(deltas const& m, wire::Envelope& out)
+{
+    auto& w = *out.mutable_deltas();
+    w.set_from(m.from);
+    w.set_to(m.to);
+    for (auto const& o : m.objects)
+    {
+        auto& delta = *w.add_deltas();
+        delta.set_name(o.name);
+        delta.set_version(o.version);
+        delta.set_deleted(!o.value);
+        if (!o.value)
+            continue;
+        wire::Record value;
+        std::visit([&](auto const& v) { encode_to(v, value); }, *o.value);
+        delta.set_value(value.SerializeAsString());
+    }
+}
+
+void encode_to(pull const& m, wire::Envelope& out)
+{
+    out.mutable_pull()->set_from(m.from);
+}
+
+void encode_to(released const& m, wire::Envelope& out)
+{
+    for (auto const& r : m.shards)
+    {
+        auto& shard = *out.mutable_released()->add_shards();
+        shard.set_service(r.shard.service);
+        shard.set_shard(r.shard.index);
+        shard.set_epoch(r.epoch);
+    }
+}
+
+std::optional<control_message> decode_deltas(wire::Deltas const& w)
+{
+    deltas m{.from = w.from(), .to = w.to(), .objects = {}};
+    for (auto const& delta : w.deltas())
+    {
+        object o{.name = delta.name(), .version = delta.version(), .value = {}};
+        if (!delta.deleted())
+        {
+            wire::Record value;
+            if (!value.ParseFromString(delta.value()))
+                return std::nullopt;
+            auto decoded_value = decode_value(value);
+            if (!decoded_value)
+                return std::nullopt;
+            o.value = std::move(decoded_value).value();
+        }
+        m.objects.push_back(std::move(o));
+    }
+    return m;
+}
+
+} // namespace
+
+void encode(member_id const& id, wire::MemberId& out)
+{
+    out.set_node(id.node);
+    out.set_incarnation(id.incarnation);
+}
+
+member_id decode(wire::MemberId const& in)
+{
+    return {.node = in.node(), .incarnation = in.incarnation()};
+}
+
+void encode(control_message const& message, wire::Envelope& out)
+{
+    std::visit([&](auto const& m) { encode_to(m, out); }, message);
+}
+
+std::optional<control_message> decode_control(wire::Envelope const& in)
+{
+    switch (in.body_case())
+    {
+    case wire::Envelope::kRenew:
+        return renew{.sequence = in.renew().sequence(),
+                     .revision = in.renew().revision()};
+    case wire::Envelope::kRenewAck:
+        return renew_ack{.sequence = in.renew_ack().sequence(),
+                         .permitted = in.renew_ack().permitted(),
+                         .revision = in.renew_ack().revision()};
+    case wire::Envelope::kRefuse:
+        return refuse{.subject = decode(in.refuse().subject())};
+    case wire::Envelope::kRefused:
+    {
+        refused m{.subject = decode(in.refused().subject()), .elapsed = {}};
+        if (in.refused().has_elapsed())
+            m.elapsed = duration(static_cast<duration::rep>(in.refused().elapsed()));
+        return m;
+    }
+    case wire::Envelope::kDeltas:
+        return decode_deltas(in.deltas());
+    case wire::Envelope::kPull:
+        return pull{.from = in.pull().from()};
+    case wire::Envelope::kReleased:
+    {
+        released m;
+        for (auto const& r : in.released().shards())
+            m.shards.push_back({.shard = {r.service(), r.shard()}, .epoch = r.epoch()});
+        return m;
+    }
+    default:
+        return std::nullopt;
+    }
+}
+
+std::string encode_record(record const& value)
+{
+    wire::Record out;
+    std::visit([&](auto const& v) { encode_to(v, out); }, value);
+    std::string json;
+    (void)google::protobuf::util::MessageToJsonString(out, &json);
+    return json;
+}
+
+decoded<record> decode_record(std::string_view json)
+{
+    wire::Record w;
+    std::string why;
+    if (!parse_json(json, w, why))
+        return decode_error{.step = "record", .reason = why};
+    return decode_value(w);
+}
+
+decoded<store_objects> decode_objects(std::string_view json)
+{
+    wire::StoreObjects w;
+    std::string why;
+    if (!parse_json(json, w, why))
+        return decode_error{.step = "objects", .reason = why};
+    store_objects found{.revision = w.revision(), .objects = {}};
+    for (auto const& entry : w.objects())
+    {
+        auto o = decode_value(entry);
+        if (!o)
+            return o.error();
+        found.objects.push_back(std::move(o).value());
+    }
+    return found;
+}
+
+decoded<object> decode_object(std::string_view json)
+{
+    wire::StoreObject w;
+    std::string why;
+    if (!parse_json(json, w, why))
+        return decode_error{.step = "object", .reason = why};
+    return decode_value(w);
+}
+
+decoded<std::uint64_t> decode_written(std::string_view json)
+{
+    wire::StoreWritten w;
+    std::string why;
+    if (!parse_json(json, w, why))
+        return decode_error{.step = "written", .reason = why};
+    return w.version();
+}
+
+} // namespace buckthornusher
--- /dev/null
+++ b/src/process/event_loop.cpp
@@ -0,0 +1,149 @@
+// The process's event loop: see the header.
+#include "process/event_loop.hpp"
+
+#include "process/boot_clock.hpp"
+
+#include <libwebsockets.h>
+
+#include <algorithm>
+#include <atomic>
+#include <csignal>
+#include <stdexcept>
+#include <utility>
+#include <vector>
+
+namespace buckthornusher
+{
+
+namespace
+{
+
+constexpr duration longest_wait = 1s;
+
+int wake_callback(lws* /*wsi*/, lws_callback_reasons /*reason*/, void* /*user*/,
+                  void* /*in*/, size_t /*len*/)
+{
+    return 0;
+}
+
+lws_protocols const wake_protocols[] = {
+    {"wake", wake_callback, 0, 0, 0, nullptr, 0},
+    {nullptr, nullptr, 0, 0, 0, nullptr, 0},
+};
+
+// libwebsockets polls in whole milliseconds, and one that has expired before the poll
+// begins does not bound it.
+constexpr duration poll_step = 1ms;
+
+struct wake_timer
+{
+    lws_sorted_usec_list_t sul{}; // first member: the callback gets its address
+    lws_context* context = nullptr;
+};
+
+void on_sul(lws_sorted_usec_list_t* sul)
+{
+    auto* timer = reinterpret_cast<wake_timer*>(sul);
+    lws_sul_schedule(timer->context, 0, sul, on_sul, poll_step.count());
+}
+
+} // namespace
+
+struct event_loop::impl
+{
+    lws_context* context = nullptr;
+    lws_vhost* wake_vhost = nullptr;
+    wake_timer wake;
+    timer_service timers;
+    std::vector<std::function<void()>> hooks;
+    std::vector<std::shared_ptr<void>> kept; // released after the context
+    std::atomic<bool> stopped{false};
+};
+
+event_loop::event_loop() : m_impl(std::make_unique<impl>())
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    lws_set_log_level(LLL_ERR, nullptr);
+    lws_context_creation_info info{};
+    info.options = LWS_SERVER_OPTION_EXPLICIT_VHOSTS;
+    info.port = CONTEXT_PORT_NO_LISTEN;
+    info.gid = static_cast<gid_t>(-1);
+    info.uid = static_cast<uid_t>(-1);
+    m_impl->context = lws_create_context(&info);
+    if (m_impl->context == nullptr)
+        throw std::runtime_error("event loop: cannot create the libwebsockets context");
+    lws_context_creation_info vhost{};
+    vhost.port = CONTEXT_PORT_NO_LISTEN;
+    vhost.vhost_name = "wake";
+    vhost.protocols = wake_protocols;
+    m_impl->wake_vhost = lws_create_vhost(m_impl->context, &vhost);
+}
+
+event_loop::~event_loop()
+{
+    lws_sul_cancel(&m_impl->wake.sul);
+    lws_context_destroy(m_impl->context);
+}
+
+lws_context* event_loop::context() const
+{
+    return m_impl->context;
+}
+
+timer_service& event_loop::timers()
+{
+    return m_impl->timers;
+}
+
+bool event_loop::wake_on(int fd)
+{
+    lws_sock_file_fd_type descriptor{};
+    descriptor.filefd = fd;
+    return lws_adopt_descriptor_vhost(m_impl->wake_vhost, LWS_ADOPT_RAW_FILE_DESC,
+                                      descriptor, "wake", nullptr) != nullptr;
+}
+
+void event_loop::after_round(std::function<void()> fn)
+{
+    m_impl->hooks.push_back(std::move(fn));
+}
+
+void event_loop::keep(std::shared_ptr<void> object)
+{
+    m_impl->kept.push_back(std::move(object));
+}
+
+void event_loop::run_once()
+{
+    m_impl->timers.run_due(boot_now());
+    for (auto const& hook : m_impl->hooks)
+        hook();
+    auto wait = longest_wait;
+    if (auto const due = m_impl->timers.next_due())
+        wait = std::clamp(std::chrono::duration_cast<duration>(*due - boot_now()),
+                          duration{0}, duration{longest_wait});
+    if (wait > 0us)
+    {
+        // Up to a step late, rather than spinning through the last part of a millisecond.
+        m_impl->wake.context = m_impl->context;
+        lws_sul_schedule(m_impl->context, 0, &m_impl->wake.sul, on_sul,
+                         (wait + poll_step).count());
+    }
+    lws_service(m_impl->context, wait > 0us ? 0 : -1);
+    for (auto const& hook : m_impl->hooks)
+        hook();
+}
+
+void event_loop::run()
+{
+    while (!m_impl->stopped.load())
+        run_once();
+}
+
+void event_loop::stop()
+{
+    m_impl->stopped.store(true);
+    lws_cancel_service(m_impl->context);
+}
+
+} // namespace buckthornusher
--- /dev/null
+++ b/src/process/eviction.cpp
@@ -0,0 +1,56 @@
+// Ending the lease of a member that no longer answers: see the header.
+#include "buckthornusher/eviction.hpp"
+
+#include <algorithm>
+
+namespace buckthornusher
+{
+
+eviction::eviction(member_record const& record, lease_options opts, guards g)
+    : m_options(opts), m_guards(g), m_watchers(record.watchers)
+{
+}
+
+void eviction::on_refused(member_id const& watcher, std::optional<duration> elapsed,
+                          instant now)
+{
+    if (std::find(m_watchers.begin(), m_watchers.end(), watcher) == m_watchers.end())
+        return;
+    auto wait = duration{0};
+    if (elapsed && m_guards.wait_after_refusal)
+        wait = std::max(duration{0}, m_options.longest_lease() - *elapsed);
+    m_refusals.try_emplace(watcher, now + wait);
+}
+
+void eviction::on_watcher_gone(member_id const& watcher, instant now)
+{
+    if (std::find(m_watchers.begin(), m_watchers.end(), watcher) == m_watchers.end())
+        return;
+    m_refusals.try_emplace(watcher, now + m_options.longest_lease());
+}
+
+std::vector<member_id> eviction::missing() const
+{
+    std::vector<member_id> ids;
+    for (auto const& id : m_watchers)
+        if (!m_refusals.contains(id))
+            ids.push_back(id);
+    return ids;
+}
+
+std::optional<instant> eviction::over_at() const
+{
+    // A member without watchers never had a lease.
+    if (m_watchers.empty())
+        return instant{};
+    auto const needed = majority_of(m_watchers.size());
+    if (m_refusals.size() < needed)
+        return std::nullopt;
+    std::vector<instant> ends;
+    for (auto const& entry : m_refusals)
+        ends.push_back(entry.second);
+    std::sort(ends.begin(), ends.end());
+    return ends[needed - 1];
+}
+
+} // namespace buckthornusher
--- /dev/null
+++ b/src/process/metrics.hpp
@@ -0,0 +1,47 @@
+// Counters and latency histograms of a node, in the usual text exposition format.
+#ifndef BUCKTHORNUSHER_PROCESS_METRICS_HPP
+#define BUCKTHORNUSHER_PROCESS_METRICS_HPP
+
+#include "buckthornusher/outcome.hpp"
+#include "buckthornusher/time.hpp"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace buckthornusher
+{
+
+enum class outcome_kind
+{
+    answered,
+    refused,
+    unknown,
+};
+
+class metrics
+{
+public:
+    metrics();
+    ~metrics();
+    metrics(metrics const&) = delete;
+    metrics& operator=(metrics const&) = delete;
+
+    void count_outcome(std::string const& service, outcome_kind kind, reason why,
+                       duration took);
+    void count_retry(std::string const& service);
+    // Sets a value that another part counts.
+    void set(std::string const& name, std::uint64_t value);
+
+    // "# TYPE ..." and one line for each value.
+    std::string exposition() const;
+
+private:
+    struct impl;
+    std::unique_ptr<impl> m_impl;
+};
+
+} // namespace buckthornusher
+
+#endif
--- /dev/null
+++ b/src/process/operator_api.cpp
@@ -0,0 +1,216 @@
+// The operators' HTTP listener: see the header.
+#include "process/operator_api.hpp"
+
+#include "connection/wire.hpp"
+#include "process/boot_clock.hpp"
+
+#include <charconv>
+#include <sstream>
+
+namespace buckthornusher
+{
+
+namespace
+{
+
+std::optional<std::uint64_t> query_number(http_request const& request,
+                                          std::string_view name)
+{
+    auto const text = find_query(request.query, name);
+    std::uint64_t value = 0;
+    auto const [end, error] =
+        std::from_chars(text.data(), text.data() + text.size(), value);
+    if (text.empty() || error != std::errc{} || end != text.data() + text.size())
+        return std::nullopt;
+    return value;
+}
+
+http_response error_response(int status, std::string const& what)
+{
+    return {.status = status, .body = what + "\n"};
+}
+
+char const* name_of(member_state state)
+{
+    switch (state)
+    {
+    case member_state::live:
+        return "live";
+    case member_state::evicting:
+        return "evicting";
+    case member_state::gone:
+        return "gone";
+    }
+    return "live";
+}
+
+std::string to_json(member_id const& id)
+{
+    return "\"" + id.node + "@" + std::to_string(id.incarnation) + "\"";
+}
+
+void write_members(std::ostream& out, replica const& copy)
+{
+    char const* separator = "";
+    for (auto const& [id, m] : copy.members())
+    {
+        out << separator << "{\"id\":" << to_json(id) << ",\"region\":\"" << m.region
+            << "\",\"domain\":\"" << m.domain << "\",\"state\":\"" << name_of(m.state)
+            << "\",\"draining\":" << (m.draining ? "true" : "false")
+            << ",\"watchers\":" << m.watchers.size() << "}";
+        separator = ",";
+    }
+}
+
+// The config object as it may be replaced, or the answer that refuses it.
+struct config_change
+{
+    store_write write;
+    std::optional<http_response> refusal;
+};
+
+config_change check_config(http_request const& request, replica const& copy)
+{
+    auto const expected = query_number(request, "expected");
+    if (!expected)
+        return {.write = {},
+                .refusal = error_response(400, "expected=NUMBER is missing")};
+    auto const parsed = parse_document(request.body);
+    if (!parsed)
+    {
+        std::string text;
+        for (auto const& error : parsed.error())
+            text += to_string(error) + "\n";
+        return {.write = {}, .refusal = http_response{.status = 422, .body = text}};
+    }
+    auto const* present = copy.config();
+    auto const number = present == nullptr ? 0 : present->number;
+    if (number != *expected)
+        return {.write = {},
+                .refusal = error_response(
+                    409, "conflict: number " + std::to_string(number) +
+                             " is in force, expected " + std::to_string(*expected))};
+    config_record next{.number = number + 1,
+                       .environment = parsed.value().environment,
+                       .document = request.body};
+    return {.write = {.name = config_object,
+                      .expected = copy.version_of(config_object),
+                      .value = std::move(next)},
+            .refusal = {}};
+}
+
+http_response config_response(store_answer const& answer, std::uint64_t number)
+{
+    if (std::holds_alternative<store_written>(answer))
+        return {.body = "accepted number " + std::to_string(number) + "\n"};
+    if (std::holds_alternative<store_conflict>(answer))
+        return error_response(409, "conflict: another change came first");
+    return error_response(
+        504, "unknown: the store did not answer; read the number and compare");
+}
+
+} // namespace
+
+void operator_api::handle(http_request request, http_reply reply)
+{
+    if (request.path == "/v1/announce" && request.method == "POST")
+        return announce(request, reply);
+    if (request.path == "/v1/config" && request.method == "PUT")
+        return put_config(request, reply);
+    if (request.path == "/metrics")
+        return reply.send({.body = metrics_text()});
+    if (request.path == "/v1/status")
+        return reply.send(
+            {.headers = {{"content-type", "application/json"}}, .body = status()});
+    if (request.path == "/v1/config")
+    {
+        auto const* config = m_parts.coord->copy().config();
+        if (config == nullptr)
+            return reply.send(error_response(404, "no configuration yet"));
+        return reply.send({.headers = {{"buckthornusher-config-number",
+                                        std::to_string(config->number)}},
+                           .body = config->document});
+    }
+    reply.send(error_response(404, "no such page"));
+}
+
+void operator_api::announce(http_request const& request, http_reply const& reply)
+{
+    constexpr std::uint64_t most_slots = 10'000;
+    constexpr std::uint64_t highest_port = 65'535;
+    auto const service = std::string(find_query(request.query, "service"));
+    auto const port = query_number(request, "port");
+    auto const slots = query_number(request, "slots");
+    auto const connections = query_number(request, "connections");
+    if (service.empty() || !port || *port == 0 || *port > highest_port || !slots ||
+        *slots == 0 || *slots > most_slots || !connections || *connections == 0 ||
+        *connections > most_slots)
+        return reply.send(error_response(
+            400,
+            "service, port (1 to 65535), slots and connections (1 to 10000) are needed"));
+    m_parts.local.on_announcement(
+        {.service = service,
+         .port = static_cast<int>(*port),
+         .slots = static_cast<std::uint32_t>(*slots),
+         .connections = static_cast<std::uint32_t>(*connections)},
+        boot_now());
+    reply.send({.body = "ok\n"});
+}
+
+void operator_api::put_config(http_request const& request, http_reply const& reply)
+{
+    auto change = check_config(request, m_parts.coord->copy());
+    if (change.refusal)
+        return reply.send(*std::move(change.refusal));
+    auto const number = std::get<config_record>(*change.write.value).number;
+    m_parts.store.call(change.write, [reply, number](store_answer answer)
+                       { reply.send(config_response(answer, number)); });
+}
+
+std::string operator_api::status() const
+{
+    auto const& coord = *m_parts.coord;
+    auto const now = boot_now();
+    auto const lease = coord.lease_until();
+    std::ostringstream out;
+    out << "{\"member\":" << to_json(coord.self())
+        << ",\"revision\":" << coord.copy().revision()
+        << ",\"lease_ms\":" << (lease > now ? (lease - now).count() / 1'000 : 0)
+        << ",\"shards\":" << coord.shards().owned()
+        << ",\"running\":" << coord.shards().running() << ",\"config\":"
+        << (coord.copy().config() == nullptr ? 0 : coord.copy().config()->number)
+        << ",\"members\":[";
+    write_members(out, coord.copy());
+    out << "]}\n";
+    return out.str();
+}
+
+std::string operator_api::metrics_text() const
+{
+    auto const& coord = *m_parts.coord;
+    auto const& c = coord.counts();
+    auto const& p = m_parts.peers.counts();
+    auto& m = m_parts.counts;
+    m.set("renewals_total", c.renewals);
+    m.set("evictions_started_total", c.evictions_started);
+    m.set("evictions_waiting", c.evictions_waiting);
+    m.set("watcher_changes_total", c.watcher_changes);
+    m.set("pauses_total", c.pauses);
+    m.set("store_calls_total", c.store_calls);
+    m.set("store_no_answers_total", c.store_no_answers);
+    m.set("chunk_writes_total", c.chunk_writes);
+    m.set("pulls_total", c.pulls);
+    m.set("peer_messages_sent_total", p.sent);
+    m.set("peer_bytes_sent_total", p.sent_bytes);
+    m.set("peer_messages_received_total", p.received);
+    m.set("peer_bytes_received_total", p.received_bytes);
+    m.set("peer_messages_not_sent_total", p.not_sent);
+    m.set("peer_messages_malformed_total", p.malformed);
+    m.set("peer_connections", m_parts.peers.connections());
+    m.set("shards_owned", coord.shards().owned());
+    m.set("members", coord.copy().members().size());
+    m.set("revision", coord.copy().revision());
+    return m.exposition();
+}
+
+} // namespace buckthornusher
--- /dev/null
+++ b/src/process/ownership.cpp
@@ -0,0 +1,113 @@
+// Which shards this member serves: see the header.
+#include "buckthornusher/ownership.hpp"
+
+namespace buckthornusher
+{
+
+bool shard_ownership::on_assignment(shard_id const& shard, assignment const& a)
+{
+    bool const names_me = a.owner == m_self || a.successor == m_self;
+    auto const it = m_shards.find(shard);
+    if (it == m_shards.end())
+    {
+        if (!names_me)
+            return false;
+        m_shards[shard].current = a;
+        return release_if_drained(m_shards[shard]);
+    }
+    auto& s = it->second;
+    if (a.epoch > s.current.epoch || a.owner != s.current.owner)
+        s.released = false;
+    s.current = a;
+    bool const newly_released = release_if_drained(s);
+    if (!names_me && s.running == 0)
+        m_shards.erase(it);
+    return newly_released;
+}
+
+bool shard_ownership::admits(state const& s) const
+{
+    if (!mine(s))
+        return false;
+    return !s.current.successor || !m_guards.release_before_move;
+}
+
+bool shard_ownership::release_if_drained(state& s) const
+{
+    if (s.released || s.current.owner != m_self || !s.current.successor || s.running > 0)
+        return false;
+    s.released = true;
+    return true;
+}
+
+admission_check shard_ownership::try_begin(shard_id const& shard, instant now,
+                                           instant lease_until)
+{
+    auto const it = m_shards.find(shard);
+    if (it == m_shards.end())
+        return owned_elsewhere{};
+    auto& s = it->second;
+    if (admits(s))
+    {
+        if (now >= lease_until)
+            return not_yet{};
+        ++s.running;
+        return may_run{.epoch = s.current.epoch, .lease_until = lease_until};
+    }
+    if (s.current.owner == m_self)
+        return owned_elsewhere{.owner = s.current.successor,
+                               .epoch = s.current.epoch + 1};
+    if (s.current.successor == m_self)
+        return not_yet{};
+    return owned_elsewhere{.owner = s.current.owner, .epoch = s.current.epoch};
+}
+
+bool shard_ownership::may_send(shard_id const& shard, std::uint64_t epoch, instant now,
+                               instant lease_until) const
+{
+    if (!m_guards.check_before_send)
+        return true;
+    auto const it = m_shards.find(shard);
+    return it != m_shards.end() && mine(it->second) &&
+           it->second.current.epoch == epoch && now < lease_until;
+}
+
+bool shard_ownership::end(shard_id const& shard)
+{
+    auto const it = m_shards.find(shard);
+    if (it == m_shards.end() || it->second.running == 0)
+        return false;
+    auto& s = it->second;
+    --s.running;
+    bool const newly_released = release_if_drained(s);
+    if (s.running == 0 && s.current.owner != m_self && s.current.successor != m_self)
+        m_shards.erase(it);
+    return newly_released;
+}
+
+std::vector<shard_release> shard_ownership::releases() const
+{
+    std::vector<shard_release> found;
+    for (auto const& [id, s] : m_shards)
+        if (s.released && s.current.owner == m_self)
+            found.push_back({.shard = id, .epoch = s.current.epoch});
+    return found;
+}
+
+std::size_t shard_ownership::owned() const
+{
+    std::size_t count = 0;
+    for (auto const& entry : m_shards)
+        count += mine(entry.second) ? 1 : 0;
+    return count;
+}
+
+std::size_t shard_ownership::running() const
+{
+    std::size_t count = 0;
+    for (auto const& entry : m_shards)
+        count += entry.second.running;
+    return count;
+}
+
+} // namespace buckthornusher
--- /dev/null
+++ b/src/process/store_writer.cpp
@@ -0,0 +1,78 @@
+// Conditional writes that are carried to a decision: see the header.
+#include "process/store_writer.hpp"
+
+#include <algorithm>
+
+namespace buckthornusher
+{
+
+namespace
+{
+constexpr duration first_backoff = 50ms;
+constexpr duration longest_backoff = 3'200ms;
+} // namespace
+
+duration store_writer::backoff(std::uint32_t attempts)
+{
+    auto const doublings = std::min<std::uint32_t>(attempts - 1, 6);
+    auto const ceiling = std::min(longest_backoff, first_backoff * (1U << doublings));
+    return duration(std::uniform_int_distribution<duration::rep>(
+        ceiling.count() / 2, ceiling.count())(m_random));
+}
+
+store_call store_writer::start(store_write write, std::uint64_t call_id, instant /*now*/)
+{
+    auto& p = m_pending[write.name];
+    p.write = std::move(write);
+    p.call_id = call_id;
+    p.attempts = 1;
+    return {.id = call_id, .operation = p.write};
+}
+
+std::optional<write_decision>
+store_writer::on_answer(std::uint64_t call_id, store_answer const& answer, instant now)
+{
+    auto const it =
+        std::find_if(m_pending.begin(), m_pending.end(),
+                     [&](auto const& entry) { return entry.second.call_id == call_id; });
+    if (it == m_pending.end())
+        return std::nullopt;
+    auto& p = it->second;
+    if (std::holds_alternative<store_no_answer>(answer) && m_guards.settle_lost_writes)
+    {
+        p.repeat_at = now + backoff(p.attempts);
+        return std::nullopt;
+    }
+    write_decision decision{.write = p.write, .accepted = false, .current = {}};
+    if (auto const* written = std::get_if<store_written>(&answer))
+    {
+        decision.accepted = true;
+        decision.current = {
+            .name = p.write.name, .version = written->version, .value = p.write.value};
+    }
+    if (auto const* conflict = std::get_if<store_conflict>(&answer))
+    {
+        decision.current = conflict->current;
+        decision.accepted = conflict->current.value == p.write.value;
+    }
+    m_pending.erase(it);
+    return decision;
+}
+
+std::vector<store_call> store_writer::repeat(std::uint64_t& next_call_id, instant now)
+{
+    std::vector<store_call> calls;
+    for (auto& entry : m_pending)
+    {
+        auto& p = entry.second;
+        if (!p.repeat_at || now < *p.repeat_at)
+            continue;
+        p.repeat_at.reset();
+        ++p.attempts;
+        p.call_id = next_call_id++;
+        calls.push_back({.id = p.call_id, .operation = p.write});
+    }
+    return calls;
+}
+
+} // namespace buckthornusher
--- /dev/null
+++ b/src/process/store_writer.hpp
@@ -0,0 +1,78 @@
+// Conditional writes that are carried to a decision.
+//
+// A write whose answer is lost may have taken effect, or may still take effect later.
+// Reading back does not settle it: a delayed write can land after the read. The writer
+// repeats the same conditional write until the store either accepts it or reports a
+// conflict; from then on no copy of it can land. A conflict whose current value is the
+// one that was to be written counts as accepted.
+//
+// At most one write for an object is under way. Repeats back off, with jitter, so that
+// a store that returns from an outage is not met by all calls at once.
+#ifndef BUCKTHORNUSHER_PROCESS_STORE_WRITER_HPP
+#define BUCKTHORNUSHER_PROCESS_STORE_WRITER_HPP
+
+#include "buckthornusher/lease.hpp"
+#include "buckthornusher/record.hpp"
+#include "buckthornusher/time.hpp"
+
+#include <map>
+#include <optional>
+#include <random>
+#include <vector>
+
+namespace buckthornusher
+{
+
+struct store_call
+{
+    std::uint64_t id = 0;
+    store_operation operation;
+    friend bool operator==(store_call const&, store_call const&) = default;
+};
+
+// The decision of a write. `current` is the object after it, as far as the store said.
+struct write_decision
+{
+    store_write write;
+    bool accepted = false;
+    object current;
+};
+
+class store_writer
+{
+public:
+    store_writer(std::uint64_t seed, guards g) : m_guards(g), m_random(seed) {}
+
+    bool busy(std::string const& name) const { return m_pending.contains(name); }
+
+    // Requires !busy(write.name). `call_id` is fresh.
+    store_call start(store_write write, std::uint64_t call_id, instant now);
+
+    // Empty if the answer belongs to no pending write, or does not decide it.
+    std::optional<write_decision> on_answer(std::uint64_t call_id,
+                                            store_answer const& answer, instant now);
+
+    // The writes that are due to be repeated. `next_call_id` is advanced.
+    std::vector<store_call> repeat(std::uint64_t& next_call_id, instant now);
+
+    std::size_t pending() const { return m_pending.size(); }
+
+private:
+    struct pending_write
+    {
+        store_write write;
+        std::uint64_t call_id = 0;
+        std::uint32_t attempts = 0;
+        std::optional<instant> repeat_at; // set once an attempt got no answer
+    };
+
+    duration backoff(std::uint32_t attempts);
+
+    guards m_guards;
+    std::mt19937_64 m_random;
+    std::map<std::string, pending_write> m_pending;
+};
+
+} // namespace buckthornusher
+
+#endif
--- /dev/null
+++ b/src/version/roles.hpp
@@ -0,0 +1,51 @@
+// Which members do work for others: a pure function of the member records.
+//
+// Roles are rendezvous choices, computed by each member from its replica. Members whose
+// replicas differ may disagree for a moment; every role's work is safe to do twice.
+#ifndef BUCKTHORNUSHER_VERSION_ROLES_HPP
+#define BUCKTHORNUSHER_VERSION_ROLES_HPP
+
+#include "buckthornusher/replica.hpp"
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace buckthornusher
+{
+
+// Members of a region that watch the store for the others.
+inline constexpr std::size_t listeners_per_region = 2;
+
+// The watchers for a member: `count` others, of the same region where possible, none in
+// its own failure domain and each in another domain where possible. Fewer if there are
+// fewer; an odd number, as an even one tolerates no more losses. `suspects` are passed
+// over.
+std::vector<member_id> choose_watchers(replica const& copy, member_record const& self,
+                                       std::size_t count,
+                                       std::vector<member_id> const& suspects);
+
+// How good a set of watchers is; a higher value is better. Sets of equal value are not
+// worth a change.
+int watchers_value(replica const& copy, member_record const& self,
+                   std::vector<member_id> const& watchers,
+                   std::vector<member_id> const& suspects);
+
+bool is_listener(replica const& copy, member_record const& self);
+
+// Whom a member tells of changes. `from_store`: it learnt them from the store or made
+// them itself; otherwise a peer told it.
+std::vector<member_id> push_targets(replica const& copy, member_record const& self,
+                                    bool from_store);
+
+// The member's place among those who may do a named piece of work; 0 does it at once,
+// each further one after a delay. Nothing if the member is not live.
+std::optional<std::size_t> work_rank(replica const& copy, member_id const& self,
+                                     std::string const& work);
+
+// The member in that place, if there is one.
+member_id member_at_rank(replica const& copy, std::string const& work, std::size_t rank);
+
+} // namespace buckthornusher
+
+#endif
--- /dev/null
+++ b/src/version/shard_map.cpp
@@ -0,0 +1,24 @@
+// Hashing of keys to shards, and rendezvous scores.
+#include "buckthornusher/shard_map.hpp"
+
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+namespace buckthornusher
+{
+
+std::uint32_t shard_of_key(std::string_view key, std::uint32_t shards)
+{
+    auto const hash = XXH3_64bits(key.data(), key.size());
+    // The high half of hash * shards divides the hash space into equal ranges.
+    return static_cast<std::uint32_t>((static_cast<unsigned __int128>(hash) * shards) >>
+                                      64U);
+}
+
+std::uint64_t rendezvous_score(std::string_view subject, std::string_view candidate)
+{
+    auto const seed = XXH3_64bits(subject.data(), subject.size());
+    return XXH3_64bits_withSeed(candidate.data(), candidate.size(), seed);
+}
+
+} // namespace buckthornusher
--- /dev/null
+++ b/src/version/steward.cpp
@@ -0,0 +1,115 @@
+// What the keeper of a chunk writes into it next: see the header.
+#include "version/steward.hpp"
+
+#include <algorithm>
+
+namespace buckthornusher
+{
+
+namespace
+{
+
+// The owner's lease is known to be over. An owner that the replica has not heard of yet
+// is not lost; one whose record was deleted is.
+bool lost(replica const& copy, member_id const& owner)
+{
+    auto const* o = copy.find(member_object(owner));
+    if (o == nullptr)
+        return false;
+    if (!o->value)
+        return true;
+    return std::get<member_record>(*o->value).state == member_state::gone;
+}
+
+bool ownerless(replica const& copy, assignment const& a)
+{
+    return !a.owner || lost(copy, a.owner);
+}
+
+bool can_own(member_record const& m, std::string const& service)
+{
+    return m.state == member_state::live && !m.watchers.empty() &&
+           std::any_of(m.targets.begin(), m.targets.end(),
+                       [&](target const& t) { return t.service == service; });
+}
+
+assignment change_owner(assignment const& a, member_id const& owner)
+{
+    return {.owner = owner, .epoch = a.epoch + 1, .successor = {}};
+}
+
+} // namespace
+
+plan_input service_input(replica const& copy, keyed_service const& service)
+{
+    plan_input input;
+    input.service = service.name;
+    for (auto const& [id, m] : copy.members())
+    {
+        if (!can_own(m, service.name))
+            continue;
+        auto const t =
+            std::find_if(m.targets.begin(), m.targets.end(),
+                         [&](target const& x) { return x.service == service.name; });
+        input.targets.push_back({.id = id,
+                                 .domain = m.domain,
+                                 .slots = std::max(1U, t->slots),
+                                 .draining = m.draining});
+    }
+    for (std::uint32_t shard = 0; shard < service.shards; ++shard)
+    {
+        auto const* a = copy.find_assignment({service.name, shard});
+        input.assignments.push_back(a == nullptr ? assignment{} : *a);
+    }
+    return input;
+}
+
+std::optional<chunk_record>
+next_chunk(replica const& copy, keyed_service const& service, std::uint32_t first_shard,
+           std::vector<plan_change> const& changes, release_table const& releases,
+           std::set<member_id> const& held, bool place_new, guards const& g)
+{
+    auto const count = std::min(shards_per_chunk, service.shards - first_shard);
+    auto const* present = copy.chunk({service.name, first_shard});
+    chunk_record next{
+        .service = service.name, .first_shard = first_shard, .assignments = {}};
+    if (present != nullptr)
+        next = *present;
+    next.assignments.resize(count);
+    auto change = changes.begin();
+    for (std::uint32_t offset = 0; offset < count; ++offset)
+    {
+        auto const shard = first_shard + offset;
+        auto& a = next.assignments[offset];
+        while (change != changes.end() && change->shard < shard)
+            ++change;
+        bool const has_change = change != changes.end() && change->shard == shard;
+        auto const* successor = a.successor ? copy.member(a.successor) : nullptr;
+        bool const successor_fit =
+            successor != nullptr && can_own(*successor, service.name);
+        if (ownerless(copy, a))
+        {
+            if (held.contains(a.owner) || (a.epoch == 0 && !place_new))
+                continue;
+            if (successor_fit)
+                a = change_owner(a, a.successor);
+            else if (has_change)
+                a = change_owner(a, change->to);
+            continue;
+        }
+        auto const release = releases.find({service.name, shard});
+        bool const is_released = !g.release_before_move || (release != releases.end() &&
+                                                            release->second == a.epoch);
+        if (a.successor && !successor_fit)
+            a = change_owner(a, a.owner); // cancels the move
+        else if (a.successor && is_released)
+            a = change_owner(a, a.successor);
+        else if (!a.successor && has_change && change->planned)
+            a.successor = change->to;
+    }
+    if (present != nullptr && *present == next)
+        return std::nullopt;
+    return next;
+}
+
+} // namespace buckthornusher
--- /dev/null
+++ b/src/version/steward.hpp
@@ -0,0 +1,39 @@
+// What the keeper of a chunk writes into it next.
+//
+// A pure function of the replica, the services and the releases that owners have
+// announced. The owner of a shard changes in three cases only: the shard never had one,
+// the owner's record is gone, or the owner has released the shard for its successor.
+// Each raises the epoch. A move that is cancelled raises it too, as the owner may have
+// released the shard already.
+#ifndef BUCKTHORNUSHER_VERSION_STEWARD_HPP
+#define BUCKTHORNUSHER_VERSION_STEWARD_HPP
+
+#include "buckthornusher/lease.hpp"
+#include "buckthornusher/ownership.hpp"
+#include "buckthornusher/planner.hpp"
+#include "buckthornusher/replica.hpp"
+
+#include <map>
+#include <optional>
+#include <set>
+
+namespace buckthornusher
+{
+
+// By shard: the epoch that its owner has released.
+using release_table = std::map<shard_id, std::uint64_t>;
+
+// The targets and present assignments of a service.
+plan_input service_input(replica const& copy, keyed_service const& service);
+
+// The chunk as it should be, or nothing if it is right as it is. `changes` are the
+// plan for the whole service. Shards of `held` owners wait, though the owners are gone;
+// `place_new` allows first owners.
+std::optional<chunk_record>
+next_chunk(replica const& copy, keyed_service const& service, std::uint32_t first_shard,
+           std::vector<plan_change> const& changes, release_table const& releases,
+           std::set<member_id> const& held, bool place_new, guards const& g);
+
+} // namespace buckthornusher
+
+#endif
--- /dev/null
+++ b/standins/upstream.cpp
@@ -0,0 +1,208 @@
+// A stand-in for a users' upstream, for tests, the demo and measurements.
+//
+//   standin_upstream --port 9100 --service stand-status --node-port 8101
+//
+// It announces itself to the node beside it, runs at most `slots` requests at once and
+// sheds the rest, and keeps a journal of what it ran. With --fenced it refuses an order
+// whose epoch is older than one it has seen for the shard, or whose lease is over.
+//
+// Journal: one line for each executed request on standard output at GET /journal:
+//   OPERATION SERVICE SHARD EPOCH KEY START_US END_US
+// GET /stats counts. Load and health lag: /load answers the state of a second ago.
+#include "connection/http_client.hpp"
+#include "connection/http_server.hpp"
+#include "process/boot_clock.hpp"
+#include "process/event_loop.hpp"
+
+#include <CLI/CLI.hpp>
+
+#include <charconv>
+#include <csignal>
+#include <map>
+#include <set>
+
+namespace buckthornusher
+{
+namespace
+{
+
+struct upstream_options
+{
+    int port = 0;
+    int node_port = 0;
+    std::string service;
+    std::uint32_t slots = 20;
+    std::uint32_t connections = 110;
+    bool fenced = true;
+    std::uint32_t work_us = 0;
+    std::uint32_t cold_start_ms = 0;
+    std::uint32_t lag_ms = 1'000;
+};
+
+std::uint64_t number(std::string_view text)
+{
+    std::uint64_t value = 0;
+    std::from_chars(text.data(), text.data() + text.size(), value);
+    return value;
+}
+
+class upstream
+{
+public:
+    upstream(event_loop& loop, upstream_options const& opts)
+        : m_loop(loop), m_options(opts), m_started(boot_now()),
+          m_node(loop, {.port = opts.node_port, .max_connections = 1}),
+          m_server(loop,
+                   {.port = opts.port,
+                    .max_body = 4'194'304,
+                    .header_names = {"buckthornusher-epoch", "buckthornusher-shard",
+                                     "buckthornusher-lease-until",
+                                     "buckthornusher-operation", "buckthornusher-key"}},
+                   [this](http_request request, http_reply reply)
+                   { handle(std::move(request), reply); })
+    {
+        announce();
+        loop.timers().every(boot_now(), 500ms, [this](instant) { announce(); });
+        loop.timers().every(boot_now(), duration(opts.lag_ms * 1'000),
+                            [this](instant) { m_lagging_load = m_running; });
+    }
+
+private:
+    void announce()
+    {
+        auto const query = "service=" + m_options.service +
+                           "&port=" + std::to_string(m_options.port) +
+                           "&slots=" + std::to_string(m_options.slots) +
+                           "&connections=" + std::to_string(m_options.connections);
+        m_node.call({.method = "POST", .path = "/v1/announce", .query = query}, 1s,
+                    [](http_result) {});
+    }
+
+    void handle(http_request request, http_reply const& reply)
+    {
+        if (request.path == "/journal")
+            return reply.send({.body = m_journal});
+        if (request.path == "/load")
+            return reply.send({.body = std::to_string(m_lagging_load) + "\n"});
+        if (request.path == "/health")
+            return reply.send({.body = "ok\n"});
+        if (request.path == "/stats")
+            return reply.send({.body = stats()});
+        if (m_running >= m_options.slots)
+            return refuse(reply, 503, "shed");
+        if (boot_now() - m_started < duration(m_options.cold_start_ms * 1'000))
+            return refuse(reply, 503, "cold");
+        if (m_options.fenced && !accepts(request))
+            return refuse(reply, 409, "fenced");
+        run(std::move(request), reply);
+    }
+
+    void refuse(http_reply const& reply, int status, std::string const& why)
+    {
+        ++m_refused[why];
+        reply.send({.status = status,
+                    .headers = {{"buckthornusher-ran", "no"}},
+                    .body = why + "\n"});
+    }
+
+    bool accepts(http_request const& request)
+    {
+        auto const epoch_text = find_header(request.headers, "buckthornusher-epoch");
+        if (epoch_text.empty())
+            return true; // not a keyed order
+        auto const shard =
+            std::string(find_header(request.headers, "buckthornusher-shard"));
+        auto const until = find_header(request.headers, "buckthornusher-lease-until");
+        if (to_micros(boot_now()) >= number(until))
+            return false;
+        auto& highest = m_epochs[shard];
+        if (number(epoch_text) < highest)
+            return false;
+        highest = number(epoch_text);
+        return true;
+    }
+
+    void run(http_request request, http_reply const& reply)
+    {
+        ++m_running;
+        auto const start = boot_now();
+        auto work = duration(m_options.work_us);
+        if (auto const wanted = find_query(request.query, "work_us"); !wanted.empty())
+            work = duration(number(wanted));
+        if (work <= 0us)
+            return finish(request, reply, start);
+        m_loop.timers().at(start + work,
+                           [this, request = std::move(request), reply, start](instant)
+                           { finish(request, reply, start); });
+    }
+
+    void finish(http_request const& request, http_reply const& reply, instant start)
+    {
+        --m_running;
+        ++m_executed;
+        auto const header = [&](char const* name)
+        {
+            auto const value = find_header(request.headers, name);
+            return value.empty() ? std::string("-") : std::string(value);
+        };
+        if (request.method != "GET")
+            m_journal += header("buckthornusher-operation") + " " + m_options.service +
+                         " " + header("buckthornusher-shard") + " " +
+                         header("buckthornusher-epoch") + " " + request.path + " " +
+                         std::to_string(to_micros(start)) + " " +
+                         std::to_string(to_micros(boot_now())) + "\n";
+        auto const size = find_query(request.query, "size");
+        reply.send({.body = size.empty() ? m_options.service + " " + request.path + "\n" +
+                                               request.body
+                                         : std::string(number(size), 'x')});
+    }
+
+    std::string stats() const
+    {
+        auto text = "executed " + std::to_string(m_executed) + "\nrunning " +
+                    std::to_string(m_running) + "\n";
+        for (auto const& [why, count] : m_refused)
+            text += "refused_" + why + " " + std::to_string(count) + "\n";
+        return text;
+    }
+
+    event_loop& m_loop;
+    upstream_options m_options;
+    instant m_started;
+    std::uint32_t m_running = 0;
+    std::uint32_t m_lagging_load = 0;
+    std::uint64_t m_executed = 0;
+    std::map<std::string, std::uint64_t> m_refused;
+    std::map<std::string, std::uint64_t> m_epochs; // highest seen, by shard
+    std::string m_journal;
+    http_client m_node;
+    http_server m_server;
+};
+
+event_loop* running_loop = nullptr;
+
+} // namespace
+} // namespace buckthornusher
+
+int main(int argc, char** argv)
+{
+    using namespace buckthornusher;
+    upstream_options opts;
+    CLI::App app("A stand-in for an upstream");
+    app.add_option("--port", opts.port, "port on 127.0.0.1")->required();
+    app.add_option("--node-port", opts.node_port,
+                   "operators' port of the node beside it");
+    app.add_option("--service", opts.service, "service name")->required();
+    app.add_option("--slots", opts.slots, "requests at once");
+    app.add_option("--connections", opts.connections, "connections at once");
+    app.add_option("--work-us", opts.work_us, "time for one request, microseconds");
+    app.add_option("--cold-start-ms", opts.cold_start_ms, "refuses for so long");
+    app.add_flag("--fenced,!--unfenced", opts.fenced, "checks epochs and leases");
+    CLI11_PARSE(app, argc, argv);
+    event_loop loop;
+    upstream const u(loop, opts);
+    running_loop = &loop;
+    std::signal(SIGTERM, [](int) { running_loop->stop(); });
+    loop.run();
+    return 0;
+}
