--- a/bench/load.cpp
+++ b/bench/load.cpp
@@ -198,7 +198,7 @@
                 find_header(response.headers, "buckthornusher-reason"))];
             bool const final = find_header(response.headers, "buckthornusher-reason") ==
                                "operation-unknown";
-            return t->order && !final ? repeat(t, 50ms) : t->order ? give_up() : finish();
+            return t->order && !final ? repeat(t, 50ms) : t->order ? give_up(t) : finish();
         }
         if (t->order && t->operation.empty())
         {
--- a/include/buckthornusher/eviction.hpp
+++ b/include/buckthornusher/eviction.hpp
@@ -11,6 +11,12 @@
 // A watcher that cannot be reached counts as refusing once its own record is gone and
 // the longest lease has passed since: see lease.hpp on the permission to watch.
 //
+// Members that were lost together may have watched each other, so that none of them can
+// be ended first. What unties them is their replacement: an endpoint belongs to one
+// process at a time, so once a later incarnation has registered with a member's endpoint
+// the earlier one can neither renew nor ack any more, and a longest lease later it is
+// over both as a member and as a watcher.
+//
 // The part keeps the times of step 2 for one member. They begin anew with each evictor.
 #ifndef BUCKTHORNUSHER_EVICTION_HPP
 #define BUCKTHORNUSHER_EVICTION_HPP
@@ -35,9 +41,12 @@
     void on_refused(member_id const& watcher, std::optional<duration> elapsed,
                     instant now);
 
-    // The watcher's own record is known to be gone.
+    // The watcher's own record is known to be gone, or the watcher has been replaced.
     void on_watcher_gone(member_id const& watcher, instant now);
 
+    // A later incarnation has registered with the member's endpoint.
+    void on_replaced(instant now);
+
     // Watchers that have neither confirmed nor gone.
     std::vector<member_id> missing() const;
 
@@ -50,6 +59,7 @@
     std::vector<member_id> m_watchers;
     // When the acks of each refusing watcher have run out.
     std::map<member_id, instant> m_refusals;
+    std::optional<instant> m_replaced_over; // when a replaced member's acks have run out
 };
 
 } // namespace buckthornusher
--- a/include/buckthornusher/lease.hpp
+++ b/include/buckthornusher/lease.hpp
@@ -40,6 +40,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace buckthornusher
@@ -68,7 +69,8 @@
     bool wait_after_refusal = true;
     bool check_incarnation = true; // acks of a restarted watcher do not count
     bool watch_permission = true;  // acks of an unwatched watcher do not extend the lease
-    bool joint_majority = true;    // both watcher sets while their change is in doubt
+    bool permission_without_lease = true; // any ack, not only a lease, permits to watch
+    bool joint_majority = true;     // both watcher sets while their change is in doubt
     bool settle_lost_writes = true; // a write without an answer is repeated until decided
     bool release_before_move = true; // a successor waits for the owner's release
     bool check_before_send = true;   // the lease is checked again before bytes leave
@@ -153,7 +155,6 @@
     // Drops the refusal of a member whose record is known to be gone: no later copy of
     // the record can be live.
     void forget(member_id const& gone) { m_refused.erase(gone); }
-    std::vector<member_id> refused() const;
 
     // Subjects that have not renewed for longer than the silence, oldest first.
     std::vector<member_id> silent(instant now) const;
@@ -162,16 +163,12 @@
     void forgive(instant now);
 
 private:
-    struct subject_state
-    {
-        instant last_heard;
-        std::optional<instant> last_ack;
-    };
-
     lease_options m_options;
-    std::map<member_id, subject_state> m_subjects;
-    // Refused members, with the last ack to each. Disjoint from m_subjects.
-    std::map<member_id, std::optional<instant>> m_refused;
+    std::map<member_id, instant> m_subjects; // when each was last heard
+    std::set<member_id> m_refused;           // disjoint from m_subjects
+    // The last ack to each member, subject or not, until it has run out: a member that is
+    // no longer a subject may still hold a lease from it.
+    std::map<member_id, instant> m_last_acks;
 };
 
 } // namespace buckthornusher
--- a/src/process/coordinator.cpp
+++ b/src/process/coordinator.cpp
@@ -196,9 +196,6 @@
             gone_since.try_emplace(m.id, now);
             evictions.erase(m.id);
             watcher.forget(m.id);
-            for (auto& entry : evictions)
-                if (entry.second.steps)
-                    entry.second.steps->on_watcher_gone(m.id, now);
         }
         if (m.id == opts.self && m.state != member_state::live && at == phase::member)
             end_membership(leaving);
@@ -344,6 +341,12 @@
             send(id, renew{.sequence = sequence, .revision = copy.revision()});
     }
 
+    instant watch_permission() const
+    {
+        return opts.guard.permission_without_lease ? lease.permitted_until()
+                                                   : lease.valid_until();
+    }
+
     // ---- evictions ----
 
     void start_eviction(member_id const& subject, instant now)
@@ -408,7 +411,8 @@
                 !carries(subject, work, now))
                 continue;
             if (!work.steps)
-                begin_steps(work, *m, now);
+                work.steps.emplace(*m, opts.lease, opts.guard);
+            note_ended(subject, *work.steps, now);
             if (now >= work.next_refuse)
                 ask_to_refuse(subject, work, now);
             auto const over = work.steps->over_at();
@@ -422,14 +426,35 @@
         }
     }
 
-    void begin_steps(eviction_work& work, member_record const& m, instant now)
+    // The member cannot ack any more, but its last acks may still count.
+    bool has_ended(member_id const& id) const
     {
-        work.steps.emplace(m, opts.lease, opts.guard);
-        for (auto const& id : m.watchers)
-            if (auto const* o = copy.find(member_object(id));
-                o != nullptr && (!o->value || std::get<member_record>(*o->value).state ==
-                                                  member_state::gone))
-                work.steps->on_watcher_gone(id, now);
+        auto const* o = copy.find(member_object(id));
+        if (o == nullptr)
+            return false;
+        return !o->value ||
+               std::get<member_record>(*o->value).state == member_state::gone ||
+               is_replaced(std::get<member_record>(*o->value));
+    }
+
+    // A later incarnation has the member's endpoint.
+    bool is_replaced(member_record const& m) const
+    {
+        for (auto it = copy.members().upper_bound(m.id);
+             it != copy.members().end() && it->first.node == m.id.node; ++it)
+            if (it->second.endpoint == m.endpoint)
+                return true;
+        return false;
+    }
+
+    void note_ended(member_id const& subject, eviction& steps, instant now) const
+    {
+        auto const* m = copy.member(subject);
+        if (is_replaced(*m))
+            steps.on_replaced(now);
+        for (auto const& id : m->watchers)
+            if (has_ended(id))
+                steps.on_watcher_gone(id, now);
     }
 
     void ask_to_refuse(member_id const& subject, eviction_work& work, instant now)
@@ -594,9 +619,14 @@
     void on(member_id const& from, renew const& m, instant now)
     {
         if (watcher.on_renew(from, now))
+        {
+            // It is alive: an eviction that has not been marked yet is dropped. Should
+            // the mark land all the same, the eviction goes on from the record.
+            writer.drop(member_object(from));
             send(from, renew_ack{.sequence = m.sequence,
-                                 .permitted = now < lease.permitted_until(),
+                                 .permitted = now < watch_permission(),
                                  .revision = copy.revision()});
+        }
         note_revision(from, m.revision, now);
     }
 
--- a/src/process/eviction.cpp
+++ b/src/process/eviction.cpp
@@ -29,6 +29,12 @@
     m_refusals.try_emplace(watcher, now + m_options.longest_lease());
 }
 
+void eviction::on_replaced(instant now)
+{
+    if (!m_replaced_over)
+        m_replaced_over = now + m_options.longest_lease();
+}
+
 std::vector<member_id> eviction::missing() const
 {
     std::vector<member_id> ids;
@@ -45,12 +51,13 @@
         return instant{};
     auto const needed = majority_of(m_watchers.size());
     if (m_refusals.size() < needed)
-        return std::nullopt;
+        return m_replaced_over;
     std::vector<instant> ends;
     for (auto const& entry : m_refusals)
         ends.push_back(entry.second);
     std::sort(ends.begin(), ends.end());
-    return ends[needed - 1];
+    return m_replaced_over ? std::min(ends[needed - 1], *m_replaced_over)
+                           : ends[needed - 1];
 }
 
 } // namespace buckthornusher
--- a/src/process/lease.cpp
+++ b/src/process/lease.cpp
@@ -138,9 +138,11 @@
 {
     std::erase_if(m_subjects,
                   [&](auto const& s) { return !contains(subjects, s.first); });
+    std::erase_if(m_last_acks, [&](auto const& ack)
+                  { return now - ack.second > m_options.longest_lease(); });
     for (auto const& id : subjects)
         if (!m_refused.contains(id))
-            m_subjects.try_emplace(id, subject_state{.last_heard = now, .last_ack = {}});
+            m_subjects.try_emplace(id, now);
 }
 
 bool lease_watcher::on_renew(member_id const& from, instant now)
@@ -148,39 +150,27 @@
     auto const it = m_subjects.find(from);
     if (it == m_subjects.end())
         return false;
-    it->second.last_heard = now;
-    it->second.last_ack = now;
+    it->second = now;
+    m_last_acks[from] = now;
     return true;
 }
 
 std::optional<duration> lease_watcher::refuse(member_id const& subject, instant now)
 {
-    auto const it = m_subjects.find(subject);
-    if (it != m_subjects.end())
-    {
-        m_refused[subject] = it->second.last_ack;
-        m_subjects.erase(it);
-    }
-    auto const refused = m_refused.try_emplace(subject, std::nullopt).first;
-    if (!refused->second)
+    m_subjects.erase(subject);
+    m_refused.insert(subject);
+    auto const ack = m_last_acks.find(subject);
+    if (ack == m_last_acks.end())
         return std::nullopt;
-    return now - *refused->second;
-}
-
-std::vector<member_id> lease_watcher::refused() const
-{
-    std::vector<member_id> ids;
-    for (auto const& entry : m_refused)
-        ids.push_back(entry.first);
-    return ids;
+    return now - ack->second;
 }
 
 std::vector<member_id> lease_watcher::silent(instant now) const
 {
     std::vector<std::pair<instant, member_id>> found;
-    for (auto const& [id, state] : m_subjects)
-        if (now - state.last_heard > m_options.silence)
-            found.emplace_back(state.last_heard, id);
+    for (auto const& [id, last_heard] : m_subjects)
+        if (now - last_heard > m_options.silence)
+            found.emplace_back(last_heard, id);
     std::sort(found.begin(), found.end());
     std::vector<member_id> ids;
     for (auto& entry : found)
@@ -191,7 +181,7 @@
 void lease_watcher::forgive(instant now)
 {
     for (auto& entry : m_subjects)
-        entry.second.last_heard = now;
+        entry.second = now;
 }
 
 } // namespace buckthornusher
--- a/src/process/store_writer.cpp
+++ b/src/process/store_writer.cpp
@@ -59,6 +59,13 @@
     return decision;
 }
 
+void store_writer::drop(std::string const& name)
+{
+    auto const it = m_pending.find(name);
+    if (it != m_pending.end() && it->second.repeat_at)
+        m_pending.erase(it);
+}
+
 std::vector<store_call> store_writer::repeat(std::uint64_t& next_call_id, instant now)
 {
     std::vector<store_call> calls;
--- a/src/process/store_writer.hpp
+++ b/src/process/store_writer.hpp
@@ -55,6 +55,9 @@
     // The writes that are due to be repeated. `next_call_id` is advanced.
     std::vector<store_call> repeat(std::uint64_t& next_call_id, instant now);
 
+    // Stops repeating a write that has got no answer. It may still take effect.
+    void drop(std::string const& name);
+
     std::size_t pending() const { return m_pending.size(); }
 
 private:
