--- a/demo/fleet.sh
+++ b/demo/fleet.sh
@@ -40,8 +40,10 @@
 EOF
   "$build/buckthornusher" node --settings "$fleet_dir/node-$i.toml" 2>> "$fleet_dir/node-$i.log" &
   node_pid[$i]=$!
-  caller_ports+=${caller_ports:+,}$port
-  operator_ports+=${operator_ports:+,}$((port + 1))
+  [[ ",$caller_ports," == *",$port,"* ]] || {
+    caller_ports+=${caller_ports:+,}$port
+    operator_ports+=${operator_ports:+,}$((port + 1))
+  }
   for j in "${!services[@]}"; do
     [ -n "${upstream_pid[$i.$j]:-}" ] && continue
     "$build/standin_upstream" --port $((port + 3 + j)) --node-port $((port + 1)) \
--- /dev/null
+++ b/tests/lease_property_test.cpp
@@ -0,0 +1,355 @@
+// The lease alone: one member, its watchers and an evictor, with every message, restart
+// and store answer under the control of the test. Judged: once the evictor says that the
+// lease is over, the member must not think that it runs.
+#include "buckthornusher/eviction.hpp"
+#include "buckthornusher/lease.hpp"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <algorithm>
+#include <deque>
+#include <optional>
+#include <random>
+
+namespace buckthornusher
+{
+namespace
+{
+
+constexpr std::size_t pool_size = 5;
+
+instant at_ms(std::int64_t ms)
+{
+    return instant(std::chrono::milliseconds(ms));
+}
+
+// A step of the adversary; `pick` chooses among what the step can act on.
+enum class step
+{
+    renew,         // the member asks all its watchers
+    deliver_renew, // one waiting request reaches its watcher
+    deliver_ack,   // one waiting ack reaches the member
+    restart,       // a watcher forgets everything and gets a new incarnation
+    propose,       // the member asks the store to change its watchers
+    answer,        // the store's answer reaches the member
+    mark,          // the evictor marks the record
+    refuse,        // the evictor reaches a watcher
+    wait,          // time passes
+};
+constexpr int step_kinds = 9;
+
+struct move
+{
+    step kind = step::wait;
+    std::uint32_t pick = 0;
+};
+
+class lease_world
+{
+public:
+    explicit lease_world(guards g) : m_guards(g), m_holder(m_options, g)
+    {
+        for (std::size_t i = 0; i < pool_size; ++i)
+            m_watchers.emplace_back(m_options);
+        m_incarnations.assign(pool_size, 1);
+        m_record.watchers = {id_of(0), id_of(1), id_of(2)};
+        m_holder.set_watchers(m_record.watchers);
+        see_record();
+    }
+
+    // Returns false if two owners are possible.
+    bool apply(move const& m)
+    {
+        switch (m.kind)
+        {
+        case step::renew:
+            renew();
+            break;
+        case step::deliver_renew:
+            deliver_renew(m.pick);
+            break;
+        case step::deliver_ack:
+            deliver_ack(m.pick);
+            break;
+        case step::restart:
+            restart(m.pick % pool_size);
+            break;
+        case step::propose:
+            propose(m.pick);
+            break;
+        case step::answer:
+            answer();
+            break;
+        case step::mark:
+            mark();
+            break;
+        case step::refuse:
+            refuse(m.pick % pool_size);
+            break;
+        case step::wait:
+            m_now += std::chrono::milliseconds(m.pick % 700);
+            break;
+        }
+        return safe();
+    }
+
+private:
+    struct request
+    {
+        std::size_t watcher = 0;
+        std::uint64_t sequence = 0;
+    };
+    struct ack
+    {
+        member_id watcher;
+        std::uint64_t sequence = 0;
+    };
+
+    member_id id_of(std::size_t i) const
+    {
+        return {"w" + std::to_string(i), m_incarnations[i]};
+    }
+
+    bool safe() const
+    {
+        if (!m_eviction)
+            return true;
+        auto const over = m_eviction->over_at();
+        return !over || m_now < *over || m_holder.valid_until() <= m_now;
+    }
+
+    void renew()
+    {
+        auto const sequence = m_holder.start_renewal(m_now);
+        for (auto const& w : m_holder.asked())
+            m_requests.push_back({std::stoul(w.node.substr(1)), sequence});
+    }
+
+    void deliver_renew(std::uint32_t pick)
+    {
+        if (m_requests.empty())
+            return;
+        auto const it = m_requests.begin() + pick % m_requests.size();
+        auto const r = *it;
+        if (pick % 3 != 0) // otherwise it is delivered again later
+            m_requests.erase(it);
+        if (m_watchers[r.watcher].on_renew(m_self, m_now))
+            m_acks.push_back({id_of(r.watcher), r.sequence});
+    }
+
+    void deliver_ack(std::uint32_t pick)
+    {
+        if (m_acks.empty())
+            return;
+        auto const it = m_acks.begin() + pick % m_acks.size();
+        auto const a = *it;
+        m_acks.erase(it);
+        m_holder.on_ack(a.watcher, a.sequence, true, m_now);
+    }
+
+    // Watchers learn of the record at once: the member's word is never taken for it.
+    void see_record()
+    {
+        for (std::size_t i = 0; i < pool_size; ++i)
+        {
+            bool const named =
+                std::any_of(m_record.watchers.begin(), m_record.watchers.end(),
+                            [&](member_id const& w) { return w.node == id_of(i).node; });
+            bool const subject = named && m_record.state == member_state::live;
+            m_watchers[i].set_subjects(
+                subject ? std::vector{m_self} : std::vector<member_id>{}, m_now);
+        }
+    }
+
+    void restart(std::size_t i)
+    {
+        ++m_incarnations[i];
+        m_watchers[i] = lease_watcher(m_options);
+        see_live_record(i);
+    }
+
+    // A watcher's copy of the store may be old: it may still think that the member is
+    // live.
+    void see_live_record(std::size_t i) { m_watchers[i].set_subjects({m_self}, m_now); }
+
+    void propose(std::uint32_t pick)
+    {
+        if (m_holder.changing() || m_answer)
+            return;
+        std::vector<member_id> next;
+        for (std::size_t k = 0; k < 3; ++k)
+            next.push_back(id_of((pick + k) % pool_size));
+        m_holder.begin_change(next);
+        m_proposal = next;
+        // The store decides now or later; the member learns later.
+        m_pending_write = true;
+        if (pick % 2 == 0)
+            land();
+    }
+
+    void land()
+    {
+        if (!m_pending_write)
+            return;
+        m_pending_write = false;
+        bool const accepted = m_record.state == member_state::live;
+        if (accepted)
+        {
+            m_record.watchers = m_proposal;
+            for (auto const& w : m_proposal)
+                see_live_record(std::stoul(w.node.substr(1)));
+        }
+        m_answer = accepted;
+    }
+
+    void answer()
+    {
+        if (m_pending_write)
+        {
+            // The answer is late. Without the guard the member takes it for a failure.
+            if (!m_guards.settle_lost_writes)
+                m_holder.end_change(false);
+            return land();
+        }
+        if (!m_answer)
+            return;
+        if (m_holder.changing())
+            m_holder.end_change(*m_answer);
+        m_answer.reset();
+    }
+
+    void mark()
+    {
+        if (m_record.state != member_state::live)
+            return;
+        m_record.state = member_state::evicting;
+        m_eviction.emplace(m_record, m_options, m_guards);
+    }
+
+    void refuse(std::size_t i)
+    {
+        if (!m_eviction)
+            return;
+        auto const missing = m_eviction->missing();
+        if (std::find(missing.begin(), missing.end(), id_of(i)) == missing.end())
+            return;
+        m_eviction->on_refused(id_of(i), m_watchers[i].refuse(m_self, m_now), m_now);
+    }
+
+    lease_options m_options;
+    guards m_guards;
+    instant m_now = at_ms(10'000);
+    member_id m_self{"x", 1};
+    member_record m_record{.id = {"x", 1}};
+    lease_holder m_holder;
+    std::vector<lease_watcher> m_watchers;
+    std::vector<std::uint64_t> m_incarnations;
+    std::deque<request> m_requests;
+    std::deque<ack> m_acks;
+    std::vector<member_id> m_proposal;
+    bool m_pending_write = false;
+    std::optional<bool> m_answer;
+    std::optional<eviction> m_eviction;
+};
+
+std::vector<move> random_moves(std::uint64_t seed)
+{
+    std::mt19937_64 random(seed);
+    std::vector<move> moves;
+    for (int i = 0; i < 120; ++i)
+        moves.push_back({.kind = static_cast<step>(random() % step_kinds),
+                         .pick = static_cast<std::uint32_t>(random() % 100'000)});
+    return moves;
+}
+
+bool holds(guards g, std::uint64_t seed)
+{
+    lease_world world(g);
+    auto const moves = random_moves(seed);
+    return std::all_of(moves.begin(), moves.end(),
+                       [&](move const& m) { return world.apply(m); });
+}
+
+TEST(lease_property, no_lease_outlives_its_eviction)
+{
+    for (std::uint64_t seed = 1; seed <= 20'000; ++seed)
+        ASSERT_TRUE(holds({}, seed)) << "seed " << seed;
+}
+
+void expect_noticed(bool guards::*guard)
+{
+    guards g;
+    g.*guard = false;
+    for (std::uint64_t seed = 1; seed <= 20'000; ++seed)
+        if (!holds(g, seed))
+        {
+            std::cout << "seed " << seed << "\n";
+            return;
+        }
+    FAIL() << "no case noticed that the guard is off";
+}
+
+TEST(lease_property, notices_acks_of_restarted_watchers)
+{
+    expect_noticed(&guards::check_incarnation);
+}
+
+TEST(lease_property, notices_a_missing_joint_majority)
+{
+    expect_noticed(&guards::joint_majority);
+}
+
+TEST(lease_property, notices_an_unsettled_write)
+{
+    expect_noticed(&guards::settle_lost_writes);
+}
+
+TEST(lease_property, notices_a_missing_wait)
+{
+    expect_noticed(&guards::wait_after_refusal);
+}
+
+TEST(lease_property, notices_acks_counted_from_their_arrival)
+{
+    expect_noticed(&guards::count_from_sending);
+}
+
+// The lease against a slow, obvious reference: the set of watchers' acks, counted one by
+// one.
+RC_GTEST_PROP(lease_property, valid_until_is_the_majority_of_the_acks, ())
+{
+    lease_options const opts;
+    lease_holder holder(opts, {});
+    auto const count = static_cast<std::size_t>(*rc::gen::inRange(1, 6));
+    std::vector<member_id> set;
+    for (std::size_t i = 0; i < count; ++i)
+        set.push_back({"w" + std::to_string(i), 1});
+    holder.set_watchers(set);
+    std::vector<instant> acked(count, instant::min());
+    auto now = at_ms(1'000);
+    for (int round = 0; round < 10; ++round)
+    {
+        now += std::chrono::milliseconds(*rc::gen::inRange(1, 1'000));
+        auto const sequence = holder.start_renewal(now);
+        for (std::size_t i = 0; i < count; ++i)
+            if (*rc::gen::arbitrary<bool>())
+            {
+                holder.on_ack(set[i], sequence, true, now);
+                acked[i] = now;
+            }
+        // The latest instant before which more than half of the acks still count.
+        auto expected = instant::min();
+        for (auto const& candidate : acked)
+        {
+            auto const at_least = static_cast<std::size_t>(std::count_if(
+                acked.begin(), acked.end(), [&](instant a) { return a >= candidate; }));
+            if (candidate != instant::min() && at_least >= majority_of(count))
+                expected = std::max(expected, candidate + opts.length);
+        }
+        RC_ASSERT(holder.valid_until() == expected);
+    }
+}
+
+} // namespace
+} // namespace buckthornusher
