Hand operations over in planned moves; keep what a process knows

Change: a drained shard is handed to its successor before the release, with the clocks of earlier epochs; a rejoining incarnation starts with the old replica; an evicted-by-mistake mark and refusals that did not run are retried within the budget; a shard whose upstream is gone moves away from a live owner.

--- a/include/buckthornusher/coordinator.hpp
+++ b/include/buckthornusher/coordinator.hpp
@@ -56,6 +56,8 @@
     plan_options planning;
     guards guard;
     std::uint64_t seed = 0; // of the jitter
+    // What an earlier incarnation in this process knew, so that nothing known goes back.
+    replica known = {};
 };
 
 // ---- effects ----
@@ -87,7 +89,17 @@
     friend bool operator==(membership_ended const&, membership_ended const&) = default;
 };
 
-using effect = std::variant<send_message, call_store, replica_changed, membership_ended>;
+// A shard has drained for its successor. The embedder hands over what belongs to the
+// shard and then calls confirm_release(); until then the release is not announced.
+struct shard_drained
+{
+    shard_release release;
+    member_id successor;
+    friend bool operator==(shard_drained const&, shard_drained const&) = default;
+};
+
+using effect = std::variant<send_message, call_store, replica_changed, membership_ended,
+                            shard_drained>;
 
 // Counts since the start, for metrics and tests.
 struct coordinator_counts
@@ -131,10 +143,15 @@
     // ---- requests ----
     admission_check try_begin(shard_id const& shard, instant now);
     bool may_send(shard_id const& shard, std::uint64_t epoch, instant now) const;
-    void end(shard_id const& shard, instant now);
+    void end(shard_id const& shard);
+
+    // The shard's state has been handed over, or given up on.
+    void confirm_release(shard_release const& release, instant now);
 
     instant lease_until() const;
     replica const& copy() const;
+    // For `known` of the next incarnation, once this one has ended.
+    replica take_copy();
     shard_ownership const& shards() const;
     coordinator_counts const& counts() const;
     member_id const& self() const;
--- a/include/buckthornusher/operation_table.hpp
+++ b/include/buckthornusher/operation_table.hpp
@@ -8,6 +8,9 @@
 // log are needed: an epoch has one owner, and an owner that is lost never serves its
 // epoch again.
 //
+// In a planned move the owner hands the shard's operations to its successor, which then
+// takes the ids of the older epochs as well; only a loss makes outcomes unknown.
+//
 // The table holds at most `max_entries`. When it is full of younger entries than
 // `keep`, new operations are refused (they did not run). An id that is older than
 // `keep` may have been dropped, so ids carry the time of their making on the owner's
@@ -75,6 +78,32 @@
     std::variant<operation_starts, operation_done, operation_in_progress, operation_lost,
                  operation_refused>;
 
+// ---- what an owner hands to its successor ----
+
+// An earlier epoch whose ids are still taken, and the time on its owner's clock.
+struct epoch_clock
+{
+    std::uint64_t epoch = 0;
+    instant now;
+    friend bool operator==(epoch_clock const&, epoch_clock const&) = default;
+};
+
+struct handed_operation
+{
+    operation_id id;
+    std::optional<operation_answer> answer; // none: its outcome is unknown
+    friend bool operator==(handed_operation const&, handed_operation const&) = default;
+};
+
+struct operation_handover
+{
+    shard_id shard;
+    std::vector<epoch_clock> epochs; // rising; the last is the releasing owner's own
+    std::vector<handed_operation> operations;
+    friend bool operator==(operation_handover const&,
+                           operation_handover const&) = default;
+};
+
 struct operation_table_options
 {
     std::size_t max_entries = 20'000;
@@ -98,9 +127,23 @@
     // It may have run, and its answer is lost. It never starts again.
     void lose(std::string const& service, operation_id const& id);
 
+    // The operations of a shard that was owned at `epoch` and has been released.
+    operation_handover hand_over(shard_id const& shard, std::uint64_t epoch,
+                                 instant now) const;
+    // Takes them. They count once this member owns the shard at the next epoch.
+    void take_over(operation_handover const& handover, instant now);
+
     std::size_t size() const { return m_entries.size(); }
 
 private:
+    // Earlier epochs of a shard whose operations were handed over.
+    struct inheritance
+    {
+        std::uint64_t next_epoch = 0; // at which they are taken
+        // By epoch: what to add to this member's clock to get its owner's.
+        std::map<std::uint64_t, duration> clock_offsets;
+    };
+
     enum class state
     {
         running,
@@ -121,9 +164,14 @@
     };
 
     bool make_room(instant now);
+    // The id's age, or nothing if its epoch is not taken.
+    std::optional<duration> age(shard_id const& shard, std::uint64_t epoch,
+                                operation_id const& id, instant now) const;
+    void insert(key const& k, entry e);
 
     operation_table_options m_options;
     std::map<key, entry> m_entries;
+    std::map<shard_id, inheritance> m_inherited;
     std::set<std::pair<instant, key>> m_by_age; // exactly the entries
 };
 
--- a/include/buckthornusher/replica.hpp
+++ b/include/buckthornusher/replica.hpp
@@ -27,6 +27,10 @@
 class replica
 {
 public:
+    replica() = default;
+    replica(replica&&) = default;
+    replica& operator=(replica&&) = default;
+
     // Returns whether the object was news.
     bool apply(object const& o);
 
--- a/src/process/agent.cpp
+++ b/src/process/agent.cpp
@@ -12,7 +12,7 @@
 
 constexpr duration announcement_kept = 3s;
 constexpr std::size_t most_waiting = 10'000; // orders that wait for their shards
-constexpr std::size_t largest_kept_answer = 16'384;
+constexpr std::size_t largest_kept_answer = 4'096;
 constexpr duration wait_retry = 100ms;
 
 template <class... Ts>
@@ -287,7 +287,7 @@
     m_waiting.erase(w.id);
     auto const done = std::move(w.done);
     if (w.begun)
-        m_coordinator->end({w.o.service, *w.o.shard}, boot_now());
+        m_coordinator->end({w.o.service, *w.o.shard});
     if (done)
         done(std::move(result));
 }
--- a/src/process/agent.hpp
+++ b/src/process/agent.hpp
@@ -102,6 +102,7 @@
     void set_coordinator(coordinator& coord) { m_coordinator = &coord; }
 
     std::size_t unfinished() const { return m_works.size(); }
+    operation_table& operations() { return m_operations; }
 
 private:
     struct link; // an upstream
--- a/src/process/coordinator.cpp
+++ b/src/process/coordinator.cpp
@@ -62,8 +62,9 @@
     };
 
     explicit impl(coordinator_options o)
-        : opts(std::move(o)), lease(opts.lease, opts.guard), watcher(opts.lease),
-          writer(opts.seed, opts.guard), shards(opts.self, opts.guard), random(opts.seed)
+        : opts(std::move(o)), copy(std::move(opts.known)), lease(opts.lease, opts.guard),
+          watcher(opts.lease), writer(opts.seed, opts.guard),
+          shards(opts.self, opts.guard), random(opts.seed)
     {
     }
 
@@ -98,6 +99,7 @@
     instant last_planned_move;
 
     release_table announced; // releases that owners have sent to this keeper
+    release_table confirmed; // own releases whose state has been handed over
     std::map<std::string, instant>
         work_since;                       // by chunk object: since when it needs a write
     std::uint64_t planned_generation = 0; // of the replica, at the last plan
@@ -182,7 +184,7 @@
         if (auto const* m = std::get_if<member_record>(&*o.value))
             follow_member(*m, now);
         if (auto const* c = std::get_if<chunk_record>(&*o.value))
-            follow_chunk(*c, now);
+            follow_chunk(*c);
     }
 
     void follow_member(member_record const& m, instant now)
@@ -201,19 +203,26 @@
             end_membership(leaving);
     }
 
-    void follow_chunk(chunk_record const& c, instant now)
+    void follow_chunk(chunk_record const& c)
     {
         for (std::uint32_t i = 0; i < c.assignments.size(); ++i)
         {
             shard_id const shard{c.service, c.first_shard + i};
             if (shards.on_assignment(shard, c.assignments[i]))
-                next_release_send = now;
+                note_drained(shard);
             auto const release = announced.find(shard);
             if (release != announced.end() && release->second < c.assignments[i].epoch)
                 announced.erase(release);
         }
     }
 
+    void note_drained(shard_id const& shard)
+    {
+        auto const* a = copy.find_assignment(shard);
+        effects.emplace_back(shard_drained{.release = {.shard = shard, .epoch = a->epoch},
+                                           .successor = a->successor});
+    }
+
     void refresh_subjects(instant now)
     {
         std::vector<member_id> subjects;
@@ -266,6 +275,15 @@
         write({.name = member_object(opts.self), .expected = 0, .value = self}, now);
     }
 
+    // Begins with the objects that an earlier incarnation of this process knew.
+    void resume(instant now)
+    {
+        for (auto const& o : copy.changed_since(0))
+            follow(o, now);
+        refresh_subjects(now);
+        register_self(now);
+    }
+
     // Watchers that have not acked for two rounds.
     std::vector<member_id> silent_watchers(instant now) const
     {
@@ -589,7 +607,10 @@
     {
         if (now < next_release_send)
             return;
-        auto const all = shards.releases();
+        auto all = shards.releases();
+        std::erase_if(
+            all, [&](shard_release const& r)
+            { return !confirmed.contains(r.shard) || confirmed[r.shard] != r.epoch; });
         if (all.empty())
         {
             release_sends = 0;
@@ -753,7 +774,10 @@
 {
     m_impl->last_tick = now;
     m_impl->last_membership_change = now;
-    m_impl->read_store(now);
+    if (m_impl->copy.revision() > 0)
+        m_impl->resume(now);
+    else
+        m_impl->read_store(now);
 }
 
 void coordinator::on_message(member_id const& from, control_message const& message,
@@ -850,10 +874,15 @@
     return m_impl->shards.may_send(shard, epoch, now, lease_until());
 }
 
-void coordinator::end(shard_id const& shard, instant now)
+void coordinator::end(shard_id const& shard)
 {
-    if (!m_impl->shards.end(shard))
-        return;
+    if (m_impl->shards.end(shard))
+        m_impl->note_drained(shard);
+}
+
+void coordinator::confirm_release(shard_release const& release, instant now)
+{
+    m_impl->confirmed[release.shard] = release.epoch;
     m_impl->next_release_send = now;
     m_impl->send_releases(now);
 }
@@ -870,6 +899,11 @@
     return m_impl->copy;
 }
 
+replica coordinator::take_copy()
+{
+    return std::move(m_impl->copy);
+}
+
 shard_ownership const& coordinator::shards() const
 {
     return m_impl->shards;
--- a/src/process/ingress.cpp
+++ b/src/process/ingress.cpp
@@ -19,6 +19,7 @@
 constexpr duration clock_patience = 500ms; // before a peer's clock is asked for again
 constexpr duration owner_retry = 200ms;
 constexpr duration longest_deadline = 60s;
+constexpr duration retry_pause = 20ms;
 
 duration deadline_of(http_request const& request, service_config const& service)
 {
@@ -325,9 +326,10 @@
     out.mutable_token()->set_sent_at(to_micros(*m_clocks.stamp(owner, now)));
     out.set_budget(
         static_cast<std::uint64_t>(std::max(f.o.deadline - now, duration{0}).count()));
-    if (!m_peers.send(m->endpoint, message))
-        return refuse(f, reason::not_reached, owner_retry);
-    f.sent_to = owner;
+    if (m_peers.send(m->endpoint, message))
+        f.sent_to = owner;
+    else if (!try_again(f, reason::not_reached))
+        refuse(f, reason::not_reached, owner_retry);
 }
 
 void ingress::on_result(flight_id id, order_result result)
@@ -345,9 +347,17 @@
                       reason::none);
     }
     if (auto const* refused = std::get_if<order_refused>(&result))
-        return refuse(f, refused->why, refused->retry_after);
+    {
+        if (!try_again(f, refused->why))
+            refuse(f, refused->why, refused->retry_after);
+        return;
+    }
     if (auto const* unknown = std::get_if<order_unknown>(&result))
-        return give_up(f, unknown->why);
+    {
+        if (!idempotent(f.o.request) || !try_again(f, unknown->why))
+            give_up(f, unknown->why);
+        return;
+    }
     follow(f, std::get<order_moved>(result));
 }
 
@@ -362,6 +372,27 @@
     dispatch(f, boot_now());
 }
 
+// Repeats an attempt that did not run, or a read, when a repeat may do better and the
+// budget allows it.
+bool ingress::try_again(flight& f, reason why)
+{
+    bool const passing = why == reason::stale || why == reason::lease_over ||
+                         why == reason::upstream_refused || why == reason::not_reached ||
+                         why == reason::answer_lost;
+    auto const now = boot_now();
+    if (!passing || now + retry_pause >= f.o.deadline || !m_retries.try_retry())
+        return false;
+    m_metrics.count_retry(f.o.service);
+    f.hint = {};
+    m_loop.timers().at(now + retry_pause,
+                       [this, id = f.id](instant t)
+                       {
+                           if (auto const it = m_flights.find(id); it != m_flights.end())
+                               dispatch(*it->second, t);
+                       });
+    return true;
+}
+
 void ingress::refuse(flight& f, reason why, duration retry_after)
 {
     finish(f, problem_response(why, false, retry_after), outcome_kind::refused, why);
--- a/src/process/ingress.hpp
+++ b/src/process/ingress.hpp
@@ -70,6 +70,7 @@
     void on_result(flight_id id, order_result result);
     void follow(flight& f, order_moved const& moved);
     void wait_for_owner(flight& f);
+    bool try_again(flight& f, reason why);
     void refuse(flight& f, reason why, duration retry_after);
     void give_up(flight& f, reason why);
     void finish(flight& f, http_response response, outcome_kind kind, reason why);
--- a/src/process/node.cpp
+++ b/src/process/node.cpp
@@ -13,6 +13,7 @@
 #include "process/log.hpp"
 #include "process/metrics.hpp"
 #include "process/operator_api.hpp"
+#include "process/shard_handover.hpp"
 
 #include "wire.pb.h"
 
@@ -61,15 +62,16 @@
                 [this](peer_route const& route, wire::Envelope const& m)
                 { on_peer(route, m); }),
           store(loop, {.address = settings.store_address, .port = settings.store_port}),
-          coord(make_coordinator({})), local(loop, *coord, settings.address),
-          requests(loop, *coord, local, peers, counts), operators({.settings = settings,
-                                                                   .loop = loop,
-                                                                   .local = local,
-                                                                   .store = store,
-                                                                   .counts = counts,
-                                                                   .peers = peers,
-                                                                   .requests = requests,
-                                                                   .coord = coord}),
+          coord(make_coordinator({}, {})), local(loop, *coord, settings.address),
+          requests(loop, *coord, local, peers, counts), handover(*coord, local, peers),
+          operators({.settings = settings,
+                     .loop = loop,
+                     .local = local,
+                     .store = store,
+                     .counts = counts,
+                     .peers = peers,
+                     .requests = requests,
+                     .coord = coord}),
           callers(loop,
                   {.address = settings.address,
                    .port = settings.caller_port,
@@ -93,6 +95,7 @@
     std::vector<target> known_targets;
     agent local;
     ingress requests;
+    shard_handover handover;
     operator_api operators;
     http_server callers;
     http_server operator_server;
@@ -108,7 +111,8 @@
         return "tcp://" + settings.address + ":" + std::to_string(settings.peer_port);
     }
 
-    std::unique_ptr<coordinator> make_coordinator(std::vector<target> targets)
+    std::unique_ptr<coordinator> make_coordinator(std::vector<target> targets,
+                                                  replica known)
     {
         return std::make_unique<coordinator>(coordinator_options{
             .self = {.node = settings.name, .incarnation = new_incarnation()},
@@ -120,7 +124,8 @@
             .lease = {},
             .planning = {},
             .guard = {},
-            .seed = std::random_device{}()});
+            .seed = std::random_device{}(),
+            .known = std::move(known)});
     }
 
     // ---- effects ----
@@ -161,6 +166,8 @@
                    });
     }
 
+    void apply(shard_drained& effect) { handover.on_drained(effect, boot_now()); }
+
     void apply(replica_changed& /*effect*/)
     {
         follow_config();
@@ -189,9 +196,10 @@
 
     void rejoin()
     {
-        auto fresh = make_coordinator(known_targets);
+        auto fresh = make_coordinator(known_targets, coord->take_copy());
         local.set_coordinator(*fresh);
         requests.set_coordinator(*fresh);
+        handover.set_coordinator(*fresh);
         coord = std::move(fresh);
         coord->start(boot_now());
         carry_out();
@@ -240,6 +248,10 @@
             return requests.on_cancel(route, message);
         case wire::Envelope::kPull:
             return answer_pull(route, message);
+        case wire::Envelope::kHandover:
+            return handover.on_handover(route, message, boot_now());
+        case wire::Envelope::kHandoverAck:
+            return handover.on_ack(message, boot_now());
         default:
             break;
         }
@@ -334,6 +346,7 @@
                           [&s](instant t)
                           {
                               s.local.tick(t);
+                              s.handover.tick(t);
                               s.requests.tick(t);
                               s.carry_out();
                           });
--- a/src/request/operation_table.cpp
+++ b/src/request/operation_table.cpp
@@ -62,17 +62,79 @@
             return operation_in_progress{};
         return operation_lost{};
     }
-    // Of another epoch, or so old that its entry may have been dropped.
-    if (id.epoch != epoch || id.shard != shard.index ||
-        now - made_at(id) > m_options.keep / 2)
+    // Of an epoch that was lost, or so old that its entry may have been dropped.
+    auto const id_age = age(shard, epoch, id, now);
+    if (!id_age || *id_age > m_options.keep / 2)
         return operation_lost{};
     if (!make_room(now))
         return operation_refused{};
-    m_entries[k] = {.at = state::running, .since = now, .answer = {}};
-    m_by_age.emplace(now, k);
+    insert(k, {.at = state::running, .since = now, .answer = {}});
     return operation_starts{};
 }
 
+std::optional<duration> operation_table::age(shard_id const& shard, std::uint64_t epoch,
+                                             operation_id const& id, instant now) const
+{
+    if (id.shard != shard.index)
+        return std::nullopt;
+    if (id.epoch == epoch)
+        return now - made_at(id);
+    auto const it = m_inherited.find(shard);
+    if (it == m_inherited.end() || it->second.next_epoch != epoch)
+        return std::nullopt;
+    auto const offset = it->second.clock_offsets.find(id.epoch);
+    if (offset == it->second.clock_offsets.end())
+        return std::nullopt;
+    return now + offset->second - made_at(id);
+}
+
+void operation_table::insert(key const& k, entry e)
+{
+    m_by_age.emplace(e.since, k);
+    m_entries[k] = std::move(e);
+}
+
+operation_handover operation_table::hand_over(shard_id const& shard, std::uint64_t epoch,
+                                              instant now) const
+{
+    operation_handover handover{.shard = shard, .epochs = {}, .operations = {}};
+    auto const inherited = m_inherited.find(shard);
+    if (inherited != m_inherited.end() && inherited->second.next_epoch == epoch)
+        for (auto const& [earlier, offset] : inherited->second.clock_offsets)
+            handover.epochs.push_back({.epoch = earlier, .now = now + offset});
+    handover.epochs.push_back({.epoch = epoch, .now = now});
+    for (auto const& [k, e] : m_entries)
+    {
+        if (k.service != shard.service || k.id.shard != shard.index)
+            continue;
+        handed_operation operation{.id = k.id, .answer = {}};
+        if (e.at == state::done)
+            operation.answer = e.answer;
+        handover.operations.push_back(std::move(operation));
+    }
+    return handover;
+}
+
+void operation_table::take_over(operation_handover const& handover, instant now)
+{
+    if (handover.epochs.empty())
+        return;
+    auto& inherited = m_inherited[handover.shard];
+    inherited.next_epoch = handover.epochs.back().epoch + 1;
+    inherited.clock_offsets.clear();
+    for (auto const& e : handover.epochs)
+        inherited.clock_offsets[e.epoch] = e.now - now;
+    for (auto const& operation : handover.operations)
+    {
+        key const k{handover.shard.service, operation.id};
+        if (m_entries.contains(k))
+            continue;
+        insert(k, {.at = operation.answer ? state::done : state::lost,
+                   .since = now,
+                   .answer = operation.answer.value_or(operation_answer{})});
+    }
+}
+
 bool operation_table::make_room(instant now)
 {
     while (!m_by_age.empty() && now - m_by_age.begin()->first > m_options.keep)
--- a/src/version/steward.cpp
+++ b/src/version/steward.cpp
@@ -104,8 +104,8 @@
             a = change_owner(a, a.owner); // cancels the move
         else if (a.successor && is_released)
             a = change_owner(a, a.successor);
-        else if (!a.successor && has_change && change->planned)
-            a.successor = change->to;
+        else if (!a.successor && has_change && change->to != a.owner)
+            a.successor = change->to; // also if the owner lives but its upstream is gone
     }
     if (present != nullptr && *present == next)
         return std::nullopt;
