--- /dev/null
+++ b/bench/placement.cpp
@@ -0,0 +1,269 @@
+// The planner against its baselines: imbalance, churn and moves, on the users' two sets.
+//
+//   bench_placement
+//
+// Placement only, in virtual rounds: keys by Zipf over the shards, the hottest ten
+// changing every few minutes, three losses (and returns) and a rolling replacement of all
+// targets. Churn is the share of shards whose owner changed; the needed part is that of
+// shards whose owner had gone. Imbalance is the highest over the mean load of a target.
+#include "buckthornusher/planner.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <functional>
+#include <iomanip>
+#include <iostream>
+#include <map>
+#include <numeric>
+#include <random>
+
+namespace
+{
+
+using namespace buckthornusher;
+
+struct scene
+{
+    char const* name = "";
+    std::uint32_t shards = 64;
+    std::uint32_t targets = 4;
+    std::uint32_t slots = 20;
+    double zipf = 0.9;
+};
+
+// Places all shards on the targets that are there; `before` are the owners so far.
+using placement = std::function<std::vector<member_id>(
+    plan_input const& input, std::vector<member_id> const& before)>;
+
+std::string shard_name(std::uint32_t shard)
+{
+    return "shard/" + std::to_string(shard);
+}
+
+std::vector<member_id> consistent_hashing(plan_input const& input, double bound)
+{
+    constexpr int virtual_nodes = 100;
+    std::vector<std::pair<std::uint64_t, member_id>> ring;
+    for (auto const& t : input.targets)
+        for (int v = 0; v < virtual_nodes; ++v)
+            ring.emplace_back(
+                rendezvous_score("ring", t.id.node + "#" + std::to_string(v)), t.id);
+    std::sort(ring.begin(), ring.end());
+    auto const total = std::accumulate(input.weights.begin(), input.weights.end(), 0.0);
+    auto const limit = bound * total / static_cast<double>(input.targets.size());
+    std::map<member_id, double> load;
+    std::vector<member_id> owners;
+    for (std::uint32_t s = 0; s < input.assignments.size(); ++s)
+    {
+        auto it = std::lower_bound(
+            ring.begin(), ring.end(),
+            std::pair{rendezvous_score("ring", shard_name(s)), member_id{}});
+        for (std::size_t tries = 0; tries < ring.size(); ++tries, ++it)
+        {
+            if (it == ring.end())
+                it = ring.begin();
+            if (bound <= 0 || load[it->second] + input.weights[s] <= limit)
+                break;
+        }
+        if (it == ring.end())
+            it = ring.begin();
+        load[it->second] += input.weights[s];
+        owners.push_back(it->second);
+    }
+    return owners;
+}
+
+std::vector<member_id> rendezvous(plan_input const& input)
+{
+    std::vector<member_id> owners;
+    for (std::uint32_t s = 0; s < input.assignments.size(); ++s)
+        owners.push_back(
+            std::max_element(input.targets.begin(), input.targets.end(),
+                             [&](plan_target const& a, plan_target const& b)
+                             {
+                                 return rendezvous_score(shard_name(s), a.id.node) <
+                                        rendezvous_score(shard_name(s), b.id.node);
+                             })
+                ->id);
+    return owners;
+}
+
+// Shard n belongs to target n modulo the targets of the first day; a lost one's shards go
+// to the next.
+std::vector<member_id> static_table(plan_input const& input, std::uint32_t targets)
+{
+    std::vector<member_id> owners;
+    for (std::uint32_t s = 0; s < input.assignments.size(); ++s)
+        for (std::uint32_t k = 0; k < targets; ++k)
+        {
+            auto const node = "t" + std::to_string((s + k) % targets);
+            auto const it =
+                std::find_if(input.targets.begin(), input.targets.end(),
+                             [&](plan_target const& t) { return t.id.node == node; });
+            if (it == input.targets.end())
+                continue;
+            owners.push_back(it->id);
+            break;
+        }
+    return owners;
+}
+
+std::vector<member_id> planned(plan_input input, std::vector<member_id> const& before)
+{
+    for (std::size_t s = 0; s < before.size(); ++s)
+        input.assignments[s].owner = before[s];
+    std::vector<member_id> owners = before;
+    for (auto const& change : plan(input, {.imbalance_bound = 1.15, .max_moves = 8}))
+        owners[change.shard] = change.to;
+    return owners;
+}
+
+struct result
+{
+    double needed = 0;
+    double chosen = 0;
+    double imbalance_sum = 0;
+    double imbalance_max = 0;
+    int rounds = 0;
+};
+
+class day
+{
+public:
+    explicit day(scene const& s) : m_scene(s), m_random(7)
+    {
+        for (std::uint32_t t = 0; t < s.targets; ++t)
+            m_incarnations.push_back(1);
+        m_order.resize(s.shards);
+        std::iota(m_order.begin(), m_order.end(), 0U);
+        std::shuffle(m_order.begin(), m_order.end(), m_random);
+    }
+
+    result run(placement const& place)
+    {
+        constexpr int rounds = 300;
+        std::vector<member_id> owners(m_scene.shards);
+        result r;
+        for (int round = 0; round < rounds; ++round)
+        {
+            change(round);
+            auto const input = present();
+            auto const next = place(input, owners);
+            if (round > 0)
+                count(input, owners, next, r);
+            owners = next;
+        }
+        return r;
+    }
+
+private:
+    // Hot shards change every 20 rounds; losses at 60, 120 and 180 last 15 rounds; from
+    // 220 on each target is replaced in turn.
+    void change(int round)
+    {
+        if (round % 20 == 19)
+            std::shuffle(m_order.begin(), m_order.begin() + 10, m_random);
+        m_lost = -1;
+        for (int const start : {60, 120, 180})
+            if (round >= start && round < start + 15)
+                m_lost = start / 60 % static_cast<int>(m_scene.targets);
+        if (round >= 220 && round % 10 == 0)
+        {
+            auto const t = static_cast<std::size_t>((round - 220) / 10);
+            if (t < m_incarnations.size())
+                ++m_incarnations[t];
+        }
+    }
+
+    plan_input present() const
+    {
+        plan_input input{.service = "s", .targets = {}, .assignments = {}, .weights = {}};
+        for (std::uint32_t t = 0; t < m_scene.targets; ++t)
+            if (static_cast<int>(t) != m_lost)
+                input.targets.push_back(
+                    {.id = {"t" + std::to_string(t), m_incarnations[t]},
+                     .domain = "",
+                     .slots = m_scene.slots});
+        input.assignments.resize(m_scene.shards);
+        input.weights.resize(m_scene.shards);
+        for (std::uint32_t rank = 0; rank < m_scene.shards; ++rank)
+            input.weights[m_order[rank]] = 1.0 / std::pow(rank + 1.0, m_scene.zipf);
+        return input;
+    }
+
+    static void count(plan_input input, std::vector<member_id> const& before,
+                      std::vector<member_id> const& next, result& r)
+    {
+        for (std::size_t s = 0; s < next.size(); ++s)
+        {
+            input.assignments[s].owner = next[s];
+            if (next[s] == before[s])
+                continue;
+            bool const owner_there =
+                std::any_of(input.targets.begin(), input.targets.end(),
+                            [&](plan_target const& t) { return t.id == before[s]; });
+            (owner_there ? r.chosen : r.needed) += 1.0 / static_cast<double>(next.size());
+        }
+        auto const uneven = imbalance(input);
+        r.imbalance_sum += uneven;
+        r.imbalance_max = std::max(r.imbalance_max, uneven);
+        ++r.rounds;
+    }
+
+    scene m_scene;
+    std::mt19937_64 m_random;
+    std::vector<std::uint64_t> m_incarnations;
+    std::vector<std::uint32_t> m_order; // shards by falling load
+    int m_lost = -1;
+};
+
+} // namespace
+
+int main()
+{
+    for (auto const& s :
+         {scene{.name = "svecnik-uniform", .slots = 20, .zipf = 0},
+          scene{.name = "svecnik-zipf", .slots = 20, .zipf = 0.6},
+          scene{.name = "tui-uniform", .slots = 12, .zipf = 0},
+          scene{.name = "tui-zipf", .slots = 12, .zipf = 0.6},
+          scene{.name = "two-years-uniform", .shards = 8'320, .targets = 520, .zipf = 0}})
+    {
+        std::vector<std::pair<char const*, placement>> const placements{
+            {"planner",
+             [](auto const& i, auto const& b)
+             {
+                 return planned(i, b);
+             }},
+            {"consistent-hashing",
+             [](auto const& i, auto const&)
+             {
+                 return consistent_hashing(i, 0);
+             }},
+            {"bounded-loads",
+             [](auto const& i, auto const&)
+             {
+                 return consistent_hashing(i, 1.15);
+             }},
+            {"rendezvous",
+             [](auto const& i, auto const&)
+             {
+                 return rendezvous(i);
+             }},
+            {"static-table", [&](auto const& i, auto const&)
+             {
+                 return static_table(i, s.targets);
+             }}};
+        for (auto const& [name, place] : placements)
+        {
+            if (s.targets > 100 && name != std::string("planner") &&
+                name != std::string("static-table"))
+                continue; // minutes for each
+            auto const r = day(s).run(place);
+            std::cout << std::fixed << std::setprecision(3) << s.name << " " << name
+                      << " imbalance_mean " << r.imbalance_sum / r.rounds
+                      << " imbalance_max " << r.imbalance_max << " churn_chosen "
+                      << r.chosen << " churn_needed " << r.needed << "\n";
+        }
+    }
+    return 0;
+}
--- a/src/process/coordinator.cpp
+++ b/src/process/coordinator.cpp
@@ -22,6 +22,8 @@
 constexpr duration keeper_stagger = 500ms; // between the keepers of a chunk
 constexpr std::size_t keepers = 3;
 constexpr duration watcher_change_interval = 1s;
+constexpr duration watcher_review_interval = 200ms;
+constexpr duration member_review_interval = 500ms;
 constexpr duration release_repeat = 300ms;
 constexpr duration pull_patience = 300ms;
 constexpr duration quiet_before_placing = 1s;   // after the last join
@@ -84,6 +86,7 @@
     instant last_tick;
     instant next_renewal;
     instant next_watcher_change;
+    instant next_member_review;
     instant watchers_since; // when the present watchers were accepted
 
     // Store reads: one list until it is answered, then one watch if this member listens.
@@ -315,6 +318,7 @@
         }
         else if (now >= next_watcher_change)
         {
+            next_watcher_change = now + watcher_review_interval;
             auto const suspects = silent_watchers(now);
             auto const better =
                 choose_watchers(copy, next, opts.lease.watchers, suspects);
@@ -386,6 +390,9 @@
         for (auto const& id : watcher.silent(now))
             if (auto const* m = copy.member(id); m != nullptr && my_turn(*m, now))
                 start_eviction(id, now);
+        if (now < next_member_review)
+            return;
+        next_member_review = now + member_review_interval;
         for (auto const& [id, m] : copy.members())
         {
             if (m.state != member_state::live || id == opts.self)
--- a/src/version/planner.cpp
+++ b/src/version/planner.cpp
@@ -119,14 +119,14 @@
     double m_total = 0;
 };
 
-void place_unowned(plan_input const& input, plan_options const& opts, load_table& loads,
+void place_unowned(plan_input const& input, load_table& loads,
                    std::vector<plan_change>& changes)
 {
-    // At least one more shard than an even share, so that a placement always exists.
+    // One shard more than an even share, so that a placement always exists.
     auto const smallest = std::min_element(input.targets.begin(), input.targets.end(),
                                            [](plan_target const& a, plan_target const& b)
                                            { return a.slots < b.slots; });
-    auto const bound = loads.mean() * opts.imbalance_bound + 1.0 / smallest->slots;
+    auto const bound = loads.mean() + 1.0 / smallest->slots;
     for (std::uint32_t shard = 0; shard < input.assignments.size(); ++shard)
     {
         if (loads.holder_of(input.assignments[shard]))
@@ -211,7 +211,7 @@
     if (input.targets.empty())
         return changes;
     load_table loads(input);
-    place_unowned(input, opts, loads, changes);
+    place_unowned(input, loads, changes);
     drain(input, loads, changes);
     rebalance(input, opts, loads, changes);
     std::sort(changes.begin(), changes.end(),
--- a/tests/fake_fleet.hpp
+++ b/tests/fake_fleet.hpp
@@ -73,7 +73,8 @@
 struct fleet_options
 {
     std::uint32_t members = 6;
-    std::uint32_t domains = 4; // in two regions
+    std::uint32_t domains = 4;
+    std::uint32_t regions = 2;
     std::uint32_t shards = 12;
     std::uint64_t seed = 1;
     guards guard;
@@ -81,6 +82,7 @@
     true_time faults_end = 20s;
     true_time end = 45s;
     bool steady_clocks = false; // no drift
+    bool load = true;           // requests run
 };
 
 class fake_fleet
@@ -93,12 +95,13 @@
             auto& m = m_members.emplace_back();
             m.index = i;
             m.domain = i % opts.domains;
-            m.region = m.domain % 2;
+            m.region = m.domain % opts.regions;
             m.offset = duration(pick(0, 1'000'000'000)) + 1s;
             m.drift_ppm = opts.steady_clocks ? 0 : pick(-450, 450);
             at(duration(pick(0, 300'000)), [this, i] { boot(i); });
         }
-        at(1s, [this] { load_step(); });
+        if (opts.load)
+            at(1s, [this] { load_step(); });
     }
 
     // Runs the case. Returns what went wrong first, or nothing.
@@ -122,7 +125,7 @@
     std::uint64_t executions() const { return m_executions; }
     // The longest time for which a shard was not executed, after the first execution.
     true_time longest_gap() const { return m_longest_gap; }
-    std::uint64_t store_writes() const { return m_store_writes; }
+    std::uint64_t store_calls() const { return m_store_calls; }
     coordinator const* coordinator_of(std::uint32_t i) const
     {
         return m_members[i].coord.get();
@@ -346,6 +349,7 @@
 
     void store_call(member& m, call_store const& e)
     {
+        ++m_store_calls;
         auto const i = m.index;
         auto const no_answer = [this, i, id = e.id]
         {
@@ -357,7 +361,7 @@
         if (!store_reachable(m))
             return no_answer();
         if (auto const* watch = std::get_if<store_watch>(&e.operation))
-            return poll_watch(i, m.run, e.id, watch->since, m_now + 5s);
+            return poll_watch(i, m.run, e.id, watch->since, m_now + 20s);
         bool const is_write = std::holds_alternative<store_write>(e.operation);
         bool const delays = is_write && m_store_delays_until > m_now && chance(0.5);
         bool const loses = is_write && m_store_loses_until > m_now && chance(0.5);
@@ -415,7 +419,6 @@
         if (std::holds_alternative<store_list>(operation))
             return changes(0);
         auto const& write = std::get<store_write>(operation);
-        ++m_store_writes;
         auto& o = m_store[write.name];
         o.name = write.name;
         auto const present = o.value ? o.version : 0;
@@ -619,7 +622,7 @@
 
     std::uint64_t m_revision = 0;
     std::map<std::string, object> m_store;
-    std::uint64_t m_store_writes = 0;
+    std::uint64_t m_store_calls = 0;
 
     std::map<std::uint32_t, shard_state> m_shards;
     std::uint64_t m_executions = 0;
