Operators' commands, service-level burn, pages

Cause: operators had curl only; the report on burn and the pages were missing. The daemon now gives the document's departments to the agent (before, only the ingress had the document: the process test found that a department at its old stage was served by the new owner).

--- a/src/process/ingress.cpp
+++ b/src/process/ingress.cpp
@@ -162,6 +162,7 @@
     order o;
     http_reply reply;
     instant arrived;
+    duration latency_bound{0}; // of the service's objective
     std::uint32_t hops = 0;
     member_id hint;    // where a node said that the owner is
     member_id sent_to; // an answer is awaited from it
@@ -199,6 +200,7 @@
     auto& f = *(m_flights[id] = std::unique_ptr<flight>(new flight{.reply = reply}));
     f.id = id;
     f.arrived = now;
+    f.latency_bound = service.latency;
     f.o.service = service.name;
     if (service.keyed)
         f.o.shard = shard_of_key(match->key, service.shards);
@@ -407,6 +409,8 @@
 {
     auto const now = boot_now();
     m_metrics.count_outcome(f.o.service, kind, why, now - f.arrived);
+    m_burn.count(f.o.service, kind == outcome_kind::answered,
+                 now - f.arrived > f.latency_bound, now);
     m_retries.on_first_attempt();
     m_loop.timers().cancel(f.timer);
     if (m_stopping)
--- a/src/process/ingress.hpp
+++ b/src/process/ingress.hpp
@@ -8,6 +8,7 @@
 #ifndef BUCKTHORNUSHER_PROCESS_INGRESS_HPP
 #define BUCKTHORNUSHER_PROCESS_INGRESS_HPP
 
+#include "buckthornusher/burn.hpp"
 #include "buckthornusher/coordinator.hpp"
 #include "buckthornusher/request_clock.hpp"
 #include "buckthornusher/retry_budget.hpp"
@@ -58,6 +59,8 @@
     void begin_stopping() { m_stopping = true; }
 
     std::size_t unfinished() const { return m_flights.size(); }
+    burn_recorder const& burn() const { return m_burn; }
+    route_table const* routes() const { return m_routes.get(); }
 
 private:
     struct flight; // a caller's request and how far it has come
@@ -89,6 +92,7 @@
     request_clock m_clocks;
     std::map<member_id, instant> m_asked_clocks;
     retry_budget m_retries;
+    burn_recorder m_burn;
     mutable std::mt19937_64 m_random;
     flight_id m_next_id = 1;
     bool m_stopping = false;
--- a/src/process/main.cpp
+++ b/src/process/main.cpp
@@ -1,6 +1,7 @@
 // The command line of the one binary.
 #include "process/log.hpp"
 #include "process/node.hpp"
+#include "process/operator_client.hpp"
 #include "version/config.hpp"
 
 #include <CLI/CLI.hpp>
@@ -16,11 +17,6 @@
 
 using namespace buckthornusher;
 
-// Exit codes, as documented in docs/OPERATING.md.
-constexpr int exit_ok = 0;
-constexpr int exit_failed = 1;
-constexpr int exit_bad_input = 2;
-
 node* running_node = nullptr;
 
 std::optional<std::string> read_file(std::string const& path)
@@ -80,28 +76,104 @@
     return exit_ok;
 }
 
+// The commands and their arguments.
+struct command_line
+{
+    std::string settings;
+    std::string document_path;
+    std::string node;
+    std::string production;
+    std::uint64_t expected = 0;
+    bool json = false;
+    CLI::App app{"Routes requests to servers that own their keys exclusively"};
+    CLI::App* run = app.add_subcommand("node", "serve beside an upstream");
+    CLI::App* config = app.add_subcommand("config", "the environment's document");
+    CLI::App* check = config->add_subcommand("check", "check a document");
+    CLI::App* show = config->add_subcommand("show", "print the document in force");
+    CLI::App* diff = config->add_subcommand("diff", "compare with the document in force");
+    CLI::App* apply = config->add_subcommand("apply", "replace the document in force");
+    CLI::App* promote = config->add_subcommand(
+        "promote", "bring trial's document to production, unchanged");
+    CLI::App* status = app.add_subcommand("status", "the fleet as a node sees it");
+    std::vector<std::string> nodes;
+    bool html = false;
+    CLI::App* report = app.add_subcommand("report", "reports over the fleet");
+    CLI::App* burn =
+        report->add_subcommand("burn", "service-level burn, all nodes together");
+    CLI::App* version = app.add_subcommand("version", "print the version");
+
+    command_line()
+    {
+        app.require_subcommand(1);
+        config->require_subcommand(1);
+        run->add_option("--settings", settings, "the process's settings, TOML")
+            ->required();
+        for (auto* command : {check, diff, apply})
+            command->add_option("file", document_path, "the document, TOML")->required();
+        for (auto* command : {show, diff, apply, status})
+            command->add_option("--node", node, "a node's operator listener, IP:port")
+                ->required();
+        promote->add_option("--trial", node, "a node of the trial environment")
+            ->required();
+        promote->add_option("--production", production, "a node of production")
+            ->required();
+        for (auto* command : {apply, promote})
+            command->add_option("--expected", expected, "the number that is replaced")
+                ->required();
+        report->require_subcommand(1);
+        burn->add_option("--nodes", nodes, "operator listeners, IP:port,IP:port")
+            ->delimiter(',')
+            ->required();
+        burn->add_flag("--html", html, "a page in place of a table");
+        status->add_flag("--json", json, "for programs");
+    }
+};
+
+int run_report(command_line const& line)
+{
+    std::vector<node_address> nodes;
+    for (auto const& text : line.nodes)
+    {
+        auto const node = parse_address(text);
+        if (!node)
+            return std::cerr << text << ": not IP:port\n", exit_bad_input;
+        nodes.push_back(*node);
+    }
+    return report_burn(nodes, line.html);
+}
+
+int run_command(command_line const& line)
+{
+    if (line.run->parsed())
+        return run_node(line.settings);
+    if (line.check->parsed())
+        return check_config(line.document_path);
+    if (line.version->parsed())
+        return std::cout << "buckthornusher 0.1.0\n", exit_ok;
+    if (line.burn->parsed())
+        return run_report(line);
+    auto const node = parse_address(line.node);
+    if (!node)
+        return std::cerr << line.node << ": not IP:port\n", exit_bad_input;
+    if (line.show->parsed())
+        return config_show(*node);
+    if (line.diff->parsed())
+        return config_diff(*node, line.document_path);
+    if (line.apply->parsed())
+        return config_apply(*node, line.document_path, line.expected);
+    if (line.status->parsed())
+        return show_status(*node, line.json);
+    auto const production = parse_address(line.production);
+    if (!production)
+        return std::cerr << line.production << ": not IP:port\n", exit_bad_input;
+    return config_promote(*node, *production, line.expected);
+}
+
 } // namespace
 
 int main(int argc, char** argv)
 {
-    CLI::App app("Routes requests to servers that own their keys exclusively");
-    app.require_subcommand(1);
-    std::string settings;
-    auto* node_command = app.add_subcommand("node", "serve beside an upstream");
-    node_command->add_option("--settings", settings, "the process's settings, TOML")
-        ->required();
-    std::string document_path;
-    auto* config_command = app.add_subcommand("config", "the environment's document");
-    config_command->require_subcommand(1);
-    auto* check_command = config_command->add_subcommand("check", "check a document");
-    check_command->add_option("file", document_path, "the document, TOML")->required();
-    auto* version_command = app.add_subcommand("version", "print the version");
-    CLI11_PARSE(app, argc, argv);
-    if (node_command->parsed())
-        return run_node(settings);
-    if (check_command->parsed())
-        return check_config(document_path);
-    if (version_command->parsed())
-        std::cout << "buckthornusher 0.1.0\n";
-    return exit_ok;
+    command_line line;
+    CLI11_PARSE(line.app, argc, argv);
+    return run_command(line);
 }
--- a/src/process/node.cpp
+++ b/src/process/node.cpp
@@ -230,8 +230,10 @@
             if (service.keyed)
                 services.push_back({.name = service.name, .shards = service.shards});
         coord->set_services(services);
-        requests.set_routes(
-            std::make_shared<route_table const>(std::move(parsed).value()));
+        auto const routes =
+            std::make_shared<route_table const>(std::move(parsed).value());
+        requests.set_routes(routes);
+        local.set_routes(routes);
         log_event(log_level::info, "config-in-force",
                   {{"number", std::to_string(config_number)}});
     }
--- a/src/process/operator_api.cpp
+++ b/src/process/operator_api.cpp
@@ -62,6 +62,21 @@
     }
 }
 
+void write_windows(std::ostream& out, burn_recorder const& burn,
+                   std::string const& service)
+{
+    char const* separator = "";
+    for (auto const length : burn_windows)
+    {
+        auto const windows = burn.window(length, boot_now());
+        auto const it = windows.find(service);
+        auto const counts = it == windows.end() ? burn_counts{} : it->second;
+        out << separator << "{\"total\":" << counts.total
+            << ",\"failed\":" << counts.failed << ",\"slow\":" << counts.slow << "}";
+        separator = ",";
+    }
+}
+
 // The config object as it may be replaced, or the answer that refuses it.
 struct config_change
 {
@@ -119,6 +134,9 @@
         return put_config(request, reply);
     if (request.path == "/metrics")
         return reply.send({.body = metrics_text()});
+    if (request.path == "/v1/burn")
+        return reply.send(
+            {.headers = {{"content-type", "application/json"}}, .body = burn()});
     if (request.path == "/v1/status")
         return reply.send(
             {.headers = {{"content-type", "application/json"}}, .body = status()});
@@ -185,6 +203,25 @@
     return out.str();
 }
 
+std::string operator_api::burn() const
+{
+    std::ostringstream out;
+    auto const* routes = m_parts.requests.routes();
+    out << "{\"services\":[";
+    char const* separator = "";
+    if (routes != nullptr)
+        for (auto const& service : routes->source().services)
+        {
+            out << separator << "{\"name\":\"" << service.name
+                << "\",\"availability\":" << service.availability << ",\"windows\":[";
+            write_windows(out, m_parts.requests.burn(), service.name);
+            out << "]}";
+            separator = ",";
+        }
+    out << "]}\n";
+    return out.str();
+}
+
 std::string operator_api::metrics_text() const
 {
     auto const& coord = *m_parts.coord;
--- a/src/process/operator_api.hpp
+++ b/src/process/operator_api.hpp
@@ -45,6 +45,7 @@
     void announce(http_request const& request, http_reply const& reply);
     void put_config(http_request const& request, http_reply const& reply);
     std::string status() const;
+    std::string burn() const;
     std::string metrics_text() const;
 
     parts m_parts;
--- a/tests/process_test.sh
+++ b/tests/process_test.sh
@@ -65,6 +65,20 @@
 wait "$load_pid"
 check "a planned stop costs no request" [ "$(field answered stop)" = "$(field sent stop)" ]
 
+"$build_dir/standin_upstream" --port 20999 --service old --unfenced & upstream_pid[old]=$!
+answer_of() { curl -s -m 5 --retry 3 -X POST -d x "127.0.0.1:29010/orders/$1"; }
+check "a department at its old stage is served by the old setup" \
+  grep -q "^old /orders/parish-1" <(answer_of parish-1)
+check "other keys are served by the new owner" grep -q "^ordering /orders/77" <(answer_of 77)
+awk '/cemetery/ { found = 1 } found && /stage = "old"/ { sub("old", "new"); found = 0 } { print }' \
+  examples/svecnik.toml > "$fleet_dir/next.toml"
+load handover 5 --prefix /orders/cemetery- & load_pid=$!
+http PUT "29011/v1/config?expected=1" "$fleet_dir/next.toml" > /dev/null
+until grep -q "^ordering" <(answer_of cemetery-1); do sleep 0.1; done
+wait "$load_pid"
+check "a department's handover costs no request" \
+  [ "$(field answered handover)" = "$(field sent handover)" ]
+
 check "an unknown route is a 404 that says it did not run" \
   [ "$(status_code 127.0.0.1:29010/nothing/1)" = 404 ]
 check "and its body says so" grep -q '"ran":false' "$fleet_dir/body"
@@ -78,11 +92,11 @@
 printf 'nonsense to the peer port' > /dev/tcp/127.0.0.1/29012
 check "the node lives on" [ "$(status_code 127.0.0.1:29010/stands/k1)" = 200 ]
 sed 's/shards = 64/shards = 0/' examples/svecnik.toml > "$fleet_dir/bad.toml"
-http PUT "29011/v1/config?expected=1" "$fleet_dir/bad.toml" > "$fleet_dir/body"
+http PUT "29011/v1/config?expected=2" "$fleet_dir/bad.toml" > "$fleet_dir/body"
 check "a bad document is refused with line and key" \
   grep -q "service.ordering.shards: found 0, allowed 1 to 65536" "$fleet_dir/body"
 http PUT "29011/v1/config?expected=0" examples/svecnik.toml > "$fleet_dir/body"
-check "a racing operator gets a clear conflict" grep -q "conflict: number 1 is in force" "$fleet_dir/body"
+check "a racing operator gets a clear conflict" grep -q "conflict: number 2 is in force" "$fleet_dir/body"
 
 check "nothing ran twice and no two owners overlapped" \
   "$build_dir/bench_judge" --ports "$upstream_ports"
