--- /dev/null
+++ b/src/process/coordinator_evictions.cpp
@@ -0,0 +1,174 @@
+// A coordinator that ends the leases of members that have fallen silent.
+#include "process/coordinator_impl.hpp"
+
+#include "version/roles.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace buckthornusher
+{
+
+namespace
+{
+constexpr duration evictor_stagger = 250ms; // between the watchers of a member
+constexpr duration refuse_repeat = 250ms;
+constexpr duration member_review_interval = 500ms;
+constexpr duration unwatched_limit = 10s; // a member without watchers is ended
+constexpr duration gone_record_kept = 60s;
+} // namespace
+
+void coordinator::impl::start_eviction(member_id const& subject, instant now)
+{
+    auto const* m = copy.member(subject);
+    auto const name = member_object(subject);
+    if (m == nullptr || m->state != member_state::live || writer.busy(name))
+        return;
+    ++counts.evictions_started;
+    auto next = *m;
+    next.state = member_state::evicting;
+    evictions.try_emplace(subject, eviction_work{.first_seen = now}).first->second.own =
+        true;
+    write_record(name, next, now);
+}
+
+void coordinator::impl::start_evictions(instant now)
+{
+    for (auto const& id : watcher.silent(now))
+        if (auto const* m = copy.member(id); m != nullptr && my_turn(*m, now))
+            start_eviction(id, now);
+    if (now < next_member_review)
+        return;
+    next_member_review = now + member_review_interval;
+    for (auto const& [id, m] : copy.members())
+    {
+        if (m.state != member_state::live || id == opts.self)
+            continue;
+        bool const predecessor =
+            id.node == opts.self.node && id.incarnation < opts.self.incarnation;
+        bool const unwatched =
+            m.watchers.empty() && now - first_seen[id] > unwatched_limit;
+        if (predecessor || unwatched)
+            start_eviction(id, now);
+    }
+}
+
+bool coordinator::impl::my_turn(member_record const& m, instant now) const
+{
+    auto const it = std::find(m.watchers.begin(), m.watchers.end(), opts.self);
+    auto const rank = static_cast<std::size_t>(it - m.watchers.begin());
+    auto const silent = watcher.silent(now - evictor_stagger * rank);
+    return std::find(silent.begin(), silent.end(), m.id) != silent.end();
+}
+
+bool coordinator::impl::carries(member_id const& subject, eviction_work const& work,
+                                instant now) const
+{
+    if (work.own)
+        return true;
+    auto const rank = work_rank(copy, opts.self, "evict/" + subject.node);
+    return rank && *rank < keepers &&
+           now - work.first_seen >
+               2 * opts.lease.longest_lease() + keeper_stagger * *rank;
+}
+
+void coordinator::impl::continue_evictions(instant now)
+{
+    counts.evictions_waiting = 0;
+    for (auto& [subject, work] : evictions)
+    {
+        auto const* m = copy.member(subject);
+        if (m == nullptr || m->state != member_state::evicting ||
+            !carries(subject, work, now))
+            continue;
+        if (!work.steps)
+            work.steps.emplace(*m, opts.lease, opts.guard);
+        note_ended(subject, *work.steps, now);
+        if (now >= work.next_refuse)
+            ask_to_refuse(subject, work, now);
+        auto const over = work.steps->over_at();
+        counts.evictions_waiting += over ? 0 : 1;
+        auto const name = member_object(subject);
+        if (!over || now < *over || writer.busy(name))
+            continue;
+        auto next = *m;
+        next.state = member_state::gone;
+        write_record(name, next, now);
+    }
+}
+
+bool coordinator::impl::has_ended(member_id const& id) const
+{
+    auto const* o = copy.find(member_object(id));
+    if (o == nullptr)
+        return false;
+    return !o->value || std::get<member_record>(*o->value).state == member_state::gone ||
+           is_replaced(std::get<member_record>(*o->value));
+}
+
+bool coordinator::impl::is_replaced(member_record const& m) const
+{
+    for (auto it = copy.members().upper_bound(m.id);
+         it != copy.members().end() && it->first.node == m.id.node; ++it)
+        if (it->second.endpoint == m.endpoint)
+            return true;
+    return false;
+}
+
+void coordinator::impl::note_ended(member_id const& subject, eviction& steps,
+                                   instant now) const
+{
+    auto const* m = copy.member(subject);
+    if (is_replaced(*m))
+        steps.on_replaced(now);
+    for (auto const& id : m->watchers)
+        if (has_ended(id))
+            steps.on_watcher_gone(id, now);
+}
+
+void coordinator::impl::ask_to_refuse(member_id const& subject, eviction_work& work,
+                                      instant now)
+{
+    work.next_refuse = now + refuse_repeat;
+    for (auto const& id : work.steps->missing())
+    {
+        if (id == opts.self)
+            work.steps->on_refused(id, watcher.refuse(subject, now), now);
+        else
+            send(id, refuse{.subject = subject});
+    }
+}
+
+void coordinator::impl::delete_gone(instant now)
+{
+    for (auto const& [id, since] : gone_since)
+    {
+        auto const* m = copy.member(id);
+        auto const name = member_object(id);
+        if (m == nullptr || now - since < gone_record_kept || writer.busy(name) ||
+            work_rank(copy, opts.self, "delete/" + id.node) != 0 || referred_to(id))
+            continue;
+        write({.name = name, .expected = copy.version_of(name), .value = {}}, now);
+    }
+    std::erase_if(gone_since,
+                  [&](auto const& entry) { return copy.member(entry.first) == nullptr; });
+}
+
+bool coordinator::impl::referred_to(member_id const& id) const
+{
+    for (auto const& entry : copy.members())
+    {
+        auto const& m = entry.second;
+        if (m.state != member_state::gone &&
+            std::find(m.watchers.begin(), m.watchers.end(), id) != m.watchers.end())
+            return true;
+    }
+    for (auto const& service : opts.services)
+        for (std::uint32_t shard = 0; shard < service.shards; ++shard)
+            if (auto const* a = copy.find_assignment({service.name, shard});
+                a != nullptr && (a->owner == id || a->successor == id))
+                return true;
+    return false;
+}
+
+} // namespace buckthornusher
--- /dev/null
+++ b/src/process/coordinator_impl.hpp
@@ -0,0 +1,230 @@
+// The state of a coordinator, and what it does with each event.
+//
+// The parts stand in files by subject: coordinator.cpp (events, replica, store),
+// coordinator_membership.cpp, coordinator_evictions.cpp and coordinator_chunks.cpp.
+#ifndef BUCKTHORNUSHER_PROCESS_COORDINATOR_IMPL_HPP
+#define BUCKTHORNUSHER_PROCESS_COORDINATOR_IMPL_HPP
+
+#include "buckthornusher/coordinator.hpp"
+
+#include "process/store_writer.hpp"
+#include "version/steward.hpp"
+
+#include <set>
+
+namespace buckthornusher
+{
+
+// Members that may write a chunk or carry on an eviction, one after the other.
+inline constexpr std::size_t keepers = 3;
+inline constexpr duration keeper_stagger = 500ms;
+
+struct coordinator::impl
+{
+    // How far this member has come. Each state is only left downwards.
+    enum class phase
+    {
+        listing,     // reads the store's objects
+        registering, // writes its own record
+        member,
+        ended,
+    };
+
+    // A member's eviction, as this member sees it.
+    struct eviction_work
+    {
+        instant first_seen;
+        bool own = false; // this member marked the record
+        std::optional<eviction> steps;
+        instant next_refuse;
+    };
+
+    explicit impl(coordinator_options o)
+        : opts(std::move(o)), copy(std::move(opts.known)), lease(opts.lease, opts.guard),
+          watcher(opts.lease), writer(opts.seed, opts.guard),
+          shards(opts.self, opts.guard), random(opts.seed)
+    {
+    }
+
+    coordinator_options opts;
+    replica copy;
+    lease_holder lease;
+    lease_watcher watcher;
+    store_writer writer;
+    shard_ownership shards;
+    std::mt19937_64 random;
+    coordinator_counts counts;
+    std::vector<effect> effects;
+
+    phase at = phase::listing;
+    bool leaving = false;
+    std::uint64_t next_call_id = 1;
+    instant last_tick;
+    instant next_renewal;
+    instant next_watcher_change;
+    instant next_member_review;
+    instant watchers_since; // when the present watchers were accepted
+
+    // Store reads: one list until it is answered, then one watch if this member listens.
+    std::optional<std::uint64_t> list_call;
+    std::optional<std::uint64_t> watch_call;
+    instant next_store_read;
+    duration store_backoff = 100ms;
+
+    std::map<member_id, eviction_work> evictions;
+    std::map<member_id, instant> first_seen; // members in the replica
+    std::map<member_id, instant> gone_since; // gone members in the replica
+    instant last_membership_change;
+    instant last_planned_move;
+
+    release_table announced; // releases that owners have sent to this keeper
+    release_table confirmed; // own releases whose state has been handed over
+    std::map<std::string, instant>
+        work_since;                       // by chunk object: since when it needs a write
+    std::uint64_t planned_generation = 0; // of the replica, at the last plan
+    instant next_plan;
+    instant next_release_send;
+    std::size_t release_sends = 0;
+
+    // Roles that follow from the members, for one generation of them.
+    std::uint64_t roles_generation = 0;
+    bool roles_stale = true;
+    bool listens = false;
+    std::map<std::string, std::size_t> keeper_ranks; // by chunk object
+
+    std::optional<instant> behind_since; // a peer's replica is ahead of ours
+    std::uint64_t highest_revision = 0;  // that a peer has had
+    instant next_pull;
+
+    // ---- sending ----
+
+    void send(member_id const& to, control_message message);
+
+    std::uint64_t call(store_operation operation);
+
+    void write(store_write w, instant now);
+
+    void write_record(std::string const& name, record value, instant now);
+
+    // ---- the replica ----
+
+    member_record const* own_record() const { return copy.member(opts.self); }
+
+    // Changes of (from, to] have come from the store or from `sender`.
+    void learn(std::uint64_t from, std::uint64_t to, std::vector<object> const& objects,
+               std::optional<member_id> const& sender, instant now);
+
+    // Consequences of one changed object.
+    void follow(object const& o, instant now);
+
+    void follow_member(member_record const& m, instant now);
+
+    void follow_chunk(chunk_record const& c);
+
+    void note_drained(shard_id const& shard);
+
+    void refresh_subjects(instant now);
+
+    // A peer has applied more than we have; ask it if that does not pass by itself. A
+    // peer that is behind as well says nothing about the others.
+    void note_revision(member_id const& peer, std::uint64_t revision, instant now);
+
+    // ---- membership and lease ----
+
+    void end_membership(bool planned);
+
+    void register_self(instant now);
+
+    // Begins with the objects that an earlier incarnation of this process knew.
+    void resume(instant now);
+
+    // Watchers that have not acked for two rounds.
+    std::vector<member_id> silent_watchers(instant now) const;
+
+    // Brings this member's own record up to date, one write at a time.
+    void update_self(instant now);
+
+    // No assignment names this member, and nothing runs here.
+    bool has_left() const;
+
+    void renew_lease(instant now);
+
+    instant watch_permission() const;
+
+    // ---- evictions ----
+
+    void start_eviction(member_id const& subject, instant now);
+
+    void start_evictions(instant now);
+
+    // The member's watchers begin one after the other, so that mostly one does.
+    bool my_turn(member_record const& m, instant now) const;
+
+    // Whether this member carries the eviction on. Others take over from one that fails.
+    bool carries(member_id const& subject, eviction_work const& work, instant now) const;
+
+    void continue_evictions(instant now);
+
+    // The member cannot ack any more, but its last acks may still count.
+    bool has_ended(member_id const& id) const;
+
+    // A later incarnation has the member's endpoint.
+    bool is_replaced(member_record const& m) const;
+
+    void note_ended(member_id const& subject, eviction& steps, instant now) const;
+
+    void ask_to_refuse(member_id const& subject, eviction_work& work, instant now);
+
+    // Deletes records of members that nothing refers to any more.
+    void delete_gone(instant now);
+
+    bool referred_to(member_id const& id) const;
+
+    // ---- chunks ----
+
+    // Gone owners whose upstreams may still run a request.
+    std::set<member_id> held_owners(instant now) const;
+
+    // This member's places among the keepers of chunks, by chunk object.
+    void refresh_roles();
+
+    void keep_chunks(instant now);
+
+    void note_planned_moves(chunk_record const& next, instant now);
+
+    void send_releases(instant now);
+
+    // ---- messages ----
+
+    void on(member_id const& from, renew const& m, instant now);
+
+    void on(member_id const& from, renew_ack const& m, instant now);
+
+    void on(member_id const& from, refuse const& m, instant now);
+
+    void on(member_id const& from, refused const& m, instant now);
+
+    void on(member_id const& from, deltas const& m, instant now);
+
+    void on(member_id const& from, pull const& m, instant /*now*/);
+
+    void on(member_id const& /*from*/, released const& m, instant now);
+
+    // ---- the store ----
+
+    void read_store(instant now);
+
+    void back_off_reads(instant now);
+
+    void on_read(bool listed, store_answer const& answer, instant now);
+
+    void on_decision(write_decision const& decision, instant now);
+
+    void on_own_decision(write_decision const& decision, instant now);
+
+    void after_conflict(object const& current, instant now);
+};
+
+} // namespace buckthornusher
+
+#endif
--- a/src/process/event_loop.cpp
+++ b/src/process/event_loop.cpp
@@ -74,8 +74,8 @@
     lws_context_creation_info info{};
     info.options = LWS_SERVER_OPTION_EXPLICIT_VHOSTS;
     info.port = CONTEXT_PORT_NO_LISTEN;
-    info.gid = static_cast<gid_t>(-1);
-    info.uid = static_cast<uid_t>(-1);
+    info.gid = -1;
+    info.uid = -1;
     m_impl->context = lws_create_context(&info);
     if (m_impl->context == nullptr)
         throw std::runtime_error("event loop: cannot create the libwebsockets context");
--- a/src/process/lease.cpp
+++ b/src/process/lease.cpp
@@ -173,6 +173,7 @@
             found.emplace_back(last_heard, id);
     std::sort(found.begin(), found.end());
     std::vector<member_id> ids;
+    ids.reserve(found.size());
     for (auto& entry : found)
         ids.push_back(std::move(entry.second));
     return ids;
--- a/src/version/roles.cpp
+++ b/src/version/roles.cpp
@@ -36,6 +36,7 @@
                                             : a.second->id > b.second->id;
               });
     std::vector<member_record const*> members;
+    members.reserve(scored.size());
     for (auto const& entry : scored)
         members.push_back(entry.second);
     return members;
--- a/tests/fake_fleet.hpp
+++ b/tests/fake_fleet.hpp
@@ -527,7 +527,7 @@
         // The upstream goes on while the node beside it is paused.
         at(m_now + length, [this, shard = id.index, by = m.coord->self(),
                             epoch = run.epoch] { end_execution(by, shard, epoch); });
-        when_awake(m.index, m_now + length, [this, id](member& x) { x.coord->end(id); });
+        when_awake(m.index, m_now + length, [id](member& x) { x.coord->end(id); });
     }
 
     void begin_execution(member_id const& by, std::uint32_t shard, std::uint64_t epoch)
--- a/tests/lease_property_test.cpp
+++ b/tests/lease_property_test.cpp
@@ -130,7 +130,8 @@
     {
         if (m_requests.empty())
             return;
-        auto const it = m_requests.begin() + pick % m_requests.size();
+        auto const it =
+            m_requests.begin() + static_cast<std::ptrdiff_t>(pick % m_requests.size());
         auto const r = *it;
         if (pick % 3 != 0) // otherwise it is delivered again later
             m_requests.erase(it);
@@ -142,7 +143,8 @@
     {
         if (m_acks.empty())
             return;
-        auto const it = m_acks.begin() + pick % m_acks.size();
+        auto const it =
+            m_acks.begin() + static_cast<std::ptrdiff_t>(pick % m_acks.size());
         auto const a = *it;
         m_acks.erase(it);
         m_holder.on_ack(a.watcher, a.sequence, true, m_now);
@@ -257,6 +259,7 @@
 {
     std::mt19937_64 random(seed);
     std::vector<move> moves;
+    moves.reserve(120);
     for (int i = 0; i < 120; ++i)
         moves.push_back({.kind = static_cast<step>(random() % step_kinds),
                          .pick = static_cast<std::uint32_t>(random() % 100'000)});
