--- a/Makefile
+++ b/Makefile
@@ -28,7 +28,7 @@
 	@bash demo/demo.sh $(BUILD)
 
 test: build
-	@ctest --test-dir $(BUILD) --output-on-failure $(CTEST_FLAGS)
+	@ctest --test-dir $(BUILD) --output-on-failure -j 4 $(CTEST_FLAGS)
 
 soak: build
 	RC_PARAMS="seed=$(SEED) max_success=$(CASES)" $(BUILD)/coordinator_property_test
--- /dev/null
+++ b/src/process/request_wire.cpp
@@ -0,0 +1,117 @@
+// Orders and their results in their protobuf forms.
+#include "process/request_wire.hpp"
+
+#include "connection/wire.hpp"
+
+#include "wire.pb.h"
+
+namespace buckthornusher
+{
+
+namespace
+{
+
+void encode_result(order_answered const& answered, wire::Reply& out)
+{
+    out.set_outcome(wire::Reply::ANSWERED);
+    out.set_status(static_cast<std::uint32_t>(answered.response.status));
+    out.set_body(answered.response.body);
+    for (auto const& header : answered.response.headers)
+    {
+        auto& h = *out.add_headers();
+        h.set_name(header.name);
+        h.set_value(header.value);
+    }
+}
+
+void encode_result(order_refused const& refused, wire::Reply& out)
+{
+    out.set_outcome(wire::Reply::REFUSED);
+    out.set_reason(static_cast<std::uint32_t>(refused.why));
+    out.set_retry_after(static_cast<std::uint64_t>(refused.retry_after.count()));
+}
+
+void encode_result(order_unknown const& unknown, wire::Reply& out)
+{
+    out.set_outcome(wire::Reply::UNKNOWN);
+    out.set_reason(static_cast<std::uint32_t>(unknown.why));
+}
+
+void encode_result(order_moved const& moved, wire::Reply& out)
+{
+    out.set_outcome(wire::Reply::MOVED);
+    out.set_epoch(moved.epoch);
+    if (moved.owner)
+        encode(moved.owner, *out.mutable_owner());
+}
+
+} // namespace
+
+void encode(order_result const& result, wire::Reply& out)
+{
+    std::visit([&](auto const& r) { encode_result(r, out); }, result);
+}
+
+order_result decode(wire::Reply const& in)
+{
+    auto const why = in.reason() <= static_cast<std::uint32_t>(reason::stopping)
+                         ? static_cast<reason>(in.reason())
+                         : reason::none;
+    switch (in.outcome())
+    {
+    case wire::Reply::ANSWERED:
+    {
+        http_response response{.status = static_cast<int>(in.status()),
+                               .body = in.body()};
+        for (auto const& h : in.headers())
+            response.headers.push_back({h.name(), h.value()});
+        return order_answered{std::move(response)};
+    }
+    case wire::Reply::REFUSED:
+        return order_refused{.why = why,
+                             .retry_after =
+                                 duration(static_cast<duration::rep>(in.retry_after()))};
+    case wire::Reply::MOVED:
+        return order_moved{.owner = decode(in.owner()), .epoch = in.epoch()};
+    default:
+        return order_unknown{.why = why};
+    }
+}
+
+order decode(wire::Forward const& in)
+{
+    order o;
+    o.service = in.service();
+    if (in.keyed())
+        o.shard = in.shard();
+    o.operation = in.operation();
+    o.request.method = in.method();
+    auto const question = in.target().find('?');
+    o.request.path = in.target().substr(0, question);
+    if (question != std::string::npos)
+        o.request.query = in.target().substr(question + 1);
+    o.request.body = in.body();
+    for (auto const& h : in.headers())
+        o.request.headers.push_back({h.name(), h.value()});
+    return o;
+}
+
+void encode(order const& o, wire::Forward& out)
+{
+    out.set_service(o.service);
+    out.set_keyed(o.shard.has_value());
+    out.set_shard(o.shard.value_or(0));
+    out.set_operation(o.operation);
+    out.set_method(o.request.method);
+    out.set_target(o.request.query.empty() ? o.request.path
+                                           : o.request.path + "?" + o.request.query);
+    out.set_body(o.request.body);
+    for (auto const& header : o.request.headers)
+    {
+        auto& h = *out.add_headers();
+        h.set_name(header.name);
+        h.set_value(header.value);
+    }
+}
+
+} // namespace buckthornusher
--- /dev/null
+++ b/standins/serve.hpp
@@ -0,0 +1,34 @@
+// What the stand-ins share: numbers in queries and headers, and serving until SIGTERM.
+#ifndef BUCKTHORNUSHER_STANDINS_SERVE_HPP
+#define BUCKTHORNUSHER_STANDINS_SERVE_HPP
+
+#include "process/event_loop.hpp"
+
+#include <charconv>
+#include <csignal>
+#include <cstdint>
+#include <string_view>
+
+namespace buckthornusher
+{
+
+// Zero if the text is not a number.
+inline std::uint64_t number_of(std::string_view text)
+{
+    std::uint64_t value = 0;
+    std::from_chars(text.data(), text.data() + text.size(), value);
+    return value;
+}
+
+inline int serve_until_stopped(event_loop& loop)
+{
+    static event_loop* running = nullptr;
+    running = &loop;
+    std::signal(SIGTERM, [](int) { running->stop(); });
+    loop.run();
+    return 0;
+}
+
+} // namespace buckthornusher
+
+#endif
--- a/standins/store.cpp
+++ b/standins/store.cpp
@@ -13,14 +13,13 @@
 #include "connection/http_server.hpp"
 #include "process/boot_clock.hpp"
 #include "process/event_loop.hpp"
+#include "serve.hpp"
 
 #include "wire.pb.h"
 
 #include <CLI/CLI.hpp>
 #include <google/protobuf/util/json_util.h>
 
-#include <charconv>
-#include <csignal>
 #include <map>
 
 namespace buckthornusher
@@ -45,10 +44,7 @@
 
 std::uint64_t query_number(http_request const& request, std::string_view name)
 {
-    auto const text = find_query(request.query, name);
-    std::uint64_t value = 0;
-    std::from_chars(text.data(), text.data() + text.size(), value);
-    return value;
+    return number_of(find_query(request.query, name));
 }
 
 std::string to_json(google::protobuf::Message const& message)
@@ -229,8 +225,6 @@
     http_server m_server;
 };
 
-event_loop* running_loop = nullptr;
-
 } // namespace
 } // namespace buckthornusher
 
@@ -243,8 +237,5 @@
     CLI11_PARSE(app, argc, argv);
     event_loop loop;
     store const s(loop, port);
-    running_loop = &loop;
-    std::signal(SIGTERM, [](int) { running_loop->stop(); });
-    loop.run();
-    return 0;
+    return serve_until_stopped(loop);
 }
--- a/standins/upstream.cpp
+++ b/standins/upstream.cpp
@@ -13,11 +13,10 @@
 #include "connection/http_server.hpp"
 #include "process/boot_clock.hpp"
 #include "process/event_loop.hpp"
+#include "serve.hpp"
 
 #include <CLI/CLI.hpp>
 
-#include <charconv>
-#include <csignal>
 #include <map>
 #include <set>
 
@@ -39,13 +38,6 @@
     std::uint32_t lag_ms = 1'000;
 };
 
-std::uint64_t number(std::string_view text)
-{
-    std::uint64_t value = 0;
-    std::from_chars(text.data(), text.data() + text.size(), value);
-    return value;
-}
-
 class upstream
 {
 public:
@@ -113,12 +105,12 @@
         auto const shard =
             std::string(find_header(request.headers, "buckthornusher-shard"));
         auto const until = find_header(request.headers, "buckthornusher-lease-until");
-        if (to_micros(boot_now()) >= number(until))
+        if (to_micros(boot_now()) >= number_of(until))
             return false;
         auto& highest = m_epochs[shard];
-        if (number(epoch_text) < highest)
+        if (number_of(epoch_text) < highest)
             return false;
-        highest = number(epoch_text);
+        highest = number_of(epoch_text);
         return true;
     }
 
@@ -128,7 +120,7 @@
         auto const start = boot_now();
         auto work = duration(m_options.work_us);
         if (auto const wanted = find_query(request.query, "work_us"); !wanted.empty())
-            work = duration(number(wanted));
+            work = duration(number_of(wanted));
         if (work <= 0us)
             return finish(request, reply, start);
         m_loop.timers().at(start + work,
@@ -154,7 +146,7 @@
         auto const size = find_query(request.query, "size");
         reply.send({.body = size.empty() ? m_options.service + " " + request.path + "\n" +
                                                request.body
-                                         : std::string(number(size), 'x')});
+                                         : std::string(number_of(size), 'x')});
     }
 
     std::string stats() const
@@ -179,8 +171,6 @@
     http_server m_server;
 };
 
-event_loop* running_loop = nullptr;
-
 } // namespace
 } // namespace buckthornusher
 
@@ -201,8 +191,5 @@
     CLI11_PARSE(app, argc, argv);
     event_loop loop;
     upstream const u(loop, opts);
-    running_loop = &loop;
-    std::signal(SIGTERM, [](int) { running_loop->stop(); });
-    loop.run();
-    return 0;
+    return serve_until_stopped(loop);
 }
