Guards are tested with the fault that brings them out

Ruled out: the guard itself; with slow messages alone it is noticed at case 19 (two owners), watch_permission with region cuts alone at case 88 (two owners). Change: those two guards name their fault. The checks are the same.

--- a/tests/guard_property_test.cpp
+++ b/tests/guard_property_test.cpp
@@ -70,11 +70,12 @@
     all, guard_switched_off,
     testing::Values(
         guard_case{"wait_after_refusal", &guards::wait_after_refusal},
-        guard_case{"watch_permission", &guards::watch_permission},
+        guard_case{"watch_permission", &guards::watch_permission, fault::cut_region},
         guard_case{"permission_without_lease", &guards::permission_without_lease},
         guard_case{"release_before_move", &guards::release_before_move},
         guard_case{"check_before_send", &guards::check_before_send, fault::pause},
-        guard_case{"count_from_sending", &guards::count_from_sending}),
+        guard_case{"count_from_sending", &guards::count_from_sending,
+                   fault::network_slow}),
     [](auto const& info) { return info.param.name; });
 
 } // namespace
