A node never joins as the earlier of two incarnations; limits and stale connections

Cause: read while looking for what rests on the order of incarnations: 'a later incarnation at the endpoint' ends the earlier one, but a replaced VM's clock may be behind, and the living member would then count as ended while it still acks. Also from the reading: max_connections of the HTTP server was never used (now a bound on requests at once, 503 beyond); a key in a header was not read from callers unless it was x-key; connections to endpoints that no member has any more were kept for ever. Ruled out: reuse of a ZeroMQ routing id, which would abort; ids are not reused.

--- a/include/buckthornusher/coordinator.hpp
+++ b/include/buckthornusher/coordinator.hpp
@@ -17,7 +17,7 @@
 // between ticks is taken for a pause of this process.
 //
 // When effect `membership_ended` is seen the coordinator is dead: others have ended its
-// lease. Make a new one with a fresh incarnation.
+// lease. Make a new one with a higher incarnation.
 //
 // Cost of a tick: O(watchers + subjects + evictions + pending writes), and when the
 // replica has changed O(members * chunks), for the members that place shards also the
--- a/src/connection/http_client.cpp
+++ b/src/connection/http_client.cpp
@@ -308,9 +308,4 @@
             return m_impl->abandon(*x, http_failure::step::cancelled);
 }
 
-std::size_t http_client::free_connections() const
-{
-    return m_impl->free_slots.size();
-}
-
 } // namespace buckthornusher
--- a/src/connection/http_client.hpp
+++ b/src/connection/http_client.hpp
@@ -70,8 +70,6 @@
     // answer.
     void cancel(call_id id);
 
-    std::size_t free_connections() const;
-
     struct impl; // shared with libwebsockets' callback
 
 private:
--- a/src/connection/http_server.cpp
+++ b/src/connection/http_server.cpp
@@ -80,7 +80,6 @@
     http_server::impl* server = nullptr;
     lws* wsi = nullptr;
     http_request request;
-    std::size_t expected_body = 0;
     bool dispatched = false;
     bool close_after = false;
     std::optional<http_response> response;
@@ -188,6 +187,8 @@
         request.headers.push_back({name, std::move(value)});
     }
     lws_set_timeout(wsi, NO_PENDING_TIMEOUT, 0);
+    if (exchanges > opts.max_exchanges)
+        return reject(slot, 503, "too many requests at once");
     if (request.method.empty())
         return reject(slot, 405, "method not supported");
     auto const length_text = copy_token(wsi, WSI_TOKEN_HTTP_CONTENT_LENGTH);
@@ -204,7 +205,6 @@
         return reject(slot, 400, "malformed content-length");
     if (*length > opts.max_body)
         return reject(slot, 413, "body too large");
-    slot->expected_body = *length;
     if (*length == 0)
         dispatch(slot);
 }
@@ -332,9 +332,9 @@
         lws_vhost_destroy(m_impl->vhost);
 }
 
-std::size_t http_server::open_exchanges() const
+void http_server::set_header_names(std::vector<std::string> names)
 {
-    return m_impl->exchanges;
+    m_impl->opts.header_names = std::move(names);
 }
 
 } // namespace buckthornusher
--- a/src/connection/http_server.hpp
+++ b/src/connection/http_server.hpp
@@ -42,8 +42,8 @@
     {
         std::string address = "127.0.0.1";
         int port = 0;
-        std::size_t max_body = 1'048'576; // bytes
-        std::size_t max_connections = 4'096;
+        std::size_t max_body = 1'048'576;           // bytes
+        std::size_t max_exchanges = 8'192;          // requests at once; more get a 503
         std::vector<std::string> header_names = {}; // those that the handler is to see
     };
 
@@ -53,7 +53,8 @@
     http_server(http_server const&) = delete;
     http_server& operator=(http_server const&) = delete;
 
-    std::size_t open_exchanges() const;
+    // Headers that requests from now on show to the handler.
+    void set_header_names(std::vector<std::string> names);
 
     struct impl; // shared with libwebsockets' callback
 
--- a/src/connection/peer_socket.cpp
+++ b/src/connection/peer_socket.cpp
@@ -7,6 +7,7 @@
 
 #include <zmq.hpp>
 
+#include <map>
 #include <set>
 #include <stdexcept>
 #include <utility>
@@ -28,7 +29,10 @@
     zmq::context_t context{1};
     zmq::socket_t socket{context, zmq::socket_type::router};
     handler on_message;
-    std::set<std::string> endpoints; // connected to; the routing id is the endpoint
+    // The routing id of the connection to each endpoint. Ids are never used again, as a
+    // connection that was closed may still be ending.
+    std::map<std::string, std::string> connections;
+    std::uint64_t next_connection = 1;
     peer_counts counts;
     // ZeroMQ's descriptor signals changes, not messages, and a send may use a signal up:
     // after a signal or a send the socket is read until it is empty.
@@ -123,11 +127,13 @@
 
 bool peer_socket::send(std::string const& endpoint, wire::Envelope const& message)
 {
-    if (!m_impl->endpoints.contains(endpoint))
+    auto it = m_impl->connections.find(endpoint);
+    if (it == m_impl->connections.end())
     {
+        auto const id = endpoint + "#" + std::to_string(m_impl->next_connection++);
         try
         {
-            m_impl->socket.set(zmq::sockopt::connect_routing_id, endpoint);
+            m_impl->socket.set(zmq::sockopt::connect_routing_id, id);
             m_impl->socket.connect(endpoint);
         }
         catch (zmq::error_t const&)
@@ -135,9 +141,23 @@
             ++m_impl->counts.not_sent; // not a ZeroMQ address
             return false;
         }
-        m_impl->endpoints.insert(endpoint);
+        it = m_impl->connections.emplace(endpoint, id).first;
+    }
+    return m_impl->send_to(it->second, message);
+}
+
+void peer_socket::keep_only(std::set<std::string> const& endpoints)
+{
+    for (auto it = m_impl->connections.begin(); it != m_impl->connections.end();)
+    {
+        if (endpoints.contains(it->first))
+        {
+            ++it;
+            continue;
+        }
+        zmq_disconnect(m_impl->socket.handle(), it->first.c_str());
+        it = m_impl->connections.erase(it);
     }
-    return m_impl->send_to(endpoint, message);
 }
 
 bool peer_socket::reply(peer_route const& route, wire::Envelope const& message)
@@ -152,7 +172,7 @@
 
 std::size_t peer_socket::connections() const
 {
-    return m_impl->endpoints.size();
+    return m_impl->connections.size();
 }
 
 } // namespace buckthornusher
--- a/src/connection/peer_socket.hpp
+++ b/src/connection/peer_socket.hpp
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
 
 namespace buckthornusher
@@ -53,6 +54,9 @@
     bool send(std::string const& endpoint, wire::Envelope const& message);
     bool reply(peer_route const& route, wire::Envelope const& message);
 
+    // Closes the connections to all other endpoints.
+    void keep_only(std::set<std::string> const& endpoints);
+
     peer_counts const& counts() const;
     std::size_t connections() const;
 
--- a/src/process/coordinator_membership.cpp
+++ b/src/process/coordinator_membership.cpp
@@ -25,6 +25,11 @@
 
 void coordinator::impl::register_self(instant now)
 {
+    // Of two members at one endpoint the later incarnation is the one that lives, so this
+    // one must be later than all before it. The embedder makes a new one.
+    auto const later = copy.members().upper_bound(opts.self);
+    if (later != copy.members().end() && later->first.node == opts.self.node)
+        return end_membership(false);
     member_record self{.id = opts.self,
                        .endpoint = opts.endpoint,
                        .region = opts.region,
--- a/src/process/node.cpp
+++ b/src/process/node.cpp
@@ -19,6 +19,7 @@
 
 #include <atomic>
 #include <random>
+#include <set>
 
 namespace buckthornusher
 {
@@ -29,27 +30,28 @@
 constexpr duration control_period = 50ms;
 constexpr duration request_period = 10ms;
 constexpr duration longest_stop = 20s;
+constexpr duration peer_review_period = 30s;
 constexpr duration stop_grace = 300ms; // callers' last answers leave
 
 // Headers of callers that are passed on to the upstream.
 std::vector<std::string> caller_headers()
 {
-    return {"accept",
-            "authorization",
-            "x-request-id",
-            "buckthornusher-operation",
-            "buckthornusher-deadline-ms",
-            "x-key"};
+    return {"accept", "authorization", "x-request-id", "buckthornusher-operation",
+            "buckthornusher-deadline-ms"};
 }
 
-std::uint64_t new_incarnation()
+// Later than all incarnations of the node that are known, also if this VM's clock is
+// behind.
+std::uint64_t new_incarnation(std::string const& node, replica const& known)
 {
-    // Larger than those before it, as long as the platform's clock is roughly right; a
-    // clash is refused by the store, as a record is created once.
     timespec ts{};
     clock_gettime(CLOCK_REALTIME, &ts);
-    return static_cast<std::uint64_t>(ts.tv_sec) * 1'000'000 +
-           static_cast<std::uint64_t>(ts.tv_nsec) / 1'000;
+    auto incarnation = static_cast<std::uint64_t>(ts.tv_sec) * 1'000'000 +
+                       static_cast<std::uint64_t>(ts.tv_nsec) / 1'000;
+    for (auto const& entry : known.members())
+        if (entry.first.node == node)
+            incarnation = std::max(incarnation, entry.first.incarnation + 1);
+    return incarnation;
 }
 
 } // namespace
@@ -106,6 +108,7 @@
     bool left = false;
     instant stop_by;
     bool carrying_out = false;
+    instant next_peer_review;
 
     std::string endpoint() const
     {
@@ -116,7 +119,8 @@
                                                   replica known)
     {
         return std::make_unique<coordinator>(coordinator_options{
-            .self = {.node = settings.name, .incarnation = new_incarnation()},
+            .self = {.node = settings.name,
+                     .incarnation = new_incarnation(settings.name, known)},
             .endpoint = endpoint(),
             .region = settings.region,
             .domain = settings.domain,
@@ -242,6 +246,10 @@
             std::make_shared<route_table const>(std::move(parsed).value());
         requests.set_routes(routes);
         local.set_routes(routes);
+        auto headers = caller_headers();
+        for (auto& name : routes->key_headers())
+            headers.push_back(std::move(name));
+        callers.set_header_names(std::move(headers));
         log_event(log_level::info, "config-in-force",
                   {{"number", std::to_string(config_number)}});
     }
@@ -306,11 +314,24 @@
         }
         if (coord->copy().revision() == 0)
             ask_seeds();
+        if (now >= next_peer_review)
+            review_peers(now);
         coord->tick(now);
         carry_out();
         follow_stop(now);
     }
 
+    // Closes connections to endpoints that no member has any more.
+    void review_peers(instant now)
+    {
+        next_peer_review = now + peer_review_period;
+        std::set<std::string> endpoints(settings.seeds.begin(), settings.seeds.end());
+        for (auto const& entry : coord->copy().members())
+            if (entry.second.state != member_state::gone)
+                endpoints.insert(entry.second.endpoint);
+        peers.keep_only(endpoints);
+    }
+
     void ask_seeds()
     {
         wire::Envelope message;
--- a/tests/process_test.sh
+++ b/tests/process_test.sh
@@ -79,6 +79,16 @@
 check "a department's handover costs no request" \
   [ "$(field answered handover)" = "$(field sent handover)" ]
 
+"$build_dir/buckthornusher" config show --node 127.0.0.1:29011 2> /dev/null > "$fleet_dir/shown.toml"
+check "the document is kept byte for byte" cmp -s "$fleet_dir/shown.toml" "$fleet_dir/next.toml"
+"$build_dir/buckthornusher" config apply "$fleet_dir/next.toml" --node 127.0.0.1:29011 \
+  --expected 1 2> /dev/null
+check "a command that loses a race exits with 3" [ $? = 3 ]
+check "the status command prints the fleet" \
+  grep -q "lj-moste" <("$build_dir/buckthornusher" status --node 127.0.0.1:29011)
+check "the burn report adds up the nodes" grep -q "stand-status" \
+  <("$build_dir/buckthornusher" report burn --nodes 127.0.0.1:29011,127.0.0.1:29021)
+
 check "an unknown route is a 404 that says it did not run" \
   [ "$(status_code 127.0.0.1:29010/nothing/1)" = 404 ]
 check "and its body says so" grep -q '"ran":false' "$fleet_dir/body"
