--- a/src/connection/http_server.cpp
+++ b/src/connection/http_server.cpp
@@ -99,7 +99,7 @@
     void dispatch(std::shared_ptr<http_exchange> const& exchange);
     void reject(std::shared_ptr<http_exchange> const& exchange, int status,
                 char const* title);
-    int write(std::shared_ptr<http_exchange>& slot);
+    int write(std::shared_ptr<http_exchange>*& holder);
     void end(std::shared_ptr<http_exchange>& slot);
 };
 
@@ -140,7 +140,7 @@
     case LWS_CALLBACK_HTTP_WRITEABLE:
         if (s == nullptr || s->exchange == nullptr || *s->exchange == nullptr)
             return 0;
-        return server->write(*s->exchange);
+        return server->write(s->exchange);
     case LWS_CALLBACK_CLOSED_HTTP:
         if (s == nullptr || s->exchange == nullptr)
             return 0;
@@ -230,8 +230,9 @@
     on_request(std::move(exchange->request), http_reply(exchange));
 }
 
-int http_server::impl::write(std::shared_ptr<http_exchange>& slot)
+int http_server::impl::write(std::shared_ptr<http_exchange>*& holder)
 {
+    auto& slot = *holder;
     if (!slot->response)
         return 0;
     auto* wsi = slot->wsi;
@@ -270,6 +271,8 @@
     bool const close_after = slot->close_after;
     slot->gone = nullptr;
     end(slot);
+    // The library clears the connection's memory between two requests.
+    delete std::exchange(holder, nullptr);
     if (lws_http_transaction_completed(wsi) != 0 || close_after)
         return -1;
     return 0;
