The store's faults in scripts take effect

Cause: curl's POST without a body has no content-length, so the stand-in answered 411 and no fault was set: the process test's store outage and lost answers had never happened, and it passed. Found by a 60 s outage run that printed the 411. Change: scripts send an empty body, and the test checks that the store took each fault.

--- a/demo/fleet.sh
+++ b/demo/fleet.sh
@@ -54,7 +54,10 @@
 }
 
 http() { # METHOD URL [BODY-FILE]
-  curl -s -m 5 -X "$1" "http://127.0.0.1:$2" ${3:+--data-binary "@$3"}
+  local body=()
+  [ "$1" = POST ] && body=(--data-binary "")
+  [ -n "${3:-}" ] && body=(--data-binary "@$3")
+  curl -s -m 5 -X "$1" "http://127.0.0.1:$2" "${body[@]}"
 }
 
 # Waits until every node has a lease and all shards of the document have owners.
--- a/tests/process_test.sh
+++ b/tests/process_test.sh
@@ -23,7 +23,10 @@
   "$build_dir/bench_load" --ports "$entries" --rate 300 --seconds "$seconds" --keys 64 \
     --connections 200 --orders 0.3 "$@" > "$fleet_dir/load-$name"
 }
-fault() { http POST "29000/v1/faults?mode=$1&count=${2:-0}&ms=${3:-0}" > /dev/null; }
+fault() {
+  check "the store takes the fault $1" \
+    grep -q ok <(http POST "29000/v1/faults?mode=$1&count=${2:-0}&ms=${3:-0}")
+}
 status_code() { curl -s -o "$fleet_dir/body" -w '%{http_code}' -m 5 "$@"; }
 
 fleet_start "$build_dir" 29000 examples/svecnik.toml "stand-status ordering rounds" \
