--- a/bench/latency.sh
+++ b/bench/latency.sh
@@ -14,19 +14,20 @@
 cpu_us() { awk -v hz="$(getconf CLK_TCK)" '{print ($14 + $15) * 1000000 / hz}' "/proc/$1/stat"; }
 show() { grep -E "^(sent|answered|refused|unknown|transport|p50_us|p99_us)" "$fleet_dir/load" | paste -sd ' '; }
 
-cat > /tmp/latency-$$.toml <<'EOF'
+document=$(mktemp)
+cat > "$document" <<'EOF'
 environment = "trial"
 [service.stand-status]
 shards = 64
 [[service.stand-status.route]]
 prefix = "/stands/"
 EOF
-fleet_start "$1" 27000 /tmp/latency-$$.toml "" "r:a r:b r:c" 2> /dev/null
+fleet_start "$1" 27000 "$document" "" "r:a r:b r:c" 2> /dev/null
 "$1/standin_upstream" --port 27104 --node-port 27021 --service stand-status --slots 20 &
 upstream_pid[0.0]=$!
 sleep 1
-http PUT "27011/v1/config?expected=0" /tmp/latency-$$.toml
-rm /tmp/latency-$$.toml
+http PUT "27011/v1/config?expected=0" "$document"
+rm "$document"
 fleet_wait 64 || exit 1
 load() { "$1/bench_load" --ports "$2" --rate "$3" --seconds "$4" --connections "$5" > "$fleet_dir/load"; }
 sleep 1
