Read again: one piece of code where there were two, and dead parts out

Cause: a last reading of the whole change. No behaviour changes. - 'the member's record is gone or deleted' stood in the steward and in the evictions: replica::is_gone(); - the link to an upstream and the link to the old setup were built twice: agent::make_link(); - instants were made from the wire's microseconds by hand in three places: from_micros() beside to_micros(); - plan_change::planned was read by nobody since a shard whose upstream is gone moves as well; two readings of the fake fleet had no reader.

--- a/include/buckthornusher/planner.hpp
+++ b/include/buckthornusher/planner.hpp
@@ -49,7 +49,6 @@
 {
     std::uint32_t shard = 0;
     member_id to;
-    bool planned = false; // true: a move from a live owner; false: the shard has none
     friend bool operator==(plan_change const&, plan_change const&) = default;
 };
 
--- a/include/buckthornusher/replica.hpp
+++ b/include/buckthornusher/replica.hpp
@@ -50,6 +50,8 @@
 
     // Null if unknown or deleted.
     member_record const* member(member_id const& id) const;
+    // The member's record is known to be gone or deleted. False for one never heard of.
+    bool is_gone(member_id const& id) const;
     config_record const* config() const;
     chunk_record const* chunk(shard_id const& shard) const;
     assignment const* find_assignment(shard_id const& shard) const;
--- a/src/process/agent.cpp
+++ b/src/process/agent.cpp
@@ -161,25 +161,32 @@
         verdict);
 }
 
+std::unique_ptr<agent::link> agent::make_link(announcement const& a,
+                                              std::string const& address)
+{
+    auto const slots = std::min(a.slots, a.connections);
+    return std::unique_ptr<link>(
+        new link{.described = a,
+                 .last_announced = {},
+                 .http = {m_loop,
+                          {.address = address,
+                           .port = a.port,
+                           .max_connections = slots,
+                           .header_names = {"buckthornusher-ran"}}},
+                 .gate = admission({.slots = slots})});
+}
+
 void agent::set_routes(std::shared_ptr<route_table const> routes)
 {
     m_routes = std::move(routes);
     auto const& old = m_routes->source().old_setup;
     if (old.port == 0 || m_links.contains(old_setup_link))
         return;
-    announcement const described{.service = old_setup_link,
-                                 .port = old.port,
-                                 .slots = old.connections,
-                                 .connections = old.connections};
-    m_links[old_setup_link].reset(
-        new link{.described = described,
-                 .last_announced = {},
-                 .http = {m_loop,
-                          {.address = old.address,
-                           .port = old.port,
-                           .max_connections = old.connections,
-                           .header_names = {"buckthornusher-ran"}}},
-                 .gate = admission({.slots = old.connections})});
+    m_links[old_setup_link] = make_link({.service = old_setup_link,
+                                         .port = old.port,
+                                         .slots = old.connections,
+                                         .connections = old.connections},
+                                        old.address);
 }
 
 // Decides whether the order goes to the upstream or to the old setup. False: it must wait
@@ -369,14 +376,7 @@
 {
     auto& l = m_links[a.service];
     if (l == nullptr)
-        l.reset(new link{.described = a,
-                         .last_announced = now,
-                         .http = {m_loop,
-                                  {.address = m_upstream_address,
-                                   .port = a.port,
-                                   .max_connections = std::min(a.slots, a.connections),
-                                   .header_names = {"buckthornusher-ran"}}},
-                         .gate = admission({.slots = std::min(a.slots, a.connections)})});
+        l = make_link(a, m_upstream_address);
     l->last_announced = now;
 }
 
--- a/src/process/agent.hpp
+++ b/src/process/agent.hpp
@@ -112,6 +112,7 @@
     struct link; // an upstream
     struct work; // an order and how far it has come
 
+    std::unique_ptr<link> make_link(announcement const& a, std::string const& address);
     void try_begin(work& w, instant now);
     void admit(work& w, instant now);
     bool choose_backend(work& w);
--- a/src/process/boot_clock.hpp
+++ b/src/process/boot_clock.hpp
@@ -16,6 +16,11 @@
     return instant(duration(std::int64_t{ts.tv_sec} * 1'000'000 + ts.tv_nsec / 1'000));
 }
 
+inline instant from_micros(std::uint64_t micros)
+{
+    return instant(duration(static_cast<duration::rep>(micros)));
+}
+
 inline std::uint64_t to_micros(instant t)
 {
     return static_cast<std::uint64_t>(t.time_since_epoch().count());
--- a/src/process/coordinator_evictions.cpp
+++ b/src/process/coordinator_evictions.cpp
@@ -99,11 +99,8 @@
 
 bool coordinator::impl::has_ended(member_id const& id) const
 {
-    auto const* o = copy.find(member_object(id));
-    if (o == nullptr)
-        return false;
-    return !o->value || std::get<member_record>(*o->value).state == member_state::gone ||
-           is_replaced(std::get<member_record>(*o->value));
+    auto const* m = copy.member(id);
+    return copy.is_gone(id) || (m != nullptr && is_replaced(*m));
 }
 
 bool coordinator::impl::is_replaced(member_record const& m) const
--- a/src/process/ingress.cpp
+++ b/src/process/ingress.cpp
@@ -364,8 +364,7 @@
     };
     auto const now = boot_now();
     auto o = decode(in);
-    o.deadline =
-        instant(duration(static_cast<duration::rep>(in.token().sent_at() + in.budget())));
+    o.deadline = from_micros(in.token().sent_at() + in.budget());
     if (in.token().session() != m_coordinator->self().incarnation || o.deadline <= now)
         return reply(order_refused{.why = reason::stale, .retry_after = 0us});
     m_remote_orders[{route.identity, attempt}] = 0;
@@ -400,8 +399,7 @@
 {
     auto const from = decode(message.sender());
     auto const now = boot_now();
-    auto const theirs =
-        instant(duration(static_cast<duration::rep>(message.hello_ack().now())));
+    auto const theirs = from_micros(message.hello_ack().now());
     m_clocks.on_reading(from, theirs, now);
     m_asked_clocks.erase(from);
     on_replica_changed(now);
--- a/src/process/shard_handover.cpp
+++ b/src/process/shard_handover.cpp
@@ -43,9 +43,7 @@
                                 .epochs = {},
                                 .operations = {}};
     for (auto const& e : in.epochs())
-        handover.epochs.push_back(
-            {.epoch = e.epoch(),
-             .now = instant(duration(static_cast<duration::rep>(e.now())))});
+        handover.epochs.push_back({.epoch = e.epoch(), .now = from_micros(e.now())});
     for (auto const& o : in.operations())
     {
         auto const id = parse_operation_id(o.id());
--- a/src/version/planner.cpp
+++ b/src/version/planner.cpp
@@ -135,7 +135,7 @@
         if (!to)
             return;
         loads.move({}, to, loads.weight(shard));
-        changes.push_back({.shard = shard, .to = to, .planned = false});
+        changes.push_back({.shard = shard, .to = to});
     }
 }
 
@@ -151,7 +151,7 @@
         if (!to)
             return;
         loads.move(holder, to, loads.weight(shard));
-        changes.push_back({.shard = shard, .to = to, .planned = true});
+        changes.push_back({.shard = shard, .to = to});
     }
 }
 
@@ -199,7 +199,7 @@
         auto const index = static_cast<std::uint32_t>(shard);
         moved[index] = true;
         loads.move(from, to, loads.weight(index));
-        changes.push_back({.shard = index, .to = to, .planned = true});
+        changes.push_back({.shard = index, .to = to});
     }
 }
 
--- a/src/version/replica.cpp
+++ b/src/version/replica.cpp
@@ -81,6 +81,14 @@
     return it == m_members.end() ? nullptr : &it->second;
 }
 
+bool replica::is_gone(member_id const& id) const
+{
+    if (find(member_object(id)) == nullptr)
+        return false;
+    auto const* m = member(id);
+    return m == nullptr || m->state == member_state::gone;
+}
+
 config_record const* replica::config() const
 {
     auto const* o = find(config_object);
--- a/src/version/steward.cpp
+++ b/src/version/steward.cpp
@@ -9,21 +9,9 @@
 namespace
 {
 
-// The owner's lease is known to be over. An owner that the replica has not heard of yet
-// is not lost; one whose record was deleted is.
-bool lost(replica const& copy, member_id const& owner)
-{
-    auto const* o = copy.find(member_object(owner));
-    if (o == nullptr)
-        return false;
-    if (!o->value)
-        return true;
-    return std::get<member_record>(*o->value).state == member_state::gone;
-}
-
 bool ownerless(replica const& copy, assignment const& a)
 {
-    return !a.owner || lost(copy, a.owner);
+    return !a.owner || copy.is_gone(a.owner);
 }
 
 bool can_own(member_record const& m, std::string const& service)
--- a/tests/fake_fleet.hpp
+++ b/tests/fake_fleet.hpp
@@ -126,13 +126,7 @@
     }
 
     std::uint64_t executions() const { return m_executions; }
-    // The longest time for which a shard was not executed, after the first execution.
-    true_time longest_gap() const { return m_longest_gap; }
     std::uint64_t store_calls() const { return m_store_calls; }
-    coordinator const* coordinator_of(std::uint32_t i) const
-    {
-        return m_members[i].coord.get();
-    }
 
     // ---- for directed cases ----
     void at(true_time when, std::function<void()> run)
@@ -549,8 +543,6 @@
                      other.by.node + " at once");
         s.highest_epoch = std::max(s.highest_epoch, epoch);
         s.running.push_back({.by = by, .epoch = epoch});
-        if (s.last_end >= 0us)
-            m_longest_gap = std::max(m_longest_gap, m_now - s.last_end);
         s.last_end = m_now;
     }
 
@@ -631,7 +623,6 @@
 
     std::map<std::uint32_t, shard_state> m_shards;
     std::uint64_t m_executions = 0;
-    true_time m_longest_gap{0};
 
     true_time m_store_down_until{0};
     true_time m_store_loses_until{0};
