--- a/bench/judge.cpp
+++ b/bench/judge.cpp
@@ -33,10 +33,11 @@
 
 std::string fetch_journal(event_loop& loop, int port)
 {
-    http_client client(loop,
-                       {.port = port, .max_connections = 1, .max_body = 256'000'000});
+    http_client client(loop, {.peer = {.ip = "127.0.0.1", .port = port},
+                              .max_connections = 1,
+                              .limits = {.body_bytes = 256'000'000}});
     std::optional<std::string> body;
-    client.call({.method = "GET", .path = "/journal"}, 10s,
+    client.call({.method = "GET", .target = "/journal"}, 10s,
                 [&](http_result r)
                 { body = r.has_value() ? r.value().body : std::string(); });
     while (!body)
--- a/bench/load.cpp
+++ b/bench/load.cpp
@@ -84,12 +84,8 @@
     {
         for (auto const port : opts.ports)
             m_clients.push_back(std::make_unique<http_client>(
-                loop,
-                http_client::options{.port = port,
-                                     .max_connections = opts.connections,
-                                     .header_names = {"buckthornusher-outcome",
-                                                      "buckthornusher-reason",
-                                                      "buckthornusher-operation"}}));
+                loop, http_client::options{.peer = {.ip = "127.0.0.1", .port = port},
+                                           .max_connections = opts.connections}));
     }
 
     void run()
@@ -167,8 +163,9 @@
     {
         ++t->tries;
         http_request request{.method = t->order ? "POST" : "GET",
-                             .path = m_options.prefix + "k" + std::to_string(t->key),
-                             .query = m_options.query};
+                             .target = m_options.prefix + "k" + std::to_string(t->key)};
+        if (!m_options.query.empty())
+            request.target += "?" + m_options.query;
         if (t->order)
         {
             request.body = "order";
--- a/bench/placement.cpp
+++ b/bench/placement.cpp
@@ -32,18 +32,18 @@
 };
 
 // Places all shards on the targets that are there; `before` are the owners so far.
-using placement = std::function<std::vector<member_id>(
-    plan_input const& input, std::vector<member_id> const& before)>;
+using placement = std::function<std::vector<owner_id>(
+    plan_input const& input, std::vector<owner_id> const& before)>;
 
 std::string shard_name(std::uint32_t shard)
 {
     return "shard/" + std::to_string(shard);
 }
 
-std::vector<member_id> consistent_hashing(plan_input const& input, double bound)
+std::vector<owner_id> consistent_hashing(plan_input const& input, double bound)
 {
     constexpr int virtual_nodes = 100;
-    std::vector<std::pair<std::uint64_t, member_id>> ring;
+    std::vector<std::pair<std::uint64_t, owner_id>> ring;
     for (auto const& t : input.targets)
         for (int v = 0; v < virtual_nodes; ++v)
             ring.emplace_back(
@@ -51,13 +51,13 @@
     std::sort(ring.begin(), ring.end());
     auto const total = std::accumulate(input.weights.begin(), input.weights.end(), 0.0);
     auto const limit = bound * total / static_cast<double>(input.targets.size());
-    std::map<member_id, double> load;
-    std::vector<member_id> owners;
+    std::map<owner_id, double> load;
+    std::vector<owner_id> owners;
     for (std::uint32_t s = 0; s < input.assignments.size(); ++s)
     {
         auto it = std::lower_bound(
             ring.begin(), ring.end(),
-            std::pair{rendezvous_score("ring", shard_name(s)), member_id{}});
+            std::pair{rendezvous_score("ring", shard_name(s)), owner_id{}});
         for (std::size_t tries = 0; tries < ring.size(); ++tries, ++it)
         {
             if (it == ring.end())
@@ -73,9 +73,9 @@
     return owners;
 }
 
-std::vector<member_id> rendezvous(plan_input const& input)
+std::vector<owner_id> rendezvous(plan_input const& input)
 {
-    std::vector<member_id> owners;
+    std::vector<owner_id> owners;
     for (std::uint32_t s = 0; s < input.assignments.size(); ++s)
         owners.push_back(
             std::max_element(input.targets.begin(), input.targets.end(),
@@ -90,9 +90,9 @@
 
 // Shard n belongs to target n modulo the targets of the first day; a lost one's shards go
 // to the next.
-std::vector<member_id> static_table(plan_input const& input, std::uint32_t targets)
+std::vector<owner_id> static_table(plan_input const& input, std::uint32_t targets)
 {
-    std::vector<member_id> owners;
+    std::vector<owner_id> owners;
     for (std::uint32_t s = 0; s < input.assignments.size(); ++s)
         for (std::uint32_t k = 0; k < targets; ++k)
         {
@@ -108,11 +108,11 @@
     return owners;
 }
 
-std::vector<member_id> planned(plan_input input, std::vector<member_id> const& before)
+std::vector<owner_id> planned(plan_input input, std::vector<owner_id> const& before)
 {
     for (std::size_t s = 0; s < before.size(); ++s)
         input.assignments[s].owner = before[s];
-    std::vector<member_id> owners = before;
+    std::vector<owner_id> owners = before;
     for (auto const& change : plan(input, {.imbalance_bound = 1.15, .max_moves = 8}))
         owners[change.shard] = change.to;
     return owners;
@@ -142,7 +142,7 @@
     result run(placement const& place)
     {
         constexpr int rounds = 300;
-        std::vector<member_id> owners(m_scene.shards);
+        std::vector<owner_id> owners(m_scene.shards);
         result r;
         for (int round = 0; round < rounds; ++round)
         {
@@ -191,8 +191,8 @@
         return input;
     }
 
-    static void count(plan_input input, std::vector<member_id> const& before,
-                      std::vector<member_id> const& next, result& r)
+    static void count(plan_input input, std::vector<owner_id> const& before,
+                      std::vector<owner_id> const& next, result& r)
     {
         for (std::size_t s = 0; s < next.size(); ++s)
         {
--- a/demo/fleet.sh
+++ b/demo/fleet.sh
@@ -29,14 +29,13 @@
 name = "$domain-$i"
 region = "$region"
 domain = "$domain"
-address = "127.0.0.1"
-caller_port = $port
-operator_port = $((port + 1))
-peer_port = $((port + 2))
 seeds = ["tcp://127.0.0.1:$((base + 12))", "tcp://127.0.0.1:$((base + 22))"]
+[listen]
+callers = "127.0.0.1:$port"
+operators = "127.0.0.1:$((port + 1))"
+peers = "127.0.0.1:$((port + 2))"
 [store]
-address = "127.0.0.1"
-port = $base
+address = "127.0.0.1:$base"
 EOF
   "$build/buckthornusher" node --settings "$fleet_dir/node-$i.toml" 2>> "$fleet_dir/node-$i.log" &
   node_pid[$i]=$!
--- a/include/buckthornusher/coordinator.hpp
+++ b/include/buckthornusher/coordinator.hpp
@@ -52,6 +52,12 @@
     // A shard of a lost owner is given away no earlier than this after the loss: zero if
     // the upstreams check epochs, otherwise the longest request.
     duration unfenced_wait = 0ms;
+    // A new owner must not act on an older configuration than the owner before.
+    bool ordered_configuration = false;
+    // The upstreams serve only what they are granted, and are told of a move first: the
+    // embedder calls begin_drain() for shards that are to move. Otherwise a new life of
+    // an upstream takes orders that were meant for the one before.
+    bool granted_upstreams = false;
     lease_options lease;
     plan_options planning;
     guards guard;
@@ -94,7 +100,7 @@
 struct shard_drained
 {
     shard_release release;
-    member_id successor;
+    owner_id successor;
     friend bool operator==(shard_drained const&, shard_drained const&) = default;
 };
 
@@ -135,10 +141,14 @@
     // Gives up all shards by planned moves, then leaves. Ends with membership_ended.
     void leave(instant now);
 
-    // Keyed services of a new configuration, and the wait for those whose upstreams do
-    // not check epochs; see coordinator_options.
-    void set_services(std::vector<keyed_service> services, duration unfenced_wait);
-    // The upstreams beside this node; the member's record follows.
+    // Keyed services of a new configuration, and what they ask for; see
+    // coordinator_options.
+    void set_services(std::vector<keyed_service> services, duration unfenced_wait,
+                      bool ordered_configuration);
+    // The upstreams beside this node; the member's record follows. Until the first call a
+    // restarted member goes on with those that its record names. If one of them has gone
+    // or has another life, the member begins a new tenure, without shards; so the caller
+    // must be sure that nothing that the old life was granted is still held.
     void set_targets(std::vector<target> targets);
 
     // ---- requests ----
@@ -146,6 +156,13 @@
     bool may_send(shard_id const& shard, std::uint64_t epoch, instant now) const;
     void end(shard_id const& shard);
 
+    // Of a shard with a successor: no further requests from now on. Only with
+    // granted_upstreams.
+    void begin_drain(shard_id const& shard);
+    // What this member owns and may serve, if it has learnt all that it must; nothing
+    // while it has not, or has no lease.
+    std::optional<std::vector<owned_shard>> servable(std::string const& service,
+                                                     instant now);
     // The shard's state has been handed over, or given up on.
     void confirm_release(shard_release const& release, instant now);
 
@@ -154,6 +171,7 @@
     // For `known` of the next incarnation, once this one has ended.
     replica take_copy();
     shard_ownership const& shards() const;
+    owner_id owner() const; // none before the member has joined
     coordinator_counts const& counts() const;
     member_id const& self() const;
 
--- a/include/buckthornusher/eviction.hpp
+++ b/include/buckthornusher/eviction.hpp
@@ -12,10 +12,13 @@
 // the longest lease has passed since: see lease.hpp on the permission to watch.
 //
 // Members that were lost together may have watched each other, so that none of them can
-// be ended first. What unties them is their replacement: an endpoint belongs to one
-// process at a time, so once a later incarnation has registered with a member's endpoint
-// the earlier one can neither renew nor ack any more, and a longest lease later it is
-// over both as a member and as a watcher.
+// be ended first. What unties them is their restart: a node's record names its present
+// process, which is the only one at its endpoint. An earlier process can neither renew
+// nor ack any more, and a longest lease later it is over as a watcher.
+//
+// A restarted process takes over its predecessor's tenure, and what was granted under
+// the predecessor's lease goes on. Its own watchers know nothing of that lease. So the
+// end of an inherited tenure is waited for as if each watcher had acked just now.
 //
 // The part keeps the times of step 2 for one member. They begin anew with each evictor.
 #ifndef BUCKTHORNUSHER_EVICTION_HPP
@@ -41,11 +44,12 @@
     void on_refused(member_id const& watcher, std::optional<duration> elapsed,
                     instant now);
 
-    // The watcher's own record is known to be gone, or the watcher has been replaced.
+    // The watcher's own record is known to be gone, or names a later process.
     void on_watcher_gone(member_id const& watcher, instant now);
 
-    // A later incarnation has registered with the member's endpoint.
-    void on_replaced(instant now);
+    // Requires that the eviction is under way since `now`; ends a member that never had
+    // watchers.
+    void on_started(instant now);
 
     // Watchers that have neither confirmed nor gone.
     std::vector<member_id> missing() const;
@@ -57,9 +61,10 @@
     lease_options m_options;
     guards m_guards;
     std::vector<member_id> m_watchers;
+    bool m_inherited;
     // When the acks of each refusing watcher have run out.
     std::map<member_id, instant> m_refusals;
-    std::optional<instant> m_replaced_over; // when a replaced member's acks have run out
+    std::optional<instant> m_unwatched_over; // of a member without watchers
 };
 
 } // namespace buckthornusher
--- a/include/buckthornusher/member.hpp
+++ b/include/buckthornusher/member.hpp
@@ -10,8 +10,8 @@
 namespace buckthornusher
 {
 
-// One run of a node's process. A restarted node has a new incarnation and shares
-// nothing with the old one: no lease, no promise, no assignment.
+// One run of a node's process. A restarted node has a new incarnation and knows nothing
+// of the one before: no lease, no promise.
 struct member_id
 {
     std::string node;
@@ -21,6 +21,18 @@
     explicit operator bool() const { return incarnation != 0; }
 };
 
+// Who owns a shard: a node, for one tenure. A tenure outlasts a restart of the node's
+// process, as the upstream beside it goes on. It ends when the member is evicted or
+// leaves, or when its upstream is lost; the node's next one has a higher number.
+struct owner_id
+{
+    std::string node;
+    std::uint64_t tenure = 0; // 0: no owner
+
+    friend auto operator<=>(owner_id const&, owner_id const&) = default;
+    explicit operator bool() const { return tenure != 0; }
+};
+
 enum class member_state
 {
     live,
@@ -33,14 +45,22 @@
 {
     std::string service;
     std::uint32_t slots = 0;
+    std::string life;      // names one run of the upstream; shards do not outlast it
+    bool draining = false; // gets no further shards
     friend bool operator==(target const&, target const&) = default;
 };
 
-// Invariant: `watchers` and `state` change only by conditional updates of this record,
-// so the watchers that an eviction reads are those that the member had last.
+// What the store holds for a node, one object for all its incarnations.
+//
+// Invariants: the record changes only by conditional updates, so the watchers that an
+// eviction reads are those that the member had last, and of a restart and an eviction at
+// the same time one loses. `inherited` is set while the tenure is older than the
+// incarnation: an earlier process may have been granted a lease that still runs.
 struct member_record
 {
     member_id id;
+    std::uint64_t tenure = 0;
+    bool inherited = false;
     std::string endpoint; // where its peers reach it, "tcp://IP:port"
     std::string region;
     std::string domain; // failure domain
@@ -49,6 +69,7 @@
     std::vector<target> targets;
     bool draining = false; // gets no further shards
 
+    owner_id owner() const { return {.node = id.node, .tenure = tenure}; }
     friend bool operator==(member_record const&, member_record const&) = default;
 };
 
--- a/include/buckthornusher/messages.hpp
+++ b/include/buckthornusher/messages.hpp
@@ -20,6 +20,7 @@
 {
     std::uint64_t sequence = 0;
     std::uint64_t revision = 0; // of the sender's replica
+    std::uint64_t config_version = 0;
     friend bool operator==(renew const&, renew const&) = default;
 };
 
@@ -28,6 +29,7 @@
     std::uint64_t sequence = 0;
     bool permitted = false; // the watcher has the permission to watch
     std::uint64_t revision = 0;
+    std::uint64_t config_version = 0;
     friend bool operator==(renew_ack const&, renew_ack const&) = default;
 };
 
@@ -45,7 +47,7 @@
     friend bool operator==(refused const&, refused const&) = default;
 };
 
-// All changes of the store's objects in (from, to].
+// All changes of the fleet's objects in (from, to], and perhaps the configuration.
 struct deltas
 {
     std::uint64_t from = 0;
@@ -54,10 +56,11 @@
     friend bool operator==(deltas const&, deltas const&) = default;
 };
 
-// Asks for the changes after `from`.
+// Asks for the changes after `from`, and for a configuration later than the version.
 struct pull
 {
     std::uint64_t from = 0;
+    std::uint64_t config_version = 0;
     friend bool operator==(pull const&, pull const&) = default;
 };
 
--- a/include/buckthornusher/outcome.hpp
+++ b/include/buckthornusher/outcome.hpp
@@ -37,6 +37,7 @@
     answer_lost,       // sent to the upstream, but no whole answer came
     owner_lost,        // sent to the owner, but no answer came
     stopping,          // the node is stopping
+    no_configuration,  // the node knows no configuration yet
 };
 
 // "no-route" and so on.
--- a/include/buckthornusher/ownership.hpp
+++ b/include/buckthornusher/ownership.hpp
@@ -8,7 +8,9 @@
 // running one has ended the shard is released. From the release on this member never
 // serves the shard again at this epoch, whatever it is told; the release is repeated
 // until an assignment with a higher epoch, or one whose move was cancelled before the
-// release, is seen.
+// release, is seen. The drain begins with the assignment that names a successor, or, with
+// `drain_on_demand`, when the embedder says so: an upstream that has to be told first
+// serves until then.
 //
 // Cost: O(log n) in the member's shards for each request.
 #ifndef BUCKTHORNUSHER_OWNERSHIP_HPP
@@ -36,7 +38,7 @@
 
 struct owned_elsewhere
 {
-    member_id owner; // none: nobody owns the shard yet
+    owner_id owner; // none: nobody owns the shard yet
     std::uint64_t epoch = 0;
     friend bool operator==(owned_elsewhere const&, owned_elsewhere const&) = default;
 };
@@ -52,13 +54,31 @@
 {
     shard_id shard;
     std::uint64_t epoch = 0; // at which this member owned it
+    std::string handover;    // from the upstream, for the successor's; may be empty
     friend bool operator==(shard_release const&, shard_release const&) = default;
 };
 
+// A shard that this member owns and has not released.
+struct owned_shard
+{
+    std::uint32_t index = 0;
+    std::uint64_t epoch = 0;
+    std::string handover; // from the upstream before
+    bool moving = false;  // a successor is named
+    friend bool operator==(owned_shard const&, owned_shard const&) = default;
+};
+
 class shard_ownership
 {
 public:
-    shard_ownership(member_id self, guards g) : m_self(std::move(self)), m_guards(g) {}
+    shard_ownership(guards g, bool drain_on_demand)
+        : m_guards(g), m_drain_on_demand(drain_on_demand)
+    {
+    }
+
+    // Begins a tenure. Shards of an earlier one are no longer served; assignments that
+    // name the new one are to be given again.
+    void set_self(owner_id self) { m_self = std::move(self); }
 
     // A newer assignment of the shard. Calls must be in the order of the chunk's
     // versions. Returns whether the shard has been released by it.
@@ -74,6 +94,12 @@
     // Ends a request. Returns whether the shard has been released by it.
     bool end(shard_id const& shard);
 
+    // Begins to drain a shard that has a successor. Returns whether it is released by it.
+    bool begin_drain(shard_id const& shard);
+
+    // In the order of their indices.
+    std::vector<owned_shard> owned_shards(std::string const& service) const;
+
     // Shards that have drained and whose release has not been seen in the map.
     std::vector<shard_release> releases() const;
 
@@ -85,15 +111,20 @@
     {
         assignment current;
         std::uint32_t running = 0;
+        bool draining = false; // requests are no longer admitted at current.epoch
         bool released = false; // at current.epoch
     };
 
-    bool mine(state const& s) const { return s.current.owner == m_self && !s.released; }
+    bool mine(state const& s) const
+    {
+        return m_self && s.current.owner == m_self && !s.released;
+    }
     bool admits(state const& s) const;
     bool release_if_drained(state& s) const;
 
-    member_id m_self;
+    owner_id m_self; // none before the first tenure
     guards m_guards;
+    bool m_drain_on_demand;
     // Shards that name this member, and others while requests of theirs run.
     std::map<shard_id, state> m_shards;
 };
--- /dev/null
+++ b/include/buckthornusher/placement.hpp
@@ -0,0 +1,120 @@
+// To which upstream of a service a request without a key goes.
+//
+// Each answer from a node tells how busy the upstream beside it is; the part keeps the
+// last word of each, adds what this node has sent since, and chooses the upstream whose
+// answer is expected first: the way there and back, the wait for a slot, the time that
+// it takes, and what failures have cost lately. A word grows old: after `fresh_for` it
+// counts less and less, so that nobody is avoided for ever, nor flooded by all nodes that
+// saw it free at the same moment, as near-best choices are drawn at random.
+//
+//   load it answers: upstreams of different speeds; one that turns slow, sheds or fails
+//   part of its requests; a region whose slots are full while the other has room.
+//
+// Another region costs `region_penalty` besides its delay, as the bytes on the link
+// between regions are few and paid for; a request crosses only when that is worth it.
+//
+// Cost: O(candidates) for a choice; memory is one entry for each upstream heard of.
+#ifndef BUCKTHORNUSHER_PLACEMENT_HPP
+#define BUCKTHORNUSHER_PLACEMENT_HPP
+
+#include "buckthornusher/time.hpp"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace buckthornusher
+{
+
+// How busy an upstream is, by the node beside it.
+struct upstream_load
+{
+    std::uint32_t slots = 0;   // that are used at present
+    std::uint32_t running = 0; // requests
+    std::uint32_t waiting = 0;
+    duration service{0};    // mean time of a request
+    bool accepting = true;  // false: it is leaving, or gone
+    friend bool operator==(upstream_load const&, upstream_load const&) = default;
+};
+
+enum class distance
+{
+    same_domain,
+    same_region,
+    other_region,
+};
+
+struct placement_candidate
+{
+    std::string node;
+    distance away = distance::same_domain;
+    std::uint32_t slots = 1;
+    friend bool operator==(placement_candidate const&,
+                           placement_candidate const&) = default;
+};
+
+struct placement_options
+{
+    duration near_trip = 1ms;    // there and back within a region
+    duration far_trip = 42ms;    // to another region
+    duration domain_penalty = 2ms;
+    duration region_penalty = 150ms;
+    duration fresh_for = 500ms;  // a word on load counts in full
+    duration first_guess = 100ms; // of a service time that is not known
+    double tie = 0.05;            // choices this close to the best are drawn
+    friend bool operator==(placement_options const&, placement_options const&) = default;
+};
+
+struct placement_choice
+{
+    std::string node;
+    duration expected{0}; // until the answer
+    friend bool operator==(placement_choice const&, placement_choice const&) = default;
+};
+
+class placement
+{
+public:
+    explicit placement(placement_options opts) : m_options(opts) {}
+
+    // An answer from the node told its load.
+    void on_load(std::string const& node, upstream_load const& load, instant now);
+    // A request was sent to the node.
+    void on_sent(std::string const& node);
+    // Its answer has come, or is not awaited any more. `failed`: the upstream, or the way
+    // to it, failed it.
+    void on_done(std::string const& node, bool failed, instant now);
+    // Nothing has been heard from the node for too long.
+    void avoid(std::string const& node, instant until);
+
+    // The best of the candidates, none if all are out. `draw` decides between those that
+    // are about as good: any number.
+    std::optional<placement_choice> choose(std::vector<placement_candidate> const& from,
+                                           std::uint64_t draw, instant now) const;
+
+    // Forgets nodes that are not among those kept.
+    void keep_only(std::vector<std::string> const& nodes);
+
+private:
+    struct entry
+    {
+        std::optional<upstream_load> load;
+        instant told;
+        std::uint32_t sent_since = 0; // of ours, not in the load that was told
+        std::uint32_t awaited = 0;    // of ours, all
+        double failure = 0;           // share of late, 0 to 1
+        instant failure_seen;
+        instant avoid_until;
+    };
+
+    std::optional<duration> expected(placement_candidate const& c, instant now) const;
+
+    placement_options m_options;
+    std::map<std::string, entry> m_entries; // by node
+};
+
+} // namespace buckthornusher
+
+#endif
--- a/include/buckthornusher/planner.hpp
+++ b/include/buckthornusher/planner.hpp
@@ -23,7 +23,7 @@
 
 struct plan_target
 {
-    member_id id;
+    owner_id id;
     std::string domain;
     std::uint32_t slots = 1;
     bool draining = false;
@@ -48,7 +48,7 @@
 struct plan_change
 {
     std::uint32_t shard = 0;
-    member_id to;
+    owner_id to;
     friend bool operator==(plan_change const&, plan_change const&) = default;
 };
 
--- a/include/buckthornusher/record.hpp
+++ b/include/buckthornusher/record.hpp
@@ -12,6 +12,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -30,9 +31,19 @@
 using record = std::variant<member_record, chunk_record, config_record>;
 
 // Names of objects in the store.
-std::string member_object(member_id const& id);
+std::string member_object(std::string const& node);
 std::string chunk_object(std::string const& service, std::uint32_t first_shard);
-inline constexpr char const* config_object = "config";
+inline constexpr char const* config_object = "configuration";
+
+// Objects are kept apart by kind. All kinds share the store's one counter of versions.
+enum class object_kind
+{
+    fleet,         // members and chunks, written by nodes
+    configuration, // written by operators
+};
+
+// The kind of an object of that name.
+object_kind kind_of(std::string_view name);
 
 // An object as some write left it. No value: that write deleted it.
 struct object
@@ -45,14 +56,17 @@
 
 // ---- calls ----
 
-struct store_list // all objects
+struct store_list // all objects of the kind
 {
+    object_kind kind = object_kind::fleet;
     friend bool operator==(store_list const&, store_list const&) = default;
 };
 
-// Answers with the objects changed after `since`, at once or when there are some.
+// Answers with the objects of the kind changed after `since`, at once or when there are
+// some, or with store_history_lost.
 struct store_watch
 {
+    object_kind kind = object_kind::fleet;
     std::uint64_t since = 0;
     friend bool operator==(store_watch const&, store_watch const&) = default;
 };
@@ -72,10 +86,14 @@
 
 struct store_objects // to list and watch
 {
-    std::uint64_t revision = 0; // highest version in the store
+    std::uint64_t revision = 0; // nothing of the kind up to it is missing
     std::vector<object> objects;
 };
 
+struct store_history_lost // to watch: list again
+{
+};
+
 struct store_written
 {
     std::uint64_t version = 0;
@@ -86,12 +104,16 @@
     object current;
 };
 
+struct store_refused // nothing was done
+{
+};
+
 struct store_no_answer // a write may or may not have taken effect
 {
 };
 
-using store_answer =
-    std::variant<store_objects, store_written, store_conflict, store_no_answer>;
+using store_answer = std::variant<store_objects, store_history_lost, store_written,
+                                  store_conflict, store_refused, store_no_answer>;
 
 } // namespace buckthornusher
 
--- a/include/buckthornusher/replica.hpp
+++ b/include/buckthornusher/replica.hpp
@@ -2,12 +2,14 @@
 //
 //   replica copy;
 //   copy.apply(object);                  // keeps the higher version
-//   copy.apply_range(from, to, objects); // all changes in (from, to]
+//   copy.apply_range(from, to, objects); // all changes of the fleet's in (from, to]
+//   copy.apply_list(kind, to, objects);  // all objects of the kind as of `to`
 //
 // Objects come from the store and from peers, in any order and more than once; for
 // each name the highest version wins, so the copy never goes back. `revision` is the
-// version up to which nothing is missing. Deletions are kept as objects without a
-// value so that peers learn of them.
+// version up to which nothing of the fleet's objects is missing, `config_revision` the
+// same for the configuration. Deletions are kept as objects without a value so that
+// peers learn of them.
 //
 // The copy may lag behind the store. Safety never rests on its being fresh: an owner
 // loses a shard only by its own release or when its lease has been ended.
@@ -19,6 +21,8 @@
 #include "buckthornusher/record.hpp"
 
 #include <map>
+#include <set>
+#include <utility>
 #include <vector>
 
 namespace buckthornusher
@@ -34,29 +38,43 @@
     // Returns whether the object was news.
     bool apply(object const& o);
 
-    // Applies all changes of (from, to]. Returns false if there is a gap between the
-    // copy's revision and `from`; the objects are applied all the same.
+    // Applies all changes of the fleet's objects in (from, to]. Returns false if there is
+    // a gap between the copy's revision and `from`; they are applied all the same.
     bool apply_range(std::uint64_t from, std::uint64_t to,
                      std::vector<object> const& objects);
 
+    // Deletions that a list of the kind as of `to` implies: known objects that it lacks.
+    std::vector<object> missing_from(object_kind kind, std::uint64_t to,
+                                     std::vector<object> const& objects) const;
+
     std::uint64_t revision() const { return m_revision; }
+    std::uint64_t config_revision() const { return m_config_revision; }
+    // The configuration is complete up to `to`.
+    void note_config_revision(std::uint64_t to);
 
-    // The objects whose versions are above `since`.
+    // The fleet's objects whose versions are above `since`.
     std::vector<object> changed_since(std::uint64_t since) const;
 
     // The object, or null if the copy has never seen it.
     object const* find(std::string const& name) const;
     std::uint64_t version_of(std::string const& name) const; // 0: unknown
 
-    // Null if unknown or deleted.
+    // Null if unknown or deleted, or if the node has another incarnation.
     member_record const* member(member_id const& id) const;
-    // The member's record is known to be gone or deleted. False for one never heard of.
+    // The node's present record; null if unknown or deleted.
+    member_record const* node(std::string const& name) const;
+    // The member that serves for the owner; null if the tenure is over.
+    member_record const* serving(owner_id const& owner) const;
+    // This run of the node is over: gone, deleted, or followed by a later one. False for
+    // one never heard of.
     bool is_gone(member_id const& id) const;
+    // The tenure is over. False for one never heard of.
+    bool is_over(owner_id const& owner) const;
     config_record const* config() const;
     chunk_record const* chunk(shard_id const& shard) const;
     assignment const* find_assignment(shard_id const& shard) const;
 
-    // All member records, in the order of their ids.
+    // All member records, in the order of their ids; one for each node.
     std::map<member_id, member_record> const& members() const { return m_members; }
 
     // Changes with each applied object; lets readers keep derived tables.
@@ -67,11 +85,12 @@
 
 private:
     std::uint64_t m_revision = 0;
+    std::uint64_t m_config_revision = 0;
     std::uint64_t m_generation = 0;
     std::uint64_t m_member_generation = 0;
     std::map<std::string, object> m_objects;
-    std::map<std::uint64_t, std::string>
-        m_by_version;                             // exactly the versions in m_objects
+    // Exactly the versions in m_objects.
+    std::set<std::pair<std::uint64_t, std::string>> m_by_version;
     std::map<member_id, member_record> m_members; // the live values among m_objects
     // By service and chunk number; null where the chunk is unknown. Points into
     // m_objects.
--- a/include/buckthornusher/request_clock.hpp
+++ b/include/buckthornusher/request_clock.hpp
@@ -6,15 +6,16 @@
 // answer, and adds the time that has passed on its own clock, shortened by the drift.
 // The receiver then computes the deadline on its own clock; it is never later than the
 // sender meant, and earlier by at most the round trip of the question and the drift
-// since. A receiver that has restarted is another member and refuses older stamps.
+// since. A receiver that has restarted has another session and refuses older stamps.
 #ifndef BUCKTHORNUSHER_REQUEST_CLOCK_HPP
 #define BUCKTHORNUSHER_REQUEST_CLOCK_HPP
 
-#include "buckthornusher/member.hpp"
 #include "buckthornusher/time.hpp"
 
+#include <cstdint>
 #include <map>
 #include <optional>
+#include <string>
 
 namespace buckthornusher
 {
@@ -28,41 +29,52 @@
         duration refresh = 30s; // an older reading is to be renewed
     };
 
+    // An instant on the clock of one process of a node.
+    struct stamp_value
+    {
+        std::uint64_t session = 0; // of the process
+        instant at;
+        friend bool operator==(stamp_value const&, stamp_value const&) = default;
+    };
+
     explicit request_clock(options opts) : m_options(opts) {}
 
-    // The member answered that its clock read `theirs`; the answer arrived at `now`.
-    void on_reading(member_id const& member, instant theirs, instant now)
+    // The node answered that its clock read `theirs`; the answer arrived at `now`.
+    void on_reading(std::string const& node, stamp_value theirs, instant now)
     {
-        m_readings[member] = {.theirs = theirs, .ours = now};
+        m_readings[node] = {.theirs = theirs, .ours = now};
     }
 
-    // A lower bound of `now` on the member's clock; nothing if no reading is known.
-    std::optional<instant> stamp(member_id const& member, instant now) const
+    // A lower bound of `now` on the node's clock; nothing if no reading is known.
+    std::optional<stamp_value> stamp(std::string const& node, instant now) const
     {
-        auto const it = m_readings.find(member);
+        auto const it = m_readings.find(node);
         if (it == m_readings.end())
             return std::nullopt;
         auto const passed = now - it->second.ours;
-        return it->second.theirs + passed - passed * m_options.drift_ppm / 1'000'000;
+        auto const& theirs = it->second.theirs;
+        return stamp_value{.session = theirs.session,
+                           .at = theirs.at + passed -
+                                 passed * m_options.drift_ppm / 1'000'000};
     }
 
-    bool wants_reading(member_id const& member, instant now) const
+    bool wants_reading(std::string const& node, instant now) const
     {
-        auto const it = m_readings.find(member);
+        auto const it = m_readings.find(node);
         return it == m_readings.end() || now - it->second.ours > m_options.refresh;
     }
 
-    void forget(member_id const& member) { m_readings.erase(member); }
+    void forget(std::string const& node) { m_readings.erase(node); }
 
 private:
     struct reading
     {
-        instant theirs;
+        stamp_value theirs;
         instant ours;
     };
 
     options m_options;
-    std::map<member_id, reading> m_readings;
+    std::map<std::string, reading> m_readings;
 };
 
 } // namespace buckthornusher
--- a/include/buckthornusher/retry_budget.hpp
+++ b/include/buckthornusher/retry_budget.hpp
@@ -1,45 +1,70 @@
-// Bounds retries to a share of real traffic, so that a fault does not multiply load.
+// Bounds repeats to a share of real traffic, so that a fault does not multiply load.
 //
-// Each first attempt earns `share` of a retry, up to `reserve`; a retry costs one. When
-// the budget is spent, retries are refused until traffic has earned them.
+// The bound is on the whole fleet: in any window, repeats for a service are at most
+// `ratio` times its requests, and a reserve. Nodes do not ask each other. Each counts the
+// requests that it took from callers and the repeats that it made, and keeps to the ratio
+// of its own and to its part of the reserve; the parts add up to no more than the whole,
+// also while nodes cannot talk.
+//
+// A repeat counts from when it is allowed; a window slides in steps of an eighth.
+//
+// Cost: O(1); memory is nine numbers for each service.
 #ifndef BUCKTHORNUSHER_RETRY_BUDGET_HPP
 #define BUCKTHORNUSHER_RETRY_BUDGET_HPP
 
-#include <algorithm>
+#include "buckthornusher/time.hpp"
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <string>
 
 namespace buckthornusher
 {
 
+struct retry_budget_options
+{
+    double ratio = 0.1;  // repeats for each request
+    double reserve = 20; // repeats in a window without any request, by all nodes
+    duration window = 10s;
+    std::uint32_t nodes = 1; // that share the reserve
+    // Kept back from the whole, for repeats that upstreams make of themselves.
+    double safety = 0.75;
+    friend bool operator==(retry_budget_options const&,
+                           retry_budget_options const&) = default;
+};
+
 class retry_budget
 {
 public:
-    struct options
-    {
-        double share = 0.1;
-        double reserve = 50;
-    };
+    explicit retry_budget(retry_budget_options opts) : m_options(opts) {}
 
-    explicit retry_budget(options opts) : m_options(opts), m_balance(opts.reserve) {}
+    void set_nodes(std::uint32_t nodes) { m_options.nodes = nodes == 0 ? 1 : nodes; }
 
-    void on_first_attempt()
-    {
-        m_balance = std::min(m_options.reserve, m_balance + m_options.share);
-    }
+    // A caller's request for the service.
+    void on_request(std::string const& service, instant now);
+    // Takes one repeat from the budget; false if there is none.
+    bool try_repeat(std::string const& service, instant now);
+    // Repeats that could be made now.
+    double left(std::string const& service, instant now) const;
+
+private:
+    static constexpr std::size_t steps = 8;
 
-    // Takes one retry from the budget; false if there is none.
-    bool try_retry()
+    struct step
     {
-        if (m_balance < 1)
-            return false;
-        m_balance -= 1;
-        return true;
-    }
+        std::int64_t number = -1; // since the clock's start, in steps
+        std::uint64_t requests = 0;
+        std::uint64_t repeats = 0;
+    };
+    // A ring by step number; one more than a window holds, as the first is cut.
+    using ring = std::array<step, steps + 1>;
 
-    double balance() const { return m_balance; }
+    std::int64_t step_number(instant now) const;
+    step& step_at(std::string const& service, instant now);
 
-private:
-    options m_options;
-    double m_balance; // 0 <= m_balance <= reserve
+    retry_budget_options m_options;
+    std::map<std::string, ring> m_services;
 };
 
 } // namespace buckthornusher
--- a/include/buckthornusher/shard_map.hpp
+++ b/include/buckthornusher/shard_map.hpp
@@ -1,9 +1,10 @@
 // Shards, their assignments, and the chunks of them that the store holds.
 //
-// A keyed service divides the hash space of its keys into a fixed number of shards.
-// An assignment names a shard's owner and its epoch; each change of owner raises the
-// epoch. Assignments of neighbouring shards share a chunk, one object of the store, so
-// that one conditional update can move many shards.
+// A keyed service divides its keys into a fixed number of shards: ranges of the keys
+// themselves if they are numbers, otherwise of their hashes. An assignment names a
+// shard's owner and its epoch; each change of owner raises the epoch. Assignments of
+// neighbouring shards share a chunk, one object of the store, so that one conditional
+// update can move many shards.
 #ifndef BUCKTHORNUSHER_SHARD_MAP_HPP
 #define BUCKTHORNUSHER_SHARD_MAP_HPP
 
@@ -17,8 +18,9 @@
 namespace buckthornusher
 {
 
-// Shards of one chunk. At 60 bytes each a chunk stays far below a megabyte.
-inline constexpr std::uint32_t shards_per_chunk = 256;
+// Shards of one chunk. Neighbours with one owner are stored as one; even if none were, a
+// chunk at 100 bytes a shard stays far below the megabyte that the store takes.
+inline constexpr std::uint32_t shards_per_chunk = 1'024;
 
 struct shard_id
 {
@@ -31,9 +33,10 @@
 // only while a planned move runs; until its release is recorded the owner stays owner.
 struct assignment
 {
-    member_id owner;
+    owner_id owner;
     std::uint64_t epoch = 0;
-    member_id successor;
+    owner_id successor;
+    std::string handover; // what the upstream before gave at its release; may be empty
     friend bool operator==(assignment const&, assignment const&) = default;
 };
 
@@ -56,6 +59,21 @@
 // The shard of a key: equal ranges of a 64-bit hash. Stable across versions.
 std::uint32_t shard_of_key(std::string_view key, std::uint32_t shards);
 
+// Keys that are numbers: 0 to 65,535.
+inline constexpr std::uint32_t number_keys = 65'536;
+
+struct key_range
+{
+    std::uint32_t first = 0;
+    std::uint32_t last = 0; // inclusive
+    friend auto operator<=>(key_range const&, key_range const&) = default;
+};
+
+// The shard of a number, and the numbers of a shard. Requires number < number_keys and
+// 0 < shards <= number_keys.
+std::uint32_t shard_of_number(std::uint32_t number, std::uint32_t shards);
+key_range numbers_of_shard(std::uint32_t shard, std::uint32_t shards);
+
 // A well mixed hash of two names, for rendezvous choices. Stable across versions.
 std::uint64_t rendezvous_score(std::string_view subject, std::string_view candidate);
 
--- /dev/null
+++ b/include/buckthornusher/upstream_queue.hpp
@@ -0,0 +1,144 @@
+// Which requests a node sends to the upstream beside it, in which order, and which it
+// refuses at once.
+//
+// The upstream runs `slots` requests at a time. Requests beyond that wait here, the more
+// urgent rank first and within a rank the earliest due first. A request is refused on
+// arrival if, by what the upstream has needed lately, it could not start within what its
+// sender allows or not end before its deadline; so nobody waits for an answer that will
+// not come. The refusal says when there is likely to be room.
+//
+//   load it answers: more work than slots, for seconds or for good; an upstream that
+//   has turned slow or starts cold; a mix of short and long requests.
+//
+// The time that a request needs is learnt for each class of requests (a route), as
+// requests of one upstream differ far more by class than within one.
+//
+//
+// Cost: O(queue) for an arrival and O(log queue) otherwise; memory is bounded by
+// `max_queue`.
+#ifndef BUCKTHORNUSHER_UPSTREAM_QUEUE_HPP
+#define BUCKTHORNUSHER_UPSTREAM_QUEUE_HPP
+
+#include "buckthornusher/time.hpp"
+
+#include <compare>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace buckthornusher
+{
+
+struct upstream_queue_options
+{
+    std::uint32_t slots = 20;
+    std::size_t max_queue = 400;
+    // What a class is taken to need before anything of it has ended.
+    duration first_guess = 50ms;
+    friend bool operator==(upstream_queue_options const&,
+                           upstream_queue_options const&) = default;
+};
+
+struct queued_request
+{
+    std::uint64_t id = 0;
+    std::string request_class;
+    std::uint32_t rank = 1;
+    instant due;         // an answer after it is late
+    instant deadline;    // an answer after it is useless
+    instant start_until; // its sender looks elsewhere rather than wait longer
+};
+
+// ---- answers to arrive() ----
+
+struct starts_now // counted as running
+{
+};
+struct waits // a later call names it
+{
+    duration expected{0};
+};
+struct has_no_room
+{
+    duration retry_after{0}; // when there is likely to be room
+};
+using queue_verdict = std::variant<starts_now, waits, has_no_room>;
+
+enum class request_end
+{
+    completed,
+    shed,     // the upstream refused it
+    not_sent, // it ended before it was sent
+    failed,   // sent, and no whole answer came
+};
+
+class upstream_queue
+{
+public:
+    explicit upstream_queue(upstream_queue_options opts);
+
+    queue_verdict arrive(queued_request const& r, instant now);
+
+    // A running request has ended; `took` is its time at the upstream.
+    void leave(std::uint64_t id, request_end end, duration took, instant now);
+
+    // The request that starts next, if there is a slot for it; it counts as running.
+    std::optional<std::uint64_t> start_next(instant now);
+
+    // Removes and returns those that can no longer end in time, and those whose senders
+    // would rather look elsewhere.
+    std::vector<std::uint64_t> expire(instant now);
+
+    // Removes a request that waits. False if it does not.
+    bool cancel(std::uint64_t id);
+    // Removes and returns all that wait.
+    std::vector<std::uint64_t> clear();
+
+    // The upstream takes another number of requests at once.
+    void set_slots(std::uint32_t slots);
+
+    // What a request of that class would wait for a slot, and need then.
+    duration expected_wait(std::uint32_t rank, instant due) const;
+    duration expected_service(std::string const& request_class) const;
+    // Over all classes, by how often they came.
+    duration mean_service() const;
+
+    std::uint32_t slots() const { return m_options.slots; }
+    std::uint32_t limit() const { return static_cast<std::uint32_t>(m_limit); }
+    std::uint32_t running() const { return static_cast<std::uint32_t>(m_running.size()); }
+    std::size_t queued() const { return m_queue.size(); }
+
+private:
+    struct place
+    {
+        std::uint32_t rank = 0;
+        instant due;
+        std::uint64_t id = 0;
+        friend auto operator<=>(place const&, place const&) = default;
+    };
+    struct waiting
+    {
+        queued_request request;
+        duration service{0};
+    };
+
+    bool has_slot() const { return m_running.size() < limit(); }
+    duration until_a_slot() const;
+
+    upstream_queue_options m_options;
+    // Invariants: m_running.size() <= slots; m_waiting holds exactly the ids of m_queue.
+    std::map<std::uint64_t, std::string> m_running; // by id, the class
+    std::set<place> m_queue;
+    std::map<std::uint64_t, waiting> m_waiting;
+    std::map<std::string, double> m_service_us; // by class
+    double m_mean_us = 0;                       // over all
+    double m_limit;                             // 1 <= m_limit <= slots
+};
+
+} // namespace buckthornusher
+
+#endif
--- /dev/null
+++ b/src/connection/caller_form.cpp
@@ -0,0 +1,72 @@
+// Our own form of callers' requests: see the header.
+#include "connection/caller_form.hpp"
+
+#include <charconv>
+
+namespace buckthornusher
+{
+
+namespace
+{
+
+constexpr std::string_view own_prefix = "buckthornusher-";
+
+std::string problem_text(refusal const& r)
+{
+    return std::string(R"({"type":"about:blank","title":")") +
+           std::string(to_string(r.why)) + R"(","outcome":")" +
+           (r.may_have_run ? "unknown" : "refused") + R"(","ran":)" +
+           (r.may_have_run ? "\"unknown\"" : "false") + "}\n";
+}
+
+} // namespace
+
+caller_facts native_caller_form::read(http_request const& request) const
+{
+    caller_facts facts;
+    facts.id = find_header(request.headers, "x-request-id");
+    facts.operation = find_header(request.headers, "buckthornusher-operation");
+    auto const text = find_header(request.headers, "buckthornusher-deadline-ms");
+    std::int64_t ms = 0;
+    auto const [end, error] = std::from_chars(text.data(), text.data() + text.size(), ms);
+    if (!text.empty() && error == std::errc{} && ms > 0)
+        facts.patience = std::chrono::milliseconds(ms);
+    return facts;
+}
+
+void native_caller_form::strip(http_request& request) const
+{
+    std::erase_if(request.headers,
+                  [](http_header const& h)
+                  {
+                      return h.name.size() >= own_prefix.size() &&
+                             equal_names(h.name.substr(0, own_prefix.size()), own_prefix);
+                  });
+}
+
+http_response native_caller_form::answered(http_response response) const
+{
+    response.headers.push_back({"buckthornusher-outcome", "answered"});
+    return response;
+}
+
+http_response native_caller_form::refused(refusal const& r) const
+{
+    http_response response{.status = http_status(r.why, r.may_have_run)};
+    auto& headers = response.headers;
+    headers.push_back({"content-type", "application/problem+json"});
+    headers.push_back(
+        {"buckthornusher-outcome", r.may_have_run ? "unknown" : "refused"});
+    headers.push_back({"buckthornusher-reason", std::string(to_string(r.why))});
+    if (r.retry_after > 0us)
+    {
+        auto const ms =
+            std::chrono::ceil<std::chrono::milliseconds>(r.retry_after).count();
+        headers.push_back({"retry-after", std::to_string((ms + 999) / 1'000)});
+        headers.push_back({"buckthornusher-retry-after-ms", std::to_string(ms)});
+    }
+    response.body = problem_text(r);
+    return response;
+}
+
+} // namespace buckthornusher
--- a/src/connection/http_client.cpp
+++ b/src/connection/http_client.cpp
@@ -1,20 +1,14 @@
-// An HTTP client over kept connections: see the header.
-//
-// libwebsockets sends all calls to one endpoint down one connection of a vhost. So
-// each connection has a vhost of its own, which carries one call at a time and reuses
-// its idle connection for the next.
+// An HTTP/1.1 client over kept connections: see the header.
 #include "connection/http_client.hpp"
 
 #include "process/boot_clock.hpp"
 #include "process/event_loop.hpp"
 
-#include <libwebsockets.h>
-
 #include <array>
-#include <cstring>
+#include <list>
+#include <map>
 #include <optional>
 #include <utility>
-#include <vector>
 
 namespace buckthornusher
 {
@@ -23,21 +17,17 @@
 {
 
 constexpr std::size_t read_space = 65'536;
+// A connection is not reused so shortly before its peer may close it.
+constexpr duration idle_margin = 1s;
+constexpr duration sweep_period = 500ms;
 
-// One call. Lives until libwebsockets lets go of its connection.
-struct exchange
+// A call and its state. Lives from call() until `done`.
+struct running_call
 {
-    http_client::impl* client = nullptr;
-    std::size_t slot = 0;
     http_client::call_id id = 0;
-    lws* wsi = nullptr;
     http_request request;
-    http_response response;
     http_client::callback done;
     std::optional<timer_service::timer_id> timer;
-    bool sent = false;
-    bool finished = false;
-    bool abandoned = false; // the connection is to be closed
 };
 
 } // namespace
@@ -45,267 +35,351 @@
 struct http_client::impl
 {
     event_loop* loop = nullptr;
-    http_client::options opts;
-    std::array<lws_protocols, 2> protocols{};
-    std::vector<std::string> vhost_names;
-    std::vector<lws_vhost*> vhosts;
-    std::vector<exchange*> active;       // by slot; null if free
-    std::vector<std::size_t> free_slots; // the last used is reused first
-    http_client::call_id next_id = 1;
-
-    std::string peer() const { return opts.address + ":" + std::to_string(opts.port); }
-    void finish(exchange& x, http_result result);
-    void free_slot(exchange& x);
-    void fail(exchange& x, http_failure::step at)
-    {
-        finish(x, http_failure{.at = at, .sent = x.sent, .peer = peer()});
-    }
-    void abandon(exchange& x, http_failure::step at);
-    int append_headers(exchange& x, void* in, size_t len);
-    int write_body(exchange& x);
-    void read_headers(exchange& x);
+    options opts;
+    // All open connections; those without a call are in `idle` as well, the last used at
+    // the end.
+    std::map<connection*, std::shared_ptr<connection>> connections;
+    std::list<connection*> idle;
+    std::map<call_id, connection*> calls;
+    call_id next_id = 1;
+    std::uint64_t opened = 0;
+    timer_service::timer_id sweep;
+
+    connection* take_idle(instant now);
+    connection* open(instant now);
+    void sweep_idle(instant now);
 };
 
-void http_client::impl::finish(exchange& x, http_result result)
+struct http_client::connection : std::enable_shared_from_this<connection>
 {
-    if (x.finished)
-        return;
-    x.finished = true;
-    if (x.timer)
-        loop->timers().cancel(*x.timer);
-    if (result.has_value())
-        free_slot(x); // the connection is idle and can be used again
-    if (x.done)
-        std::exchange(x.done, nullptr)(std::move(result));
-}
+    impl* client = nullptr;
+    descriptor_watch watch;
+    bool connecting = true;
+    instant connect_by;
+    std::optional<running_call> call;
+    std::optional<response_reader> reader;
+    std::string out;
+    std::size_t written = 0; // of `out`
+    bool reused = false;
+    bool stray = false; // a message arrived that was not the answer
+    bool any_sent = false;
+    bool any_received = false; // of the present call's answer
+    instant idle_until;
 
-void http_client::impl::free_slot(exchange& x)
+    void start(running_call c);
+    void on_writable();
+    void on_readable();
+    void flush();
+    void take_bytes(std::string_view bytes);
+    bool take_answer(std::string_view rest);
+    void finish(http_response response, bool keep);
+    void fail(http_failure::step at);
+    void end_of_stream();
+    void close();
+};
+
+// ---- a call's way ----
+
+void http_client::connection::start(running_call c)
 {
-    if (active[x.slot] != &x)
-        return;
-    active[x.slot] = nullptr;
-    free_slots.push_back(x.slot);
+    call = std::move(c);
+    client->calls[call->id] = this;
+    if (header_value(call->request.headers, "host") == nullptr)
+        call->request.headers.push_back({"Host", to_string(client->opts.peer)});
+    out = serialize(call->request);
+    written = 0;
+    any_sent = false;
+    any_received = false;
+    reader.emplace(client->opts.limits, call->request.method == "HEAD");
+    if (connecting)
+        watch.request_write();
+    else
+        flush();
 }
 
-void http_client::impl::abandon(exchange& x, http_failure::step at)
+void http_client::connection::on_writable()
 {
-    x.abandoned = true;
-    if (x.wsi != nullptr)
-        lws_set_timeout(x.wsi, PENDING_TIMEOUT_USER_OK, LWS_TO_KILL_ASYNC);
-    fail(x, at);
+    auto const keep = shared_from_this();
+    if (connecting)
+    {
+        if (tcp_connect_error(watch.fd()) != 0)
+            return fail(http_failure::step::connect);
+        connecting = false;
+    }
+    flush();
 }
 
-int http_client::impl::append_headers(exchange& x, void* in, size_t len)
+void http_client::connection::flush()
 {
-    auto** p = static_cast<unsigned char**>(in);
-    auto* end = *p + len;
-    x.sent = true;
-    for (auto const& header : x.request.headers)
+    while (watch.is_open() && written < out.size())
     {
-        auto const field = header.name + ":";
-        if (lws_add_http_header_by_name(
-                x.wsi, reinterpret_cast<unsigned char const*>(field.c_str()),
-                reinterpret_cast<unsigned char const*>(header.value.c_str()),
-                static_cast<int>(header.value.size()), p, end) != 0)
-            return -1;
+        auto const put = tcp_write(watch.fd(), std::string_view(out).substr(written));
+        if (put.status == io_status::not_ready)
+            return watch.request_write();
+        // The peer may have answered before it closed: the answer is read first.
+        if (put.status == io_status::broken)
+            return on_readable();
+        any_sent = true;
+        written += put.bytes;
     }
-    bool const has_body = !x.request.body.empty();
-    if (has_body || x.request.method == "POST" || x.request.method == "PUT")
+    out.clear();
+    written = 0;
+}
+
+void http_client::connection::on_readable()
+{
+    auto const keep = shared_from_this();
+    static thread_local std::array<char, read_space> space;
+    while (watch.is_open())
     {
-        auto const length = std::to_string(x.request.body.size());
-        if (lws_add_http_header_by_token(
-                x.wsi, WSI_TOKEN_HTTP_CONTENT_LENGTH,
-                reinterpret_cast<unsigned char const*>(length.c_str()),
-                static_cast<int>(length.size()), p, end) != 0)
-            return -1;
+        if (connecting)
+            return on_writable(); // a failed connection is readable as well
+        auto const got = tcp_read(watch.fd(), space.data(), space.size());
+        if (got.status == io_status::not_ready)
+            return;
+        if (got.status == io_status::ended)
+            return end_of_stream();
+        if (got.status == io_status::broken)
+            return fail(http_failure::step::answer);
+        take_bytes({space.data(), got.bytes});
+        if (got.bytes < space.size())
+            return;
     }
-    if (has_body)
+}
+
+void http_client::connection::take_bytes(std::string_view bytes)
+{
+    while (!bytes.empty())
     {
-        lws_client_http_body_pending(x.wsi, 1);
-        lws_callback_on_writable(x.wsi);
+        if (!call)
+            return close(); // unasked
+        any_received = true;
+        auto const used = reader->put(bytes);
+        bytes.remove_prefix(used);
+        if (reader->failed())
+            return fail(http_failure::step::answer);
+        if (!reader->complete())
+            return;
+        if (!take_answer(bytes))
+            return;
     }
-    return 0;
 }
 
-int http_client::impl::write_body(exchange& x)
+// Deals with a whole message. True: the answer is still awaited, from the bytes that are
+// left.
+bool http_client::connection::take_answer(std::string_view rest)
 {
-    if (x.request.body.empty())
-        return 0;
-    std::vector<unsigned char> out(LWS_PRE + x.request.body.size());
-    std::memcpy(out.data() + LWS_PRE, x.request.body.data(), x.request.body.size());
-    auto const size = x.request.body.size();
-    x.request.body.clear();
-    lws_client_http_body_pending(x.wsi, 0);
-    return lws_write(x.wsi, out.data() + LWS_PRE, size, LWS_WRITE_HTTP_FINAL) < 0 ? -1
-                                                                                  : 0;
+    constexpr int first_final_status = 200;
+    bool const head = call->request.method == "HEAD";
+    bool const keep_alive = reader->keep_alive();
+    auto const peer_timeout = reader->keep_alive_seconds();
+    auto response = reader->take();
+    bool const interim = response.status < first_final_status;
+    bool const ours =
+        interim || !client->opts.belongs || client->opts.belongs(call->request, response);
+    if (interim || !ours)
+    {
+        stray = stray || !ours;
+        if (!keep_alive && !interim)
+            return fail(http_failure::step::answer), false;
+        reader.emplace(client->opts.limits, head);
+        return true;
+    }
+    auto idle = client->opts.keep_idle;
+    if (peer_timeout)
+        idle = std::min<duration>(idle, std::chrono::seconds(*peer_timeout));
+    idle_until = boot_now() + idle - idle_margin;
+    bool const whole = written >= out.size();
+    finish(std::move(response), keep_alive && whole && rest.empty() && !stray);
+    return false;
 }
 
-void http_client::impl::read_headers(exchange& x)
+void http_client::connection::finish(http_response response, bool keep)
 {
-    x.response.status = static_cast<int>(lws_http_client_http_response(x.wsi));
-    std::array<char, 1'024> value{};
-    if (lws_hdr_copy(x.wsi, value.data(), static_cast<int>(value.size()),
-                     WSI_TOKEN_HTTP_CONTENT_TYPE) > 0)
-        x.response.headers.push_back({"content-type", value.data()});
-    for (auto const& name : opts.header_names)
+    auto const self = shared_from_this();
+    auto finished = std::move(*call);
+    call.reset();
+    reader.reset();
+    client->calls.erase(finished.id);
+    if (finished.timer)
+        client->loop->timers().cancel(*finished.timer);
+    if (keep)
     {
-        auto const field = name + ":";
-        auto const length =
-            lws_hdr_custom_copy(x.wsi, value.data(), static_cast<int>(value.size()),
-                                field.c_str(), static_cast<int>(field.size()));
-        if (length > 0)
-            x.response.headers.push_back(
-                {name, std::string(value.data(), static_cast<std::size_t>(length))});
+        reused = true;
+        client->idle.push_back(this);
     }
+    else
+        close();
+    finished.done(std::move(response));
 }
 
-namespace
+void http_client::connection::fail(http_failure::step at)
 {
+    auto const self = shared_from_this();
+    std::optional<running_call> failed;
+    std::swap(failed, call);
+    close();
+    if (!failed)
+        return;
+    client->calls.erase(failed->id);
+    if (failed->timer)
+        client->loop->timers().cancel(*failed->timer);
+    if (at == http_failure::step::answer && !any_sent)
+        at = http_failure::step::connect;
+    failed->done(http_failure{.at = at,
+                              .sent = any_sent,
+                              .reused = reused,
+                              .started = any_received,
+                              .peer = to_string(client->opts.peer)});
+}
 
-int client_callback(lws* wsi, lws_callback_reasons reason, void* user, void* in,
-                    size_t len)
+void http_client::connection::end_of_stream()
 {
-    auto* x = static_cast<exchange*>(lws_get_opaque_user_data(wsi));
-    if (x == nullptr)
-        return 0;
-    auto* client = x->client;
-    switch (reason)
-    {
-    case LWS_CALLBACK_CLIENT_CONNECTION_ERROR:
-        client->fail(*x,
-                     x->sent ? http_failure::step::answer : http_failure::step::connect);
-        return 0;
-    case LWS_CALLBACK_WSI_DESTROY:
-        client->fail(*x,
-                     x->sent ? http_failure::step::answer : http_failure::step::connect);
-        lws_set_opaque_user_data(wsi, nullptr);
-        client->free_slot(*x);
-        delete x;
-        return 0;
-    case LWS_CALLBACK_CLIENT_APPEND_HANDSHAKE_HEADER:
-        if (x->abandoned)
-            return -1;
-        x->wsi = wsi;
-        return client->append_headers(*x, in, len);
-    case LWS_CALLBACK_CLIENT_HTTP_WRITEABLE:
-        return client->write_body(*x);
-    case LWS_CALLBACK_ESTABLISHED_CLIENT_HTTP:
-        client->read_headers(*x);
-        return 0;
-    case LWS_CALLBACK_RECEIVE_CLIENT_HTTP:
+    if (!call)
+        return close();
+    reader->put_end();
+    if (!reader->complete())
+        return fail(http_failure::step::answer);
+    if (take_answer({}))
+        fail(http_failure::step::answer);
+}
+
+void http_client::connection::close()
+{
+    auto const self = shared_from_this();
+    watch.close();
+    client->idle.remove(this);
+    client->connections.erase(this);
+    if (call)
+        fail(http_failure::step::answer);
+}
+
+// ---- connections ----
+
+http_client::connection* http_client::impl::take_idle(instant now)
+{
+    while (!idle.empty())
     {
-        std::array<char, LWS_PRE + read_space> buffer;
-        char* data = buffer.data() + LWS_PRE;
-        int size = static_cast<int>(read_space);
-        return lws_http_client_read(wsi, &data, &size) < 0 ? -1 : 0;
-    }
-    case LWS_CALLBACK_RECEIVE_CLIENT_HTTP_READ:
-        if (x->response.body.size() + len > client->opts.max_body)
-            return -1;
-        x->response.body.append(static_cast<char const*>(in), len);
-        return 0;
-    case LWS_CALLBACK_COMPLETED_CLIENT_HTTP:
-        client->finish(*x, std::move(x->response));
-        return 0;
-    case LWS_CALLBACK_CLOSED_CLIENT_HTTP:
-        client->fail(*x, http_failure::step::answer);
-        return 0;
-    default:
-        return lws_callback_http_dummy(wsi, reason, user, in, len);
+        auto* c = idle.back();
+        if (c->idle_until <= now)
+        {
+            c->close(); // removes it
+            continue;
+        }
+        idle.pop_back();
+        return c;
     }
+    return nullptr;
 }
 
-} // namespace
+http_client::connection* http_client::impl::open(instant now)
+{
+    int const fd = tcp_connect(opts.peer, opts.unacknowledged);
+    if (fd < 0)
+        return nullptr;
+    auto c = std::make_shared<connection>();
+    auto* raw = c.get();
+    c->client = this;
+    c->connect_by = now + opts.connect_timeout;
+    c->watch = descriptor_watch(*loop, fd,
+                                {.readable = [raw] { raw->on_readable(); },
+                                 .writable = [raw] { raw->on_writable(); },
+                                 .closed =
+                                     [raw]
+                                 {
+                                     raw->close();
+                                 }});
+    if (!c->watch.is_open())
+        return nullptr;
+    ++opened;
+    connections.emplace(raw, std::move(c));
+    return raw;
+}
+
+void http_client::impl::sweep_idle(instant now)
+{
+    auto const all = connections; // closing changes it
+    for (auto const& entry : all)
+    {
+        auto& c = *entry.second;
+        if (c.connecting && c.connect_by <= now)
+            c.fail(http_failure::step::connect);
+        else if (!c.call && c.idle_until <= now)
+            c.close();
+    }
+    sweep = loop->timers().at(now + sweep_period, [this](instant at) { sweep_idle(at); });
+}
 
 http_client::http_client(event_loop& loop, options opts)
     : m_impl(std::make_shared<impl>())
 {
-    loop.keep(m_impl);
     m_impl->loop = &loop;
     m_impl->opts = std::move(opts);
-    m_impl->protocols[0] = {"http-client", client_callback, 0, 0, 0, nullptr, 0};
-    auto const count = m_impl->opts.max_connections;
-    m_impl->active.resize(count, nullptr);
-    for (std::size_t i = 0; i < count; ++i)
-        m_impl->vhost_names.push_back(m_impl->peer() + "-" + std::to_string(i));
-    for (std::size_t i = 0; i < count; ++i)
-    {
-        lws_context_creation_info info{};
-        info.port = CONTEXT_PORT_NO_LISTEN;
-        info.vhost_name = m_impl->vhost_names[i].c_str();
-        info.protocols = m_impl->protocols.data();
-        m_impl->vhosts.push_back(lws_create_vhost(loop.context(), &info));
-        m_impl->free_slots.push_back(count - 1 - i);
-    }
+    m_impl->sweep_idle(boot_now());
 }
 
 http_client::~http_client()
 {
-    for (auto* x : m_impl->active)
-        if (x != nullptr)
-            x->done = nullptr;
-    for (auto* vhost : m_impl->vhosts)
-        lws_vhost_destroy(vhost);
+    m_impl->loop->timers().cancel(m_impl->sweep);
+    for (auto const& entry : std::exchange(m_impl->connections, {}))
+    {
+        auto& c = *entry.second;
+        if (c.call && c.call->timer)
+            m_impl->loop->timers().cancel(*c.call->timer);
+        c.call.reset();
+        c.watch.close();
+    }
 }
 
 http_client::call_id http_client::call(http_request request, duration timeout,
                                        callback done)
 {
     auto const id = m_impl->next_id++;
-    if (m_impl->free_slots.empty())
+    auto const now = boot_now();
+    auto const fail_at = [&](http_failure::step at)
     {
-        done(http_failure{
-            .at = http_failure::step::busy, .sent = false, .peer = m_impl->peer()});
+        done(http_failure{.at = at, .sent = false, .peer = to_string(m_impl->opts.peer)});
         return id;
-    }
-    auto* x = new exchange;
-    x->client = m_impl.get();
-    x->slot = m_impl->free_slots.back();
-    x->id = id;
-    x->done = std::move(done);
-    m_impl->free_slots.pop_back();
-    m_impl->active[x->slot] = x;
-    auto const method = request.method;
-    auto const target =
-        request.query.empty() ? request.path : request.path + "?" + request.query;
-    x->request = std::move(request);
+    };
+    auto* c = m_impl->take_idle(now);
+    if (c == nullptr && m_impl->connections.size() >= m_impl->opts.max_connections)
+        return fail_at(http_failure::step::busy);
+    if (c == nullptr)
+        c = m_impl->open(now);
+    if (c == nullptr)
+        return fail_at(http_failure::step::connect);
+    running_call running{
+        .id = id, .request = std::move(request), .done = std::move(done), .timer = {}};
     if (timeout > 0us)
-        x->timer = m_impl->loop->timers().at(boot_now() + timeout,
-                                             [client = m_impl.get(), x](instant)
-                                             {
-                                                 x->timer.reset();
-                                                 client->abandon(
-                                                     *x, http_failure::step::timeout);
-                                             });
-    // libwebsockets compares the host with the address to find the idle connection.
-    auto const& host = m_impl->opts.address;
-    lws_client_connect_info info{};
-    info.context = m_impl->loop->context();
-    info.vhost = m_impl->vhosts[x->slot];
-    info.address = m_impl->opts.address.c_str();
-    info.port = m_impl->opts.port;
-    info.path = target.c_str();
-    info.host = host.c_str();
-    info.origin = host.c_str();
-    info.method = method.c_str();
-    info.ssl_connection = LCCSCF_PIPELINE;
-    info.alpn = "http/1.1";
-    info.local_protocol_name = "http-client";
-    info.opaque_user_data = x;
-    info.keep_warm_secs = static_cast<std::uint16_t>(
-        std::chrono::duration_cast<std::chrono::seconds>(m_impl->opts.keep_idle).count());
-    auto* wsi = lws_client_connect_via_info(&info);
-    // A connection that fails at once has been destroyed, and `x` with it.
-    if (wsi != nullptr)
-        x->wsi = wsi;
+        running.timer =
+            m_impl->loop->timers().at(now + timeout,
+                                      [impl = m_impl.get(), id](instant)
+                                      {
+                                          auto const it = impl->calls.find(id);
+                                          if (it == impl->calls.end())
+                                              return;
+                                          it->second->call->timer.reset();
+                                          it->second->fail(http_failure::step::timeout);
+                                      });
+    c->start(std::move(running));
     return id;
 }
 
 void http_client::cancel(call_id id)
 {
-    for (auto* x : m_impl->active)
-        if (x != nullptr && x->id == id && !x->finished)
-            return m_impl->abandon(*x, http_failure::step::cancelled);
+    auto const it = m_impl->calls.find(id);
+    if (it != m_impl->calls.end())
+        it->second->fail(http_failure::step::cancelled);
+}
+
+std::size_t http_client::connections() const
+{
+    return m_impl->connections.size();
+}
+
+std::uint64_t http_client::connections_opened() const
+{
+    return m_impl->opened;
 }
 
 } // namespace buckthornusher
--- a/src/connection/http_client.hpp
+++ b/src/connection/http_client.hpp
@@ -1,13 +1,23 @@
-// An HTTP client for one endpoint over kept connections, by libwebsockets.
+// An HTTP/1.1 client for one endpoint over kept connections.
 //
-// The client holds up to `max_connections` connections. A call takes a free one, or
-// fails at once with `busy`: queueing is the caller's business, who knows deadlines.
-// An answer is delivered whole or not at all.
+// The client holds up to `max_connections` connections, each with one call at a time. A
+// call takes the connection that was used last, opens a new one, or fails at once with
+// `busy`: queueing is the caller's business, who knows deadlines. An answer is delivered
+// whole or not at all.
+//
+// What arrives on a connection is taken for the answer only if the option `belongs` says
+// so; other messages are dropped, and such a connection is not used for another call. A
+// connection on which bytes are left over, or arrive unasked, is closed. When the answer
+// comes before the request has been written, the rest is not sent and the connection is
+// closed. A request without a Host header gets one that names the peer.
+//
+// Cost: O(bytes) for each call, O(1) to find a connection.
 #ifndef BUCKTHORNUSHER_CONNECTION_HTTP_CLIENT_HPP
 #define BUCKTHORNUSHER_CONNECTION_HTTP_CLIENT_HPP
 
 #include "buckthornusher/time.hpp"
-#include "connection/http_message.hpp"
+#include "connection/http_codec.hpp"
+#include "connection/tcp_socket.hpp"
 
 #include <boost/outcome/result.hpp>
 
@@ -34,7 +44,9 @@
     };
     step at = step::connect;
     bool sent = false;
-    std::string peer; // address:port
+    bool reused = false;  // the connection had served a call before
+    bool started = false; // part of an answer came
+    std::string peer;     // address:port
     friend bool operator==(http_failure const&, http_failure const&) = default;
 };
 
@@ -50,12 +62,14 @@
 
     struct options
     {
-        std::string address = "127.0.0.1";
-        int port = 0;
+        tcp_address peer = {.ip = "127.0.0.1"};
         std::size_t max_connections = 8;
-        duration keep_idle = 20s; // how long an unused connection is kept
-        std::vector<std::string> header_names = {}; // answer headers to report
-        std::size_t max_body = 4'194'304;           // bytes of an answer
+        duration keep_idle = 20s; // unless the peer names a shorter time
+        duration connect_timeout = 1s;
+        duration unacknowledged = 3s; // bytes not taken for so long break a connection
+        http_read_limits limits = {.header_bytes = 65'536, .body_bytes = 67'108'864};
+        // Whether a message is the answer to the request. Empty: it always is.
+        std::function<bool(http_request const&, http_response const&)> belongs = {};
     };
 
     http_client(event_loop& loop, options opts);
@@ -63,17 +77,20 @@
     http_client(http_client const&) = delete;
     http_client& operator=(http_client const&) = delete;
 
-    // Calls `done` once, from the loop. A timeout of zero means none.
+    // Calls `done` once, from the loop or at once. A timeout of zero means none.
     call_id call(http_request request, duration timeout, callback done);
 
     // Closes the call's connection; `done` gets `cancelled`. Does nothing after the
     // answer.
     void cancel(call_id id);
 
-    struct impl; // shared with libwebsockets' callback
+    std::size_t connections() const;
+    std::uint64_t connections_opened() const;
 
 private:
-    std::shared_ptr<impl> m_impl; // outlives us until the loop has ended
+    struct impl;
+    struct connection;
+    std::shared_ptr<impl> m_impl;
 };
 
 } // namespace buckthornusher
--- /dev/null
+++ b/src/connection/http_codec.cpp
@@ -0,0 +1,377 @@
+// HTTP/1.1 messages from and to bytes: see the header.
+#include "connection/http_codec.hpp"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http.hpp>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <utility>
+
+namespace buckthornusher
+{
+
+namespace
+{
+
+namespace http = boost::beast::http;
+
+constexpr int bad_request = 400;
+constexpr int too_large = 413;
+constexpr int headers_too_large = 431;
+constexpr int version_not_supported = 505;
+
+constexpr std::array<std::string_view, 9> connection_headers{
+    "connection", "keep-alive", "proxy-connection", "te",    "trailer",
+    "upgrade",    "expect",     "transfer-encoding", "content-length"};
+
+std::string_view to_view(boost::beast::string_view text)
+{
+    return {text.data(), text.size()};
+}
+
+bool is_any(std::string_view name, auto const& names)
+{
+    for (std::string_view const candidate : names)
+        if (equal_names(name, candidate))
+            return true;
+    return false;
+}
+
+// The headers but for those that concern the connection and those that its Connection
+// header names.
+template <class Fields>
+http_headers end_to_end_headers(Fields const& fields, bool keep_length)
+{
+    std::vector<std::string> named;
+    for (auto const& token : http::token_list(fields[http::field::connection]))
+        named.emplace_back(token);
+    http_headers headers;
+    for (auto const& field : fields)
+    {
+        auto const name = to_view(field.name_string());
+        bool const length = keep_length && equal_names(name, "content-length");
+        if (!length && (is_any(name, connection_headers) || is_any(name, named)))
+            continue;
+        headers.push_back({std::string(name), std::string(to_view(field.value()))});
+    }
+    return headers;
+}
+
+template <class Fields> std::size_t count(Fields const& fields, http::field name)
+{
+    return fields.count(name);
+}
+
+// The framing that is accepted beyond what Beast checks; an empty text if it is.
+template <class Fields> std::string_view framing_problem(Fields const& fields)
+{
+    if (count(fields, http::field::transfer_encoding) > 1)
+        return "more than one Transfer-Encoding";
+    auto const coding = to_view(fields[http::field::transfer_encoding]);
+    if (!coding.empty() && !equal_names(coding, "chunked"))
+        return "a transfer coding other than chunked";
+    if (fields.count(http::field::transfer_encoding) > 0 && coding.empty())
+        return "an empty Transfer-Encoding";
+    auto const lengths = count(fields, http::field::content_length);
+    if (!coding.empty() && lengths > 0)
+        return "a length beside chunks";
+    auto const length = to_view(fields[http::field::content_length]);
+    bool const digits = std::all_of(length.begin(), length.end(),
+                                    [](char c) { return c >= '0' && c <= '9'; });
+    if (lengths > 1 || (lengths == 1 && (length.empty() || !digits)))
+        return "a Content-Length that is not one number";
+    return {};
+}
+
+int status_of(boost::system::error_code const& code)
+{
+    if (code == http::error::header_limit)
+        return headers_too_large;
+    if (code == http::error::body_limit)
+        return too_large;
+    if (code == http::error::bad_version)
+        return version_not_supported;
+    return bad_request;
+}
+
+// What both readers do: the header first, which is kept apart from the fields that may
+// come after a chunked body, then the body.
+template <class Parser> struct reader_state
+{
+    Parser parser;
+    http_headers headers;
+    http_read_error error;
+    std::string pending; // bytes that are no whole line yet
+    bool header_done = false;
+    bool keep_length = false;
+
+    void configure(http_read_limits const& limits)
+    {
+        parser.header_limit(limits.header_bytes);
+        parser.body_limit(limits.body_bytes);
+        parser.eager(false);
+    }
+
+    void fail(int status, std::string_view what)
+    {
+        if (error.status == 0)
+            error = {.status = status, .what = std::string(what)};
+    }
+
+    std::size_t put_once(std::string_view bytes)
+    {
+        boost::system::error_code code;
+        auto const used =
+            parser.put(boost::asio::const_buffer(bytes.data(), bytes.size()), code);
+        if (code && code != http::error::need_more)
+            fail(status_of(code), code.message());
+        return used;
+    }
+
+    // Reads as far as it can. `check` returns what is wrong with the header, or an empty
+    // text.
+    template <class Check> std::size_t parse(std::string_view bytes, Check check)
+    {
+        std::size_t used = 0;
+        while (error.status == 0 && !parser.is_done() && used < bytes.size())
+        {
+            auto const step = put_once(bytes.substr(used));
+            used += step;
+            if (parser.is_header_done() && !header_done && error.status == 0)
+            {
+                header_done = true;
+                headers = end_to_end_headers(parser.get(), keep_length);
+                if (auto const problem = check(parser.get()); !problem.empty())
+                    fail(bad_request, problem);
+                parser.eager(true);
+            }
+            else if (step == 0)
+                break;
+        }
+        return used;
+    }
+
+    // Beast wants the bytes that it has not used again, with more: they are kept here.
+    template <class Check> std::size_t put(std::string_view bytes, Check check)
+    {
+        if (bytes.empty() || error.status != 0 || parser.is_done())
+            return 0;
+        std::string joined;
+        std::string_view source = bytes;
+        if (!pending.empty())
+        {
+            joined = std::exchange(pending, {});
+            source = joined.append(bytes);
+        }
+        auto const left = source.size() - parse(source, check);
+        if (error.status != 0 || parser.is_done())
+            return bytes.size() - left;
+        pending = source.substr(source.size() - left);
+        return bytes.size();
+    }
+};
+
+void append_header(std::string& out, std::string_view name, std::string_view value)
+{
+    out += name;
+    out += ": ";
+    out += value;
+    out += "\r\n";
+}
+
+void append_headers(std::string& out, http_headers const& headers)
+{
+    for (auto const& header : headers)
+        append_header(out, header.name, header.value);
+}
+
+bool has_no_body(int status)
+{
+    return status / 100 == 1 || status == 204 || status == 304;
+}
+
+} // namespace
+
+// ---- requests ----
+
+struct request_reader::impl
+{
+    reader_state<http::request_parser<http::string_body>> state;
+};
+
+request_reader::request_reader(http_read_limits limits) : m_impl(std::make_unique<impl>())
+{
+    m_impl->state.configure(limits);
+}
+request_reader::~request_reader() = default;
+request_reader::request_reader(request_reader&&) noexcept = default;
+request_reader& request_reader::operator=(request_reader&&) noexcept = default;
+
+std::size_t request_reader::put(std::string_view bytes)
+{
+    return m_impl->state.put(bytes,
+                             [](auto const& message) -> std::string_view
+                             {
+                                 if (auto const problem = framing_problem(message);
+                                     !problem.empty())
+                                     return problem;
+                                 if (message.count(http::field::host) > 1 ||
+                                     (message.version() >= 11 &&
+                                      message.count(http::field::host) == 0))
+                                     return "not exactly one Host";
+                                 if (message.target().empty() ||
+                                     message.target().front() != '/')
+                                     return "a target that is not a path";
+                                 return {};
+                             });
+}
+
+bool request_reader::header_complete() const
+{
+    return m_impl->state.header_done;
+}
+bool request_reader::complete() const
+{
+    return m_impl->state.parser.is_done() && !failed();
+}
+http_read_error const& request_reader::error() const
+{
+    return m_impl->state.error;
+}
+bool request_reader::keep_alive() const
+{
+    return m_impl->state.parser.get().keep_alive();
+}
+bool request_reader::expects_continue() const
+{
+    return equal_names(to_view(m_impl->state.parser.get()[http::field::expect]),
+                       "100-continue");
+}
+
+http_request request_reader::take()
+{
+    auto& state = m_impl->state;
+    auto& message = state.parser.get();
+    return {.method = std::string(to_view(message.method_string())),
+            .target = std::string(to_view(message.target())),
+            .headers = std::move(state.headers),
+            .body = std::move(message.body())};
+}
+
+// ---- responses ----
+
+struct response_reader::impl
+{
+    reader_state<http::response_parser<http::string_body>> state;
+};
+
+response_reader::response_reader(http_read_limits limits, bool no_body)
+    : m_impl(std::make_unique<impl>())
+{
+    m_impl->state.configure(limits);
+    m_impl->state.keep_length = no_body;
+    m_impl->state.parser.skip(no_body);
+}
+response_reader::~response_reader() = default;
+response_reader::response_reader(response_reader&&) noexcept = default;
+response_reader& response_reader::operator=(response_reader&&) noexcept = default;
+
+std::size_t response_reader::put(std::string_view bytes)
+{
+    return m_impl->state.put(bytes,
+                             [](auto const& message) { return framing_problem(message); });
+}
+
+void response_reader::put_end()
+{
+    auto& state = m_impl->state;
+    if (state.parser.is_done() || state.error.status != 0)
+        return;
+    if (!state.header_done || !state.parser.need_eof())
+        return state.fail(bad_request, "ended before it was whole");
+    boost::system::error_code code;
+    state.parser.put_eof(code);
+    if (code)
+        state.fail(bad_request, code.message());
+}
+
+bool response_reader::complete() const
+{
+    return m_impl->state.parser.is_done() && !failed();
+}
+http_read_error const& response_reader::error() const
+{
+    return m_impl->state.error;
+}
+bool response_reader::keep_alive() const
+{
+    return m_impl->state.parser.keep_alive();
+}
+int response_reader::status() const
+{
+    return static_cast<int>(m_impl->state.parser.get().result_int());
+}
+
+std::optional<std::uint32_t> response_reader::keep_alive_seconds() const
+{
+    constexpr std::string_view parameter = "timeout=";
+    auto const value = to_view(m_impl->state.parser.get()[http::field::keep_alive]);
+    auto const at = value.find(parameter);
+    if (at == std::string_view::npos)
+        return std::nullopt;
+    auto const digits = value.substr(at + parameter.size());
+    std::uint32_t seconds = 0;
+    auto const [end, error] =
+        std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
+    return error == std::errc{} ? std::optional(seconds) : std::nullopt;
+}
+
+http_response response_reader::take()
+{
+    auto& state = m_impl->state;
+    auto& message = state.parser.get();
+    return {.status = static_cast<int>(message.result_int()),
+            .reason = std::string(to_view(message.reason())),
+            .headers = std::move(state.headers),
+            .body = std::move(message.body())};
+}
+
+// ---- writing ----
+
+std::string serialize(http_request const& request)
+{
+    std::string out = request.method + " " + request.target + " HTTP/1.1\r\n";
+    append_headers(out, request.headers);
+    bool const takes_body =
+        request.method == "POST" || request.method == "PUT" || request.method == "PATCH";
+    if (takes_body || !request.body.empty())
+        append_header(out, "Content-Length", std::to_string(request.body.size()));
+    out += "\r\n";
+    out += request.body;
+    return out;
+}
+
+std::string serialize(http_response const& response, response_form const& form)
+{
+    auto const usual = http::obsolete_reason(static_cast<http::status>(response.status));
+    std::string out = "HTTP/1.1 " + std::to_string(response.status) + " ";
+    out += response.reason.empty() ? to_view(usual) : std::string_view(response.reason);
+    out += "\r\n";
+    append_headers(out, response.headers);
+    bool const bodiless = has_no_body(response.status);
+    if (!form.head && !bodiless)
+        append_header(out, "Content-Length", std::to_string(response.body.size()));
+    if (form.close)
+        append_header(out, "Connection", "close");
+    else if (form.keep_alive_seconds > 0)
+        append_header(out, "Keep-Alive",
+                      "timeout=" + std::to_string(form.keep_alive_seconds));
+    out += "\r\n";
+    if (!form.head && !bodiless)
+        out += response.body;
+    return out;
+}
+
+} // namespace buckthornusher
--- a/src/connection/http_message.hpp
+++ b/src/connection/http_message.hpp
@@ -1,4 +1,8 @@
-// HTTP messages as values, independent of the library that carries them.
+// HTTP messages as values, independent of the library that reads them.
+//
+// A message's framing is not part of it: bodies are whole, and the headers that concern
+// one connection only (Connection, Content-Length, Transfer-Encoding and the like) are
+// dealt with by http_codec.hpp.
 #ifndef BUCKTHORNUSHER_CONNECTION_HTTP_MESSAGE_HPP
 #define BUCKTHORNUSHER_CONNECTION_HTTP_MESSAGE_HPP
 
@@ -11,37 +15,84 @@
 
 struct http_header
 {
-    std::string name; // lower case, without the colon
+    std::string name; // in the case in which it came; compared without regard to case
     std::string value;
     friend bool operator==(http_header const&, http_header const&) = default;
 };
 
+using http_headers = std::vector<http_header>;
+
+// Compares ASCII text without regard to case.
+constexpr bool equal_names(std::string_view a, std::string_view b)
+{
+    auto const lower = [](char c)
+    {
+        return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
+    };
+    if (a.size() != b.size())
+        return false;
+    for (std::size_t i = 0; i < a.size(); ++i)
+        if (lower(a[i]) != lower(b[i]))
+            return false;
+    return true;
+}
+
 struct http_request
 {
     std::string method;
-    std::string path;
-    std::string query; // without the question mark
-    std::vector<http_header> headers;
+    std::string target; // path and query as they came
+    http_headers headers;
     std::string body;
     friend bool operator==(http_request const&, http_request const&) = default;
+
+    std::string_view path() const
+    {
+        return std::string_view(target).substr(0, target.find('?'));
+    }
+    std::string_view query() const // without the question mark
+    {
+        auto const mark = target.find('?');
+        return mark == std::string::npos ? std::string_view()
+                                         : std::string_view(target).substr(mark + 1);
+    }
 };
 
 struct http_response
 {
     int status = 200;
-    std::vector<http_header> headers;
+    std::string reason; // phrase of the status line; empty: the usual one
+    http_headers headers;
     std::string body;
     friend bool operator==(http_response const&, http_response const&) = default;
 };
 
-// The first header of that name, or an empty view.
-inline std::string_view find_header(std::vector<http_header> const& headers,
-                                    std::string_view name)
+// The first header of that name, or null.
+inline std::string const* header_value(http_headers const& headers, std::string_view name)
 {
     for (auto const& header : headers)
-        if (header.name == name)
-            return header.value;
-    return {};
+        if (equal_names(header.name, name))
+            return &header.value;
+    return nullptr;
+}
+
+// The first header of that name, or an empty view.
+inline std::string_view find_header(http_headers const& headers, std::string_view name)
+{
+    auto const* value = header_value(headers, name);
+    return value == nullptr ? std::string_view() : std::string_view(*value);
+}
+
+inline void erase_header(http_headers& headers, std::string_view name)
+{
+    std::erase_if(headers,
+                  [&](http_header const& h) { return equal_names(h.name, name); });
+}
+
+// Replaces all headers of that name by one.
+inline void set_header(http_headers& headers, std::string_view name, std::string value)
+{
+    erase_header(headers, name);
+    headers.push_back({std::string(name), std::move(value)});
 }
 
 // The value of `name` in a query string such as "a=1&b=2", or an empty view.
--- a/src/connection/http_server.cpp
+++ b/src/connection/http_server.cpp
@@ -1,13 +1,14 @@
-// An HTTP server by libwebsockets: see the header.
+// An HTTP/1.1 server: see the header.
 #include "connection/http_server.hpp"
 
+#include "process/boot_clock.hpp"
 #include "process/event_loop.hpp"
 
-#include <libwebsockets.h>
-
 #include <array>
-#include <charconv>
+#include <cerrno>
 #include <cstring>
+#include <deque>
+#include <map>
 #include <optional>
 #include <stdexcept>
 #include <utility>
@@ -18,274 +19,371 @@
 namespace
 {
 
-constexpr std::size_t header_space = 8'192;
-constexpr int keepalive_seconds = 60;
-
-struct method_token
-{
-    lws_token_indexes token;
-    char const* name;
-};
-
-constexpr std::array<method_token, 5> method_tokens{{
-    {WSI_TOKEN_GET_URI, "GET"},
-    {WSI_TOKEN_POST_URI, "POST"},
-    {WSI_TOKEN_PUT_URI, "PUT"},
-    {WSI_TOKEN_DELETE_URI, "DELETE"},
-    {WSI_TOKEN_PATCH_URI, "PATCH"},
-}};
+constexpr std::size_t read_space = 65'536;
+constexpr duration sweep_period = 100ms;
+// After the last answer, for the caller to read it before a reset could destroy it.
+constexpr duration longest_linger = 2s;
+// A caller may use a connection up to the very end of the idle time that it was told.
+constexpr duration idle_grace = 500ms;
 
-std::string copy_token(lws* wsi, lws_token_indexes token)
+http_response rejection(int status, std::string const& what)
 {
-    auto const length = lws_hdr_total_length(wsi, token);
-    if (length <= 0)
-        return {};
-    std::string value(static_cast<std::size_t>(length) + 1, '\0');
-    auto const copied = lws_hdr_copy(wsi, value.data(), length + 1, token);
-    value.resize(copied > 0 ? static_cast<std::size_t>(copied) : 0);
-    return value;
-}
-
-std::string copy_query(lws* wsi)
-{
-    // libwebsockets splits the query at '&'; put it together again.
-    std::string query;
-    std::array<char, header_space> part{};
-    for (int i = 0; lws_hdr_copy_fragment(wsi, part.data(), static_cast<int>(part.size()),
-                                          WSI_TOKEN_HTTP_URI_ARGS, i) > 0;
-         ++i)
-    {
-        if (i > 0)
-            query += '&';
-        query += part.data();
-    }
-    return query;
-}
-
-std::optional<std::size_t> parse_size(std::string const& text)
-{
-    std::size_t value = 0;
-    auto const [end, error] =
-        std::from_chars(text.data(), text.data() + text.size(), value);
-    if (error != std::errc{} || end != text.data() + text.size())
-        return std::nullopt;
-    return value;
+    http_response response{.status = status};
+    response.headers.push_back({"Content-Type", "application/problem+json"});
+    response.headers.push_back({"buckthornusher-outcome", "refused"});
+    response.body = R"({"title":")" + what +
+                    R"(","outcome":"refused","ran":false})"
+                    "\n";
+    return response;
 }
 
 } // namespace
 
-// Invariant: `response` is set at most once; `wsi` is null once the connection has gone.
+// Invariant: `response` is set at most once; `of` is null once the connection has gone.
 struct http_exchange
 {
-    http_server::impl* server = nullptr;
-    lws* wsi = nullptr;
-    http_request request;
-    bool dispatched = false;
+    http_server::connection* of = nullptr;
+    bool head = false;
     bool close_after = false;
+    bool dropped = false; // ends the connection without an answer
     std::optional<http_response> response;
     std::function<void()> gone;
 };
 
 struct http_server::impl
 {
-    http_server::options opts;
-    http_server::handler on_request;
-    lws_vhost* vhost = nullptr;
-    std::array<lws_protocols, 2> protocols{};
-    std::string vhost_name;
+    event_loop* loop = nullptr;
+    options opts;
+    handler on_request;
+    descriptor_watch listener;
+    std::map<connection*, std::shared_ptr<connection>> connections;
     std::size_t exchanges = 0;
+    bool stopping = false;
+    timer_service::timer_id sweep;
 
-    void begin(lws* wsi, char const* path, std::shared_ptr<http_exchange>& slot);
-    void dispatch(std::shared_ptr<http_exchange> const& exchange);
-    void reject(std::shared_ptr<http_exchange> const& exchange, int status,
-                char const* title);
-    int write(std::shared_ptr<http_exchange>*& holder);
-    void end(std::shared_ptr<http_exchange>& slot);
+    void accept_all();
+    void sweep_connections(instant now);
 };
 
-namespace
+// One caller's connection.
+//
+// It goes through three phases: it reads requests; it has read its last one and still
+// answers (`last_read`); it has written its last answer and waits for the caller to close
+// (`lingering`).
+struct http_server::connection : std::enable_shared_from_this<connection>
 {
+    impl* server = nullptr;
+    descriptor_watch watch;
+    std::string unread; // bytes that wait for room among the exchanges
+    std::optional<request_reader> reader;
+    std::deque<std::shared_ptr<http_exchange>> exchanges; // unanswered, in their order
+    std::string out;
+    std::size_t written = 0; // of `out`
+    bool last_read = false;
+    bool lingering = false;
+    bool reading_paused = false;
+    bool handling = false; // within read_requests()
+    instant last_progress; // bytes read, or the last answer written
+    instant header_since;
+    instant linger_until;
+    duration idle_timeout{0}; // as told
 
-// What libwebsockets keeps for each connection.
-struct session
-{
-    std::shared_ptr<http_exchange>* exchange;
+    void on_readable();
+    void take_bytes(std::string_view bytes);
+    std::size_t read_requests(std::string_view bytes);
+    bool read_some(std::string_view bytes, std::size_t& used);
+    void finish_request();
+    void reject(int status, std::string const& what);
+    void add(std::shared_ptr<http_exchange> exchange);
+    void write_answers();
+    void flush();
+    void begin_lingering();
+    void check_time(instant now);
+    void resume();
+    void close();
 };
 
-int server_callback(lws* wsi, lws_callback_reasons reason, void* user, void* in,
-                    size_t len)
+// ---- reading ----
+
+void http_server::connection::on_readable()
 {
-    auto* server = static_cast<http_server::impl*>(
-        lws_get_vhost(wsi) == nullptr ? nullptr : lws_vhost_user(lws_get_vhost(wsi)));
-    auto* s = static_cast<session*>(user);
-    switch (reason)
-    {
-    case LWS_CALLBACK_HTTP:
-        if (s->exchange == nullptr)
-            s->exchange = new std::shared_ptr<http_exchange>;
-        server->begin(wsi, static_cast<char const*>(in), *s->exchange);
-        return 0;
-    case LWS_CALLBACK_HTTP_BODY:
+    auto const keep = shared_from_this();
+    static thread_local std::array<char, read_space> space;
+    while (watch.is_open() && !reading_paused)
     {
-        auto& exchange = **s->exchange;
-        if (exchange.request.body.size() + len > server->opts.max_body)
-            return -1;
-        exchange.request.body.append(static_cast<char const*>(in), len);
-        return 0;
+        auto const got = tcp_read(watch.fd(), space.data(), space.size());
+        if (got.status == io_status::not_ready)
+            return;
+        if (got.status != io_status::done)
+            return close();
+        last_progress = boot_now();
+        if (!last_read)
+            take_bytes({space.data(), got.bytes});
+        if (got.bytes < space.size())
+            return;
     }
-    case LWS_CALLBACK_HTTP_BODY_COMPLETION:
-        if (s->exchange != nullptr && *s->exchange != nullptr)
-            server->dispatch(*s->exchange);
-        return 0;
-    case LWS_CALLBACK_HTTP_WRITEABLE:
-        if (s == nullptr || s->exchange == nullptr || *s->exchange == nullptr)
-            return 0;
-        return server->write(s->exchange);
-    case LWS_CALLBACK_CLOSED_HTTP:
-        if (s == nullptr || s->exchange == nullptr)
-            return 0;
-        if (*s->exchange != nullptr)
-            server->end(*s->exchange);
-        delete s->exchange;
-        s->exchange = nullptr;
-        return 0;
-    default:
-        return lws_callback_http_dummy(wsi, reason, user, in, len);
+}
+
+void http_server::connection::take_bytes(std::string_view bytes)
+{
+    if (!unread.empty())
+    {
+        unread.append(bytes);
+        return resume();
     }
+    auto const used = read_requests(bytes);
+    if (used < bytes.size() && !last_read)
+        unread.assign(bytes.substr(used));
 }
 
-} // namespace
+// Reads what had to wait.
+void http_server::connection::resume()
+{
+    if (handling)
+        return;
+    auto const bytes = std::exchange(unread, {});
+    auto const used = read_requests(bytes);
+    if (used < bytes.size() && !last_read)
+        unread = bytes.substr(used) + unread;
+}
 
-void http_server::impl::begin(lws* wsi, char const* path,
-                              std::shared_ptr<http_exchange>& slot)
+// Returns how many bytes were used; the others wait.
+std::size_t http_server::connection::read_requests(std::string_view bytes)
 {
-    if (slot != nullptr)
-        end(slot);
-    slot = std::make_shared<http_exchange>();
-    ++exchanges;
-    slot->server = this;
-    slot->wsi = wsi;
-    auto& request = slot->request;
-    request.path = path;
-    for (auto const& method : method_tokens)
-        if (lws_hdr_total_length(wsi, method.token) > 0)
-            request.method = method.name;
-    request.query = copy_query(wsi);
-    if (auto type = copy_token(wsi, WSI_TOKEN_HTTP_CONTENT_TYPE); !type.empty())
-        request.headers.push_back({"content-type", std::move(type)});
-    for (auto const& name : opts.header_names)
+    handling = true;
+    std::size_t used = 0;
+    while (!last_read && watch.is_open() && read_some(bytes, used))
     {
-        auto const field = name + ":";
-        auto const length =
-            lws_hdr_custom_length(wsi, field.c_str(), static_cast<int>(field.size()));
-        if (length <= 0)
-            continue;
-        std::string value(static_cast<std::size_t>(length) + 1, '\0');
-        lws_hdr_custom_copy(wsi, value.data(), length + 1, field.c_str(),
-                            static_cast<int>(field.size()));
-        value.resize(static_cast<std::size_t>(length));
-        request.headers.push_back({name, std::move(value)});
     }
-    lws_set_timeout(wsi, NO_PENDING_TIMEOUT, 0);
-    if (exchanges > opts.max_exchanges)
-        return reject(slot, 503, "too many requests at once");
-    if (request.method.empty())
-        return reject(slot, 405, "method not supported");
-    auto const length_text = copy_token(wsi, WSI_TOKEN_HTTP_CONTENT_LENGTH);
-    bool const takes_body =
-        request.method == "POST" || request.method == "PUT" || request.method == "PATCH";
-    if (length_text.empty())
+    handling = false;
+    bool const full = exchanges.size() >= server->opts.max_pipelined;
+    if (full != reading_paused && watch.is_open())
+        watch.pause_reading(reading_paused = full);
+    return used;
+}
+
+// Reads up to the end of one request. False: no more can be read now.
+bool http_server::connection::read_some(std::string_view bytes, std::size_t& used)
+{
+    if (exchanges.size() >= server->opts.max_pipelined)
+        return false;
+    if (!reader)
+    {
+        // An empty line may stand before a request.
+        while (used < bytes.size() && (bytes[used] == '\r' || bytes[used] == '\n'))
+            ++used;
+        if (used == bytes.size())
+            return false;
+        reader.emplace(server->opts.limits.read);
+        header_since = boot_now();
+    }
+    bool const had_header = reader->header_complete();
+    used += reader->put(bytes.substr(used));
+    if (reader->failed())
     {
-        if (takes_body)
-            return reject(slot, 411, "content-length required");
-        return dispatch(slot);
+        reject(reader->error().status, reader->error().what);
+        return false;
     }
-    auto const length = parse_size(length_text);
-    if (!length)
-        return reject(slot, 400, "malformed content-length");
-    if (*length > opts.max_body)
-        return reject(slot, 413, "body too large");
-    if (*length == 0)
-        dispatch(slot);
+    if (!reader->complete())
+    {
+        if (!had_header && reader->header_complete() && reader->expects_continue() &&
+            exchanges.empty())
+        {
+            out += continue_response;
+            flush();
+        }
+        return false;
+    }
+    finish_request();
+    return true;
+}
+
+void http_server::connection::finish_request()
+{
+    auto exchange = std::make_shared<http_exchange>();
+    exchange->of = this;
+    exchange->close_after = !reader->keep_alive();
+    last_read = exchange->close_after;
+    auto request = reader->take();
+    reader.reset();
+    exchange->head = request.method == "HEAD";
+    add(exchange);
+    if (server->exchanges > server->opts.max_exchanges)
+        return http_reply(exchange).send(rejection(503, "too many requests at once"));
+    server->on_request(std::move(request), http_reply(exchange));
 }
 
-void http_server::impl::reject(std::shared_ptr<http_exchange> const& exchange, int status,
-                               char const* title)
+void http_server::connection::reject(int status, std::string const& what)
 {
-    exchange->dispatched = true;
+    last_read = true;
+    reader.reset();
+    unread.clear();
+    auto exchange = std::make_shared<http_exchange>();
+    exchange->of = this;
     exchange->close_after = true;
-    http_response response{.status = status, .headers = {}, .body = {}};
-    response.headers.push_back({"content-type", "application/problem+json"});
-    response.headers.push_back({"buckthornusher-outcome", "refused"});
-    response.body = std::string("{\"title\":\"") + title +
-                    "\",\"outcome\":\"refused\",\"ran\":false}\n";
-    http_reply(exchange).send(std::move(response));
+    add(exchange);
+    http_reply(exchange).send(rejection(status, what));
 }
 
-void http_server::impl::dispatch(std::shared_ptr<http_exchange> const& exchange)
+void http_server::connection::add(std::shared_ptr<http_exchange> exchange)
 {
-    if (exchange->dispatched)
-        return;
-    exchange->dispatched = true;
-    on_request(std::move(exchange->request), http_reply(exchange));
+    ++server->exchanges;
+    exchanges.push_back(std::move(exchange));
 }
 
-int http_server::impl::write(std::shared_ptr<http_exchange>*& holder)
+// ---- writing ----
+
+void http_server::connection::write_answers()
 {
-    auto& slot = *holder;
-    if (!slot->response)
-        return 0;
-    auto* wsi = slot->wsi;
-    auto const& response = *slot->response;
-    std::array<unsigned char, LWS_PRE + header_space> space{};
-    auto* start = space.data() + LWS_PRE;
-    auto* p = start;
-    auto* end_of_space = space.data() + space.size() - 1;
-    auto const content_type = std::string(find_header(response.headers, "content-type"));
-    if (lws_add_http_common_headers(wsi, static_cast<unsigned>(response.status),
-                                    content_type.empty() ? "text/plain"
-                                                         : content_type.c_str(),
-                                    response.body.size(), &p, end_of_space) != 0)
-        return -1;
-    for (auto const& header : response.headers)
+    if (!watch.is_open())
+        return;
+    auto const keep = shared_from_this();
+    bool wrote = false;
+    while (!exchanges.empty() &&
+           (exchanges.front()->response || exchanges.front()->dropped))
     {
-        if (header.name == "content-type" || header.name == "content-length")
+        auto const exchange = std::move(exchanges.front());
+        exchanges.pop_front();
+        --server->exchanges;
+        exchange->of = nullptr;
+        exchange->gone = nullptr;
+        // While it stops, the server answers all that it has begun to read.
+        bool const stopping_here = server->stopping && exchanges.empty() && !reader;
+        bool const last = exchange->close_after || exchange->dropped || stopping_here;
+        idle_timeout = std::max<duration>(server->opts.limits.idle_timeout, 1s);
+        auto const told = std::chrono::duration_cast<std::chrono::seconds>(idle_timeout);
+        if (exchange->response)
+            out += serialize(
+                *exchange->response,
+                {.close = last,
+                 .head = exchange->head,
+                 .keep_alive_seconds = static_cast<std::uint32_t>(told.count())});
+        wrote = true;
+        if (!last)
             continue;
-        auto const field = header.name + ":";
-        if (lws_add_http_header_by_name(
-                wsi, reinterpret_cast<unsigned char const*>(field.c_str()),
-                reinterpret_cast<unsigned char const*>(header.value.c_str()),
-                static_cast<int>(header.value.size()), &p, end_of_space) != 0)
-            return -1;
+        // What was sent behind it is not read; its callers learn that from the close.
+        last_read = true;
+        unread.clear();
+        reader.reset();
+        for (auto const& later : std::exchange(exchanges, {}))
+        {
+            --server->exchanges;
+            later->of = nullptr;
+            if (auto const gone = std::move(later->gone))
+                gone();
+        }
     }
-    if (lws_finalize_write_http_header(wsi, start, &p, end_of_space) != 0)
-        return -1;
-    if (!response.body.empty())
+    if (wrote)
+        last_progress = boot_now();
+    flush();
+    if (!unread.empty() || reading_paused)
+        resume();
+}
+
+void http_server::connection::flush()
+{
+    while (watch.is_open() && written < out.size())
     {
-        std::vector<unsigned char> out(LWS_PRE + response.body.size());
-        std::memcpy(out.data() + LWS_PRE, response.body.data(), response.body.size());
-        if (lws_write(wsi, out.data() + LWS_PRE, response.body.size(),
-                      LWS_WRITE_HTTP_FINAL) < 0)
-            return -1;
+        auto const put = tcp_write(watch.fd(), std::string_view(out).substr(written));
+        if (put.status == io_status::not_ready)
+            return watch.request_write();
+        if (put.status == io_status::broken)
+            return close();
+        written += put.bytes;
+        last_progress = boot_now();
     }
-    bool const close_after = slot->close_after;
-    slot->gone = nullptr;
-    end(slot);
-    // The library clears the connection's memory between two requests.
-    delete std::exchange(holder, nullptr);
-    if (lws_http_transaction_completed(wsi) != 0 || close_after)
-        return -1;
-    return 0;
+    out.clear();
+    written = 0;
+    if (out.capacity() > read_space)
+        out.shrink_to_fit();
+    if (last_read && exchanges.empty() && watch.is_open() && !lingering)
+        begin_lingering();
 }
 
-void http_server::impl::end(std::shared_ptr<http_exchange>& slot)
+void http_server::connection::begin_lingering()
 {
-    --exchanges;
-    slot->wsi = nullptr;
-    auto const gone = std::move(slot->gone);
-    slot.reset();
-    if (gone)
-        gone();
+    lingering = true;
+    linger_until = boot_now() + longest_linger;
+    tcp_end(watch.fd());
+    if (reading_paused)
+        watch.pause_reading(reading_paused = false);
+}
+
+// ---- end ----
+
+void http_server::connection::close()
+{
+    auto const keep = shared_from_this();
+    watch.close();
+    server->connections.erase(this);
+    for (auto const& exchange : std::exchange(exchanges, {}))
+    {
+        --server->exchanges;
+        exchange->of = nullptr;
+        if (auto const gone = std::move(exchange->gone))
+            gone();
+    }
+}
+
+void http_server::connection::check_time(instant now)
+{
+    auto const& limits = server->opts.limits;
+    if (lingering)
+    {
+        if (now >= linger_until)
+            close();
+        return;
+    }
+    auto const quiet = now - last_progress;
+    if (reader && !reader->header_complete())
+    {
+        if (now - header_since > limits.header_timeout)
+            reject(408, "the header did not come in time");
+    }
+    else if (reader)
+    {
+        if (quiet > limits.idle_timeout)
+            reject(408, "the body did not come in time");
+    }
+    else if (exchanges.empty() &&
+             quiet > std::max(limits.idle_timeout, idle_timeout) + idle_grace)
+        close(); // also one that does not read its answer
+}
+
+// ---- the server ----
+
+void http_server::impl::accept_all()
+{
+    for (;;)
+    {
+        int const fd = tcp_accept(listener.fd());
+        if (fd < 0)
+            return; // none waits, or there is no descriptor for it now
+        auto c = std::make_shared<connection>();
+        c->server = this;
+        c->last_progress = boot_now();
+        auto* raw = c.get();
+        c->watch = descriptor_watch(*loop, fd,
+                                    {.readable = [raw] { raw->on_readable(); },
+                                     .writable = [raw] { raw->flush(); },
+                                     .closed =
+                                         [raw]
+                                     {
+                                         raw->close();
+                                     }});
+        if (!c->watch.is_open())
+            continue;
+        connections.emplace(raw, std::move(c));
+    }
+}
+
+void http_server::impl::sweep_connections(instant now)
+{
+    auto const all = connections; // checks may close some
+    for (auto const& entry : all)
+        entry.second->check_time(now);
+    sweep = loop->timers().at(now + sweep_period,
+                              [this](instant at) { sweep_connections(at); });
 }
 
 http_reply::http_reply(std::weak_ptr<http_exchange> exchange)
@@ -296,10 +394,10 @@
 void http_reply::send(http_response response) const
 {
     auto const exchange = m_exchange.lock();
-    if (exchange == nullptr || exchange->wsi == nullptr || exchange->response)
+    if (exchange == nullptr || exchange->of == nullptr || exchange->response)
         return;
     exchange->response = std::move(response);
-    lws_callback_on_writable(exchange->wsi);
+    exchange->of->write_answers();
 }
 
 void http_reply::on_gone(std::function<void()> fn) const
@@ -308,36 +406,60 @@
         exchange->gone = std::move(fn);
 }
 
+void http_reply::drop() const
+{
+    auto const exchange = m_exchange.lock();
+    if (exchange == nullptr || exchange->of == nullptr || exchange->response)
+        return;
+    exchange->dropped = true;
+    exchange->of->write_answers();
+}
+
 http_server::http_server(event_loop& loop, options opts, handler on_request)
     : m_impl(std::make_shared<impl>())
 {
-    loop.keep(m_impl);
+    m_impl->loop = &loop;
     m_impl->opts = std::move(opts);
     m_impl->on_request = std::move(on_request);
-    m_impl->vhost_name = "http-" + std::to_string(m_impl->opts.port);
-    m_impl->protocols[0] = {"http", server_callback, sizeof(session), 0, 0, nullptr, 0};
-    lws_context_creation_info info{};
-    info.port = m_impl->opts.port;
-    info.iface = m_impl->opts.address.c_str();
-    info.vhost_name = m_impl->vhost_name.c_str();
-    info.protocols = m_impl->protocols.data();
-    info.user = m_impl.get();
-    info.keepalive_timeout = keepalive_seconds;
-    m_impl->vhost = lws_create_vhost(loop.context(), &info);
-    if (m_impl->vhost == nullptr)
-        throw std::runtime_error("http server: cannot listen on " + m_impl->opts.address +
-                                 ":" + std::to_string(m_impl->opts.port));
+    int const fd = tcp_listen(m_impl->opts.address);
+    if (fd < 0)
+        throw std::runtime_error("http server: cannot listen on " +
+                                 to_string(m_impl->opts.address) + ": " +
+                                 std::strerror(errno));
+    m_impl->listener = descriptor_watch(loop, fd,
+                                        {.readable = [raw = m_impl.get()]
+                                         {
+                                             raw->accept_all();
+                                         }});
+    m_impl->sweep_connections(boot_now());
 }
 
 http_server::~http_server()
 {
-    if (m_impl->vhost != nullptr)
-        lws_vhost_destroy(m_impl->vhost);
+    m_impl->loop->timers().cancel(m_impl->sweep);
+    m_impl->listener.close();
+    for (auto const& entry : std::exchange(m_impl->connections, {}))
+    {
+        auto& c = *entry.second;
+        c.watch.close();
+        for (auto const& exchange : c.exchanges)
+            exchange->of = nullptr;
+    }
+}
+
+void http_server::set_limits(http_server_limits limits)
+{
+    m_impl->opts.limits = limits;
+}
+
+void http_server::begin_stopping()
+{
+    m_impl->stopping = true;
 }
 
-void http_server::set_header_names(std::vector<std::string> names)
+std::size_t http_server::connections() const
 {
-    m_impl->opts.header_names = std::move(names);
+    return m_impl->connections.size();
 }
 
 } // namespace buckthornusher
--- a/src/connection/http_server.hpp
+++ b/src/connection/http_server.hpp
@@ -1,13 +1,24 @@
-// An HTTP server on the event loop, by libwebsockets.
+// An HTTP/1.1 server on the event loop.
 //
-// Each request is read whole, within its limits, before the handler sees it, and
-// each answer is written whole. A handler may answer later: it keeps the `http_reply`
-// and calls send() once. A reply whose connection has gone is dropped, and `on_gone`
-// is called so that the work can be cancelled.
+// Each request is read whole, within its limits, before the handler sees it, and each
+// answer is written whole. A handler may answer later: it keeps the `http_reply` and
+// calls send() once. A reply whose connection has gone is dropped, and `on_gone` is
+// called so that the work can be cancelled.
+//
+// A caller may send further requests before the first is answered; they are handled side
+// by side, and answered in their order. Bytes that are not a request get 400, 413 or 431,
+// a header that does not come in time gets 408, and the connection ends there: nothing
+// that follows on it is read as a request. Connections that stay unused longer than the
+// idle time are closed.
+//
+// Cost: O(bytes); memory of a connection in use is its unread bytes, its requests in work
+// and their answers; reading stops while `max_pipelined` requests of it are in work.
 #ifndef BUCKTHORNUSHER_CONNECTION_HTTP_SERVER_HPP
 #define BUCKTHORNUSHER_CONNECTION_HTTP_SERVER_HPP
 
-#include "connection/http_message.hpp"
+#include "buckthornusher/time.hpp"
+#include "connection/http_codec.hpp"
+#include "connection/tcp_socket.hpp"
 
 #include <cstddef>
 #include <functional>
@@ -28,11 +39,23 @@
     void send(http_response response) const;
     // Called when the caller's connection closes before the answer was sent.
     void on_gone(std::function<void()> fn) const;
+    // Closes the connection without an answer, after those to earlier requests.
+    void drop() const;
 
 private:
     std::weak_ptr<http_exchange> m_exchange;
 };
 
+// What callers may send, and how long they may take.
+struct http_server_limits
+{
+    http_read_limits read;
+    duration header_timeout = 10s; // from a header's first byte to its last
+    duration idle_timeout = 60s;   // unused, or without progress within a body
+    friend bool operator==(http_server_limits const&,
+                           http_server_limits const&) = default;
+};
+
 class http_server
 {
 public:
@@ -40,11 +63,10 @@
 
     struct options
     {
-        std::string address = "127.0.0.1";
-        int port = 0;
-        std::size_t max_body = 1'048'576;           // bytes
-        std::size_t max_exchanges = 8'192;          // requests at once; more get a 503
-        std::vector<std::string> header_names = {}; // those that the handler is to see
+        tcp_address address = {.ip = "127.0.0.1"};
+        http_server_limits limits = {};
+        std::size_t max_exchanges = 8'192; // requests at once; more get a 503
+        std::size_t max_pipelined = 32;    // of one connection
     };
 
     // Throws std::runtime_error if the address cannot be bound.
@@ -53,13 +75,21 @@
     http_server(http_server const&) = delete;
     http_server& operator=(http_server const&) = delete;
 
-    // Headers that requests from now on show to the handler.
-    void set_header_names(std::vector<std::string> names);
+    // For requests that begin from now on. A connection that was told a longer idle time
+    // keeps it.
+    void set_limits(http_server_limits limits);
+
+    // From now on answers tell callers to close their connections.
+    void begin_stopping();
 
-    struct impl; // shared with libwebsockets' callback
+    std::size_t connections() const;
 
 private:
-    std::shared_ptr<impl> m_impl; // outlives us until the loop has ended
+    struct impl;
+    struct connection;
+    friend class http_reply;
+    friend struct http_exchange;
+    std::shared_ptr<impl> m_impl;
 };
 
 } // namespace buckthornusher
--- a/src/connection/peer_socket.cpp
+++ b/src/connection/peer_socket.cpp
@@ -146,18 +146,20 @@
     return m_impl->send_to(it->second, message);
 }
 
+void peer_socket::reconnect(std::string const& endpoint)
+{
+    if (m_impl->connections.erase(endpoint) > 0)
+        zmq_disconnect(m_impl->socket.handle(), endpoint.c_str());
+}
+
 void peer_socket::keep_only(std::set<std::string> const& endpoints)
 {
-    for (auto it = m_impl->connections.begin(); it != m_impl->connections.end();)
-    {
-        if (endpoints.contains(it->first))
-        {
-            ++it;
-            continue;
-        }
-        zmq_disconnect(m_impl->socket.handle(), it->first.c_str());
-        it = m_impl->connections.erase(it);
-    }
+    std::vector<std::string> others;
+    for (auto const& entry : m_impl->connections)
+        if (!endpoints.contains(entry.first))
+            others.push_back(entry.first);
+    for (auto const& endpoint : others)
+        reconnect(endpoint);
 }
 
 bool peer_socket::reply(peer_route const& route, wire::Envelope const& message)
--- a/src/connection/peer_socket.hpp
+++ b/src/connection/peer_socket.hpp
@@ -54,6 +54,10 @@
     bool send(std::string const& endpoint, wire::Envelope const& message);
     bool reply(peer_route const& route, wire::Envelope const& message);
 
+    // Closes the connection to the endpoint, with what waits on it; the next send opens
+    // another.
+    void reconnect(std::string const& endpoint);
+
     // Closes the connections to all other endpoints.
     void keep_only(std::set<std::string> const& endpoints);
 
--- a/src/connection/store_client.cpp
+++ b/src/connection/store_client.cpp
@@ -1,7 +1,7 @@
-// The platform's object API as a client: see the header.
+// The one client for the platform's store: see the header.
 #include "connection/store_client.hpp"
 
-#include "connection/wire.hpp"
+#include "platform/object_store.hpp"
 
 namespace buckthornusher
 {
@@ -9,75 +9,97 @@
 namespace
 {
 
-constexpr std::size_t connections = 4; // one of them may hold a watch
-constexpr std::size_t largest_answer = 64'000'000;
+constexpr std::size_t connections = 6; // two of them may hold watches
+constexpr std::uint64_t largest_answer = 64'000'000;
+// A watch is held by the store; its answer may be this much later than it was asked for.
+constexpr duration watch_slack = 1s;
 
-http_request request_for(store_list const& /*list*/,
-                         store_client::options const& /*opts*/)
+} // namespace
+
+store_client::store_client(event_loop& loop, options const& opts)
+    : m_options(opts),
+      m_http(loop, {.peer = opts.address,
+                    .max_connections = connections,
+                    .limits = {.header_bytes = 65'536, .body_bytes = largest_answer}})
 {
-    return {.method = "GET", .path = "/v1/objects"};
 }
 
-http_request request_for(store_watch const& watch, store_client::options const& opts)
+void store_client::call(store_operation const& operation, callback done)
 {
-    auto const wait =
-        std::chrono::duration_cast<std::chrono::milliseconds>(opts.watch_wait).count();
-    return {.method = "GET",
-            .path = "/v1/objects",
-            .query = "since=" + std::to_string(watch.since) +
-                     "&wait_ms=" + std::to_string(wait)};
+    if (auto const* l = std::get_if<store_list>(&operation))
+        return list(*l, {}, {}, std::move(done));
+    if (auto const* w = std::get_if<store_watch>(&operation))
+        return watch(*w, std::move(done));
+    write(std::get<store_write>(operation), std::move(done));
 }
 
-http_request request_for(store_write const& write, store_client::options const& /*opts*/)
+void store_client::send(http_request request, duration timeout,
+                        http_client::callback done)
 {
-    http_request request{.method = write.value ? "PUT" : "DELETE",
-                         .path = "/v1/objects/" + write.name,
-                         .query = "expected=" + std::to_string(write.expected)};
-    if (write.value)
-        request.body = encode_record(*write.value);
-    return request;
+    request.headers.push_back({"User-Agent", m_options.agent});
+    m_http.call(std::move(request), timeout, std::move(done));
 }
 
-store_answer read_answer(http_response const& response, bool write)
+store_answer store_client::note(store_answer answer)
 {
-    if (write && response.status == 200)
-        if (auto version = decode_written(response.body))
-            return store_written{.version = version.value()};
-    if (write && response.status == 409)
-        if (auto current = decode_object(response.body))
-            return store_conflict{.current = std::move(current).value()};
-    if (!write && response.status == 200)
-        if (auto objects = decode_objects(response.body))
-            return std::move(objects).value();
-    return store_no_answer{};
+    bool const refused = std::holds_alternative<store_refused>(answer);
+    bool const lost = std::holds_alternative<store_no_answer>(answer);
+    m_counts.refused += refused ? 1 : 0;
+    m_counts.no_answer += lost ? 1 : 0;
+    m_counts.conflicts += std::holds_alternative<store_conflict>(answer) ? 1 : 0;
+    m_reachable = !refused && !lost;
+    return answer;
 }
 
-} // namespace
+void store_client::list(store_list const& operation, store_objects so_far,
+                        std::string const& after, callback done)
+{
+    ++m_counts.lists;
+    send(platform::list_request(operation, after), m_options.call_timeout,
+         [this, operation, so_far = std::move(so_far),
+          done = std::move(done)](http_result result) mutable
+         {
+             auto part = result.has_value()
+                             ? platform::read_list(operation, result.value())
+                             : std::nullopt;
+             if (!part)
+                 return done(note(store_no_answer{}));
+             if (so_far.revision == 0)
+                 so_far.revision = part->objects.revision;
+             for (auto& o : part->objects.objects)
+                 so_far.objects.push_back(std::move(o));
+             if (part->more && !part->last_name.empty())
+                 return list(operation, std::move(so_far), part->last_name,
+                             std::move(done));
+             done(note(std::move(so_far)));
+         });
+}
 
-store_client::store_client(event_loop& loop, options const& opts)
-    : m_options(opts), m_http(loop, {.address = opts.address,
-                                     .port = opts.port,
-                                     .max_connections = connections,
-                                     .max_body = largest_answer})
+void store_client::watch(store_watch const& operation, callback done)
 {
+    ++m_counts.watches;
+    send(platform::watch_request(operation, m_options.watch_wait),
+         m_options.watch_wait + watch_slack,
+         [this, operation, done = std::move(done)](http_result result)
+         {
+             done(note(result.has_value()
+                           ? platform::read_watch(operation, result.value())
+                           : store_answer(store_no_answer{})));
+         });
 }
 
-void store_client::call(store_operation const& operation, callback done)
+void store_client::write(store_write const& operation, callback done)
 {
-    bool const write = std::holds_alternative<store_write>(operation);
-    auto timeout = m_options.call_timeout;
-    if (std::holds_alternative<store_watch>(operation))
-        timeout += m_options.watch_wait;
-    auto request =
-        std::visit([&](auto const& op) { return request_for(op, m_options); }, operation);
-    m_http.call(std::move(request), timeout,
-                [write, done = std::move(done)](http_result result)
-                {
-                    if (result.has_value())
-                        done(read_answer(result.value(), write));
-                    else
-                        done(store_no_answer{});
-                });
+    ++m_counts.writes;
+    send(platform::write_request(operation), m_options.call_timeout,
+         [this, operation, done = std::move(done)](http_result result)
+         {
+             if (result.has_value())
+                 return done(note(platform::read_write(operation, result.value())));
+             bool const sent = result.error().sent;
+             done(note(sent ? store_answer(store_no_answer{})
+                            : store_answer(store_refused{})));
+         });
 }
 
 } // namespace buckthornusher
--- a/src/connection/store_client.hpp
+++ b/src/connection/store_client.hpp
@@ -1,11 +1,9 @@
-// The platform's object API as a client: HTTP with JSON.
+// The one client for the platform's store.
 //
-//   GET    /v1/objects                         all objects
-//   GET    /v1/objects?since=N&wait_ms=M       those changed after N, waiting for some
-//   PUT    /v1/objects/NAME?expected=VERSION   conditional write; 409 with the present
-//   object DELETE /v1/objects/NAME?expected=VERSION
-//
-// Whatever is not a clear yes or a clear conflict is store_no_answer.
+// It carries the coordination parts' calls over HTTP in the form of
+// platform/object_store.hpp. A list that comes in parts is put together; its revision is
+// that of the first part, so that nothing up to it is missing. Whatever is not a clear
+// answer is store_no_answer; what the store says it has not done is store_refused.
 #ifndef BUCKTHORNUSHER_CONNECTION_STORE_CLIENT_HPP
 #define BUCKTHORNUSHER_CONNECTION_STORE_CLIENT_HPP
 
@@ -14,10 +12,22 @@
 #include "connection/http_client.hpp"
 
 #include <functional>
+#include <map>
 
 namespace buckthornusher
 {
 
+// What became of calls, for metrics.
+struct store_call_counts
+{
+    std::uint64_t lists = 0;
+    std::uint64_t watches = 0;
+    std::uint64_t writes = 0;
+    std::uint64_t conflicts = 0;
+    std::uint64_t refused = 0;
+    std::uint64_t no_answer = 0;
+};
+
 class store_client
 {
 public:
@@ -25,19 +35,32 @@
 
     struct options
     {
-        std::string address;
-        int port = 0;
+        tcp_address address;
+        std::string agent; // names the caller to the store's operators
         duration call_timeout = 1s;
-        duration watch_wait = 20s; // how long the store holds a watch without changes
+        duration watch_wait = 10s; // how long the store holds a watch without changes
     };
 
     store_client(event_loop& loop, options const& opts);
 
     void call(store_operation const& operation, callback done);
 
+    store_call_counts const& counts() const { return m_counts; }
+    // Whether the last call that ended got an answer.
+    bool reachable() const { return m_reachable; }
+
 private:
+    void list(store_list const& operation, store_objects so_far, std::string const& after,
+              callback done);
+    void watch(store_watch const& operation, callback done);
+    void write(store_write const& operation, callback done);
+    void send(http_request request, duration timeout, http_client::callback done);
+    store_answer note(store_answer answer);
+
     options m_options;
     http_client m_http;
+    store_call_counts m_counts;
+    bool m_reachable = true;
 };
 
 } // namespace buckthornusher
--- /dev/null
+++ b/src/connection/tcp_socket.cpp
@@ -0,0 +1,125 @@
+// TCP sockets without blocking: see the header.
+#include "connection/tcp_socket.hpp"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <cerrno>
+
+namespace buckthornusher
+{
+
+namespace
+{
+
+constexpr int backlog = 1'024; // new connections that wait to be accepted
+
+bool fill(tcp_address const& address, sockaddr_in& out)
+{
+    out.sin_family = AF_INET;
+    out.sin_port = htons(static_cast<std::uint16_t>(address.port));
+    if (inet_pton(AF_INET, address.ip.c_str(), &out.sin_addr) == 1)
+        return true;
+    errno = EINVAL;
+    return false;
+}
+
+void set_option(int fd, int level, int name, int value)
+{
+    // An option that the system lacks changes only how soon a loss is noticed.
+    (void)::setsockopt(fd, level, name, &value, sizeof(value));
+}
+
+int fail_with(int fd)
+{
+    int const error = errno;
+    ::close(fd);
+    errno = error;
+    return -1;
+}
+
+} // namespace
+
+std::string to_string(tcp_address const& address)
+{
+    return address.ip + ":" + std::to_string(address.port);
+}
+
+int tcp_listen(tcp_address const& address)
+{
+    sockaddr_in where{};
+    if (!fill(address, where))
+        return -1;
+    int const fd = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (fd < 0)
+        return -1;
+    set_option(fd, SOL_SOCKET, SO_REUSEADDR, 1);
+    if (::bind(fd, reinterpret_cast<sockaddr const*>(&where), sizeof(where)) != 0 ||
+        ::listen(fd, backlog) != 0)
+        return fail_with(fd);
+    return fd;
+}
+
+int tcp_accept(int listener)
+{
+    int const fd = ::accept4(listener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (fd >= 0)
+        set_option(fd, IPPROTO_TCP, TCP_NODELAY, 1);
+    return fd;
+}
+
+int tcp_connect(tcp_address const& peer, duration unacknowledged)
+{
+    sockaddr_in where{};
+    if (!fill(peer, where))
+        return -1;
+    int const fd = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (fd < 0)
+        return -1;
+    set_option(fd, IPPROTO_TCP, TCP_NODELAY, 1);
+    set_option(fd, IPPROTO_TCP, TCP_USER_TIMEOUT,
+               static_cast<int>(
+                   std::chrono::duration_cast<std::chrono::milliseconds>(unacknowledged)
+                       .count()));
+    if (::connect(fd, reinterpret_cast<sockaddr const*>(&where), sizeof(where)) != 0 &&
+        errno != EINPROGRESS)
+        return fail_with(fd);
+    return fd;
+}
+
+int tcp_connect_error(int fd)
+{
+    int error = 0;
+    socklen_t size = sizeof(error);
+    return ::getsockopt(fd, SOL_SOCKET, SO_ERROR, &error, &size) == 0 ? error : errno;
+}
+
+io_result tcp_read(int fd, char* space, std::size_t size)
+{
+    auto const got = ::recv(fd, space, size, 0);
+    if (got > 0)
+        return {.status = io_status::done, .bytes = static_cast<std::size_t>(got)};
+    if (got == 0)
+        return {.status = io_status::ended};
+    bool const later = errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR;
+    return {.status = later ? io_status::not_ready : io_status::broken};
+}
+
+io_result tcp_write(int fd, std::string_view bytes)
+{
+    auto const put = ::send(fd, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+    if (put >= 0)
+        return {.status = io_status::done, .bytes = static_cast<std::size_t>(put)};
+    bool const later = errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR;
+    return {.status = later ? io_status::not_ready : io_status::broken};
+}
+
+void tcp_end(int fd)
+{
+    ::shutdown(fd, SHUT_WR);
+}
+
+} // namespace buckthornusher
--- /dev/null
+++ b/src/connection/upstream_form.cpp
@@ -0,0 +1,50 @@
+// Our own form of orders: see the header.
+#include "connection/upstream_form.hpp"
+
+namespace buckthornusher
+{
+
+namespace
+{
+
+constexpr int conflict = 409;
+constexpr int first_server_error = 500;
+
+std::string micros(instant at)
+{
+    return std::to_string(at.time_since_epoch().count());
+}
+
+} // namespace
+
+http_request native_upstream_form::order(http_request request,
+                                         upstream_order const& order) const
+{
+    auto& headers = request.headers;
+    if (order.shard)
+    {
+        headers.push_back({"buckthornusher-epoch", std::to_string(order.epoch)});
+        headers.push_back({"buckthornusher-shard", std::to_string(*order.shard)});
+        headers.push_back({"buckthornusher-lease-until", micros(order.lease_until)});
+    }
+    if (!order.operation.empty())
+        headers.push_back({"buckthornusher-operation", order.operation});
+    return request;
+}
+
+bool native_upstream_form::belongs(http_request const& /*request*/,
+                                   http_response const& /*response*/) const
+{
+    return true;
+}
+
+answer_meaning native_upstream_form::meaning(http_response const& response) const
+{
+    if (find_header(response.headers, "buckthornusher-ran") == "no")
+        return response.status == conflict ? answer_meaning::not_held
+                                           : answer_meaning::no_room;
+    return response.status >= first_server_error ? answer_meaning::failed
+                                                 : answer_meaning::answered;
+}
+
+} // namespace buckthornusher
--- a/src/connection/wire.cpp
+++ b/src/connection/wire.cpp
@@ -34,6 +34,8 @@
     w.set_domain(m.domain);
     w.set_state(static_cast<wire::MemberRecord::State>(m.state));
     w.set_draining(m.draining);
+    w.set_tenure(m.tenure);
+    w.set_inherited(m.inherited);
     for (auto const& id : m.watchers)
         encode(id, *w.add_watchers());
     for (auto const& t : m.targets)
@@ -41,22 +43,36 @@
         auto& target = *w.add_targets();
         target.set_service(t.service);
         target.set_slots(t.slots);
+        target.set_life(t.life);
+        target.set_draining(t.draining);
     }
 }
 
+void encode_to(assignment const& a, std::uint32_t shards, wire::Assignment& out)
+{
+    out.set_shards(shards);
+    out.set_epoch(a.epoch);
+    out.set_handover(a.handover);
+    if (a.owner)
+        encode(a.owner, *out.mutable_owner());
+    if (a.successor)
+        encode(a.successor, *out.mutable_successor());
+}
+
 void encode_to(chunk_record const& c, wire::Record& out)
 {
     auto& w = *out.mutable_chunk();
     w.set_service(c.service);
     w.set_first_shard(c.first_shard);
-    for (auto const& a : c.assignments)
+    auto const& all = c.assignments;
+    for (std::size_t first = 0; first < all.size();)
     {
-        auto& assignment = *w.add_assignments();
-        assignment.set_epoch(a.epoch);
-        if (a.owner)
-            encode(a.owner, *assignment.mutable_owner());
-        if (a.successor)
-            encode(a.successor, *assignment.mutable_successor());
+        auto next = first + 1;
+        while (next < all.size() && all[next] == all[first])
+            ++next;
+        encode_to(all[first], static_cast<std::uint32_t>(next - first),
+                  *w.add_assignments());
+        first = next;
     }
 }
 
@@ -77,10 +93,15 @@
     m.domain = w.domain();
     m.state = static_cast<member_state>(w.state());
     m.draining = w.draining();
+    m.tenure = w.tenure();
+    m.inherited = w.inherited();
     for (auto const& id : w.watchers())
         m.watchers.push_back(decode(id));
     for (auto const& t : w.targets())
-        m.targets.push_back({.service = t.service(), .slots = t.slots()});
+        m.targets.push_back({.service = t.service(),
+                             .slots = t.slots(),
+                             .life = t.life(),
+                             .draining = t.draining()});
     return m;
 }
 
@@ -90,12 +111,22 @@
     c.service = w.service();
     c.first_shard = w.first_shard();
     for (auto const& a : w.assignments())
-        c.assignments.push_back({.owner = decode(a.owner()),
-                                 .epoch = a.epoch(),
-                                 .successor = decode(a.successor())});
+        c.assignments.insert(c.assignments.end(), a.shards(),
+                             {.owner = decode(a.owner()),
+                              .epoch = a.epoch(),
+                              .successor = decode(a.successor()),
+                              .handover = a.handover()});
     return c;
 }
 
+bool fits_chunk(wire::ChunkRecord const& w)
+{
+    std::uint64_t shards = 0;
+    for (auto const& a : w.assignments())
+        shards += a.shards();
+    return w.first_shard() % shards_per_chunk == 0 && shards <= shards_per_chunk;
+}
+
 decoded<record> decode_value(wire::Record const& w)
 {
     switch (w.kind_case())
@@ -107,8 +138,7 @@
                                 .reason = "unknown state or no id"};
         return record(decode_member(w.member()));
     case wire::Record::kChunk:
-        if (w.chunk().first_shard() % shards_per_chunk != 0 ||
-            w.chunk().assignments_size() > static_cast<int>(shards_per_chunk))
+        if (!fits_chunk(w.chunk()))
             return decode_error{.step = "chunk record", .reason = "shards out of range"};
         return record(decode_chunk(w.chunk()));
     case wire::Record::kConfig:
@@ -121,24 +151,13 @@
     return decode_error{.step = "record", .reason = "unknown kind"};
 }
 
-decoded<object> decode_value(wire::StoreObject const& w)
-{
-    object o{.name = w.name(), .version = w.version(), .value = {}};
-    if (w.deleted())
-        return o;
-    auto value = decode_record(w.value());
-    if (!value)
-        return decode_error{.step = "object " + w.name(), .reason = value.error().reason};
-    o.value = std::move(value).value();
-    return o;
-}
-
 // ---- control messages ----
 
 void encode_to(renew const& m, wire::Envelope& out)
 {
     out.mutable_renew()->set_sequence(m.sequence);
     out.mutable_renew()->set_revision(m.revision);
+    out.mutable_renew()->set_config_version(m.config_version);
 }
 
 void encode_to(renew_ack const& m, wire::Envelope& out)
@@ -147,6 +166,7 @@
     w.set_sequence(m.sequence);
     w.set_permitted(m.permitted);
     w.set_revision(m.revision);
+    w.set_config_version(m.config_version);
 }
 
 void encode_to(refuse const& m, wire::Envelope& out)
@@ -184,6 +204,7 @@
 void encode_to(pull const& m, wire::Envelope& out)
 {
     out.mutable_pull()->set_from(m.from);
+    out.mutable_pull()->set_config_version(m.config_version);
 }
 
 void encode_to(released const& m, wire::Envelope& out)
@@ -194,6 +215,7 @@
         shard.set_service(r.shard.service);
         shard.set_shard(r.shard.index);
         shard.set_epoch(r.epoch);
+        shard.set_handover(r.handover);
     }
 }
 
@@ -231,6 +253,17 @@
     return {.node = in.node(), .incarnation = in.incarnation()};
 }
 
+void encode(owner_id const& id, wire::OwnerId& out)
+{
+    out.set_node(id.node);
+    out.set_tenure(id.tenure);
+}
+
+owner_id decode(wire::OwnerId const& in)
+{
+    return {.node = in.node(), .tenure = in.tenure()};
+}
+
 void encode(control_message const& message, wire::Envelope& out)
 {
     std::visit([&](auto const& m) { encode_to(m, out); }, message);
@@ -242,11 +275,13 @@
     {
     case wire::Envelope::kRenew:
         return renew{.sequence = in.renew().sequence(),
-                     .revision = in.renew().revision()};
+                     .revision = in.renew().revision(),
+                     .config_version = in.renew().config_version()};
     case wire::Envelope::kRenewAck:
         return renew_ack{.sequence = in.renew_ack().sequence(),
                          .permitted = in.renew_ack().permitted(),
-                         .revision = in.renew_ack().revision()};
+                         .revision = in.renew_ack().revision(),
+                         .config_version = in.renew_ack().config_version()};
     case wire::Envelope::kRefuse:
         return refuse{.subject = decode(in.refuse().subject())};
     case wire::Envelope::kRefused:
@@ -259,12 +294,15 @@
     case wire::Envelope::kDeltas:
         return decode_deltas(in.deltas());
     case wire::Envelope::kPull:
-        return pull{.from = in.pull().from()};
+        return pull{.from = in.pull().from(),
+                    .config_version = in.pull().config_version()};
     case wire::Envelope::kReleased:
     {
         released m;
         for (auto const& r : in.released().shards())
-            m.shards.push_back({.shard = {r.service(), r.shard()}, .epoch = r.epoch()});
+            m.shards.push_back({.shard = {r.service(), r.shard()},
+                                .epoch = r.epoch(),
+                                .handover = r.handover()});
         return m;
     }
     default:
@@ -290,39 +328,4 @@
     return decode_value(w);
 }
 
-decoded<store_objects> decode_objects(std::string_view json)
-{
-    wire::StoreObjects w;
-    std::string why;
-    if (!parse_json(json, w, why))
-        return decode_error{.step = "objects", .reason = why};
-    store_objects found{.revision = w.revision(), .objects = {}};
-    for (auto const& entry : w.objects())
-    {
-        auto o = decode_value(entry);
-        if (!o)
-            return o.error();
-        found.objects.push_back(std::move(o).value());
-    }
-    return found;
-}
-
-decoded<object> decode_object(std::string_view json)
-{
-    wire::StoreObject w;
-    std::string why;
-    if (!parse_json(json, w, why))
-        return decode_error{.step = "object", .reason = why};
-    return decode_value(w);
-}
-
-decoded<std::uint64_t> decode_written(std::string_view json)
-{
-    wire::StoreWritten w;
-    std::string why;
-    if (!parse_json(json, w, why))
-        return decode_error{.step = "written", .reason = why};
-    return w.version();
-}
-
 } // namespace buckthornusher
--- a/src/connection/wire.hpp
+++ b/src/connection/wire.hpp
@@ -21,6 +21,7 @@
 {
 class Envelope;
 class MemberId;
+class OwnerId;
 } // namespace wire
 
 struct decode_error
@@ -36,18 +37,17 @@
 
 void encode(member_id const& id, wire::MemberId& out);
 member_id decode(wire::MemberId const& in);
+void encode(owner_id const& id, wire::OwnerId& out);
+owner_id decode(wire::OwnerId const& in);
 
 // ---- control messages ----
 void encode(control_message const& message, wire::Envelope& out);
 // Nothing if the envelope holds no control message.
 std::optional<control_message> decode_control(wire::Envelope const& in);
 
-// ---- the store's JSON ----
+// ---- records as JSON, as the store holds them ----
 std::string encode_record(record const& value);
 decoded<record> decode_record(std::string_view json);
-decoded<store_objects> decode_objects(std::string_view json);
-decoded<object> decode_object(std::string_view json);
-decoded<std::uint64_t> decode_written(std::string_view json);
 
 } // namespace buckthornusher
 
--- a/src/process/coordinator.cpp
+++ b/src/coordination/coordinator.cpp
@@ -1,7 +1,7 @@
 // One member's part in the fleet: see the header.
-#include "process/coordinator_impl.hpp"
+#include "coordination/coordinator_impl.hpp"
 
-#include "version/roles.hpp"
+#include "coordination/roles.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -13,7 +13,6 @@
 {
 constexpr duration pause_threshold = 600ms; // between ticks
 constexpr duration pull_patience = 300ms;
-constexpr duration longest_store_backoff = 3s;
 } // namespace
 
 void coordinator::impl::send(member_id const& to, control_message message)
@@ -53,20 +52,48 @@
     auto const before = copy.revision();
     bool const contiguous = copy.apply_range(from, to, {});
     if (!contiguous && sender)
-        note_revision(*sender, to, now);
+        note_revision(*sender, to, 0, now);
     for (auto const& o : news)
         follow(o, now);
     if (news.empty() && copy.revision() == before)
         return;
     refresh_subjects(now);
-    if (!news.empty())
-        effects.emplace_back(replica_changed{});
-    if (at != phase::member)
+    if (news.empty())
         return;
-    if (auto const* self = own_record(); self != nullptr)
-        for (auto const& to_member : push_targets(copy, *self, !sender))
-            if (to_member != sender && !news.empty())
-                send(to_member, deltas{.from = from, .to = to, .objects = news});
+    effects.emplace_back(replica_changed{});
+    for (auto const& to_member : told_by(sender, object_kind::fleet))
+        send(to_member, deltas{.from = from, .to = to, .objects = news});
+}
+
+void coordinator::impl::learn_config(std::vector<object> const& objects,
+                                     std::optional<member_id> const& sender, instant now)
+{
+    std::vector<object> news;
+    for (auto const& o : objects)
+        if (kind_of(o.name) == object_kind::configuration && copy.apply(o))
+            news.push_back(o);
+    if (news.empty())
+        return;
+    note_revision({}, 0, 0, now);
+    effects.emplace_back(replica_changed{});
+    for (auto const& to_member : told_by(sender, object_kind::configuration))
+        send(to_member, deltas{.from = 0, .to = 0, .objects = news});
+}
+
+std::vector<member_id> coordinator::impl::told_by(std::optional<member_id> const& sender,
+                                                  object_kind kind) const
+{
+    auto const* self = own_record();
+    if (at != phase::member || self == nullptr)
+        return {};
+    auto const* from = sender ? copy.member(*sender) : nullptr;
+    bool const first_in_region = !sender || (from && from->region != self->region);
+    auto targets = push_targets(copy, *self, first_in_region);
+    if (!sender && kind == object_kind::configuration)
+        for (auto const& id : other_regions_listeners(copy, *self))
+            targets.push_back(id);
+    std::erase_if(targets, [&](member_id const& id) { return id == sender; });
+    return targets;
 }
 
 void coordinator::impl::follow(object const& o, instant now)
@@ -83,16 +110,25 @@
 {
     if (first_seen.try_emplace(m.id, now).second || m.state != member_state::live)
         last_membership_change = now;
+    // Of an earlier process of the node nothing is left to end.
+    std::erase_if(evictions, [&](auto const& entry)
+                  { return entry.first.node == m.id.node && entry.first < m.id; });
     if (m.state == member_state::evicting)
         evictions.try_emplace(m.id, eviction_work{.first_seen = now});
     if (m.state == member_state::gone)
     {
-        gone_since.try_emplace(m.id, now);
+        gone_since.try_emplace(m.owner(), now);
         evictions.erase(m.id);
         watcher.forget(m.id);
     }
-    if (m.id == opts.self && m.state != member_state::live && at == phase::member)
+    bool const ours = m.id.node == opts.self.node && m.id >= opts.self;
+    bool const over = m.id != opts.self || m.state != member_state::live;
+    if (at != phase::member || !ours)
+        return;
+    if (over)
         end_membership(leaving);
+    else
+        begin_tenure(m.owner()); // perhaps before the answer to our own write
 }
 
 void coordinator::impl::follow_chunk(chunk_record const& c)
@@ -103,7 +139,7 @@
         if (shards.on_assignment(shard, c.assignments[i]))
             note_drained(shard);
         auto const release = announced.find(shard);
-        if (release != announced.end() && release->second < c.assignments[i].epoch)
+        if (release != announced.end() && release->second.epoch < c.assignments[i].epoch)
             announced.erase(release);
     }
 }
@@ -127,19 +163,21 @@
 }
 
 void coordinator::impl::note_revision(member_id const& peer, std::uint64_t revision,
-                                      instant now)
+                                      std::uint64_t config_version, instant now)
 {
-    if (revision > copy.revision() && !behind_since)
+    auto const own_config = copy.version_of(config_object);
+    bool const peer_ahead = revision > copy.revision() || config_version > own_config;
+    if (peer_ahead && !behind_since)
         behind_since = now;
     highest_revision = std::max(highest_revision, revision);
-    if (copy.revision() >= highest_revision)
+    highest_config = std::max(highest_config, config_version);
+    if (copy.revision() >= highest_revision && own_config >= highest_config)
         behind_since.reset();
-    if (revision <= copy.revision() || now - *behind_since < pull_patience ||
-        now < next_pull)
+    if (!peer_ahead || now - *behind_since < pull_patience || now < next_pull)
         return;
     next_pull = now + pull_patience;
     ++counts.pulls;
-    send(peer, pull{.from = copy.revision()});
+    send(peer, pull{.from = copy.revision(), .config_version = own_config});
 }
 
 void coordinator::impl::on(member_id const& from, renew const& m, instant now)
@@ -148,18 +186,19 @@
     {
         // It is alive: an eviction that has not been marked yet is dropped. Should
         // the mark land all the same, the eviction goes on from the record.
-        writer.drop(member_object(from));
+        writer.drop(member_object(from.node));
         send(from, renew_ack{.sequence = m.sequence,
                              .permitted = now < watch_permission(),
-                             .revision = copy.revision()});
+                             .revision = copy.revision(),
+                             .config_version = copy.version_of(config_object)});
     }
-    note_revision(from, m.revision, now);
+    note_revision(from, m.revision, m.config_version, now);
 }
 
 void coordinator::impl::on(member_id const& from, renew_ack const& m, instant now)
 {
     lease.on_ack(from, m.sequence, m.permitted, now);
-    note_revision(from, m.revision, now);
+    note_revision(from, m.revision, m.config_version, now);
 }
 
 void coordinator::impl::on(member_id const& from, refuse const& m, instant now)
@@ -176,15 +215,18 @@
 
 void coordinator::impl::on(member_id const& from, deltas const& m, instant now)
 {
-    learn(m.from, m.to, m.objects, from, now);
+    std::vector<object> fleet;
+    for (auto const& o : m.objects)
+        if (kind_of(o.name) == object_kind::fleet)
+            fleet.push_back(o);
+    learn(m.from, m.to, fleet, from, now);
+    learn_config(m.objects, from, now);
 }
 
 void coordinator::impl::on(member_id const& from, pull const& m, instant /*now*/)
 {
-    if (m.from < copy.revision())
-        send(from, deltas{.from = m.from,
-                          .to = copy.revision(),
-                          .objects = copy.changed_since(m.from)});
+    if (auto const news = changes_for(copy, m); !news.objects.empty())
+        send(from, news);
 }
 
 void coordinator::impl::on(member_id const& /*from*/, released const& m, instant now)
@@ -193,7 +235,7 @@
     {
         auto const* a = copy.find_assignment(r.shard);
         if (a != nullptr && a->epoch <= r.epoch)
-            announced[r.shard] = r.epoch;
+            announced[r.shard] = {.epoch = r.epoch, .handover = r.handover};
     }
     next_plan = now;
     keep_chunks(now);
@@ -201,60 +243,80 @@
 
 void coordinator::impl::read_store(instant now)
 {
-    if (list_call || watch_call || now < next_store_read)
-        return;
-    if (at == phase::listing)
-        list_call = call(store_list{});
     refresh_roles();
-    if (at == phase::member && listens)
-        watch_call = call(store_watch{.since = copy.revision()});
-}
-
-void coordinator::impl::back_off_reads(instant now)
+    bool const is_member = at == phase::member;
+    if (is_member && copy.revision() < takeover_version && opts.guard.sync_after_takeover)
+        fleet_reader.want_list();
+    fleet_reader.set_listening(is_member && listens);
+    config_reader.set_listening(is_member && config_listens);
+    if (auto operation = fleet_reader.next(next_call_id, copy.revision(), now))
+        call(std::move(*operation));
+    if (auto operation = config_reader.next(next_call_id, copy.config_revision(), now))
+        call(std::move(*operation));
+}
+
+void coordinator::impl::on_fleet_read(std::uint64_t call_id, store_answer const& answer,
+                                      instant now)
 {
-    ++counts.store_no_answers;
-    auto const jitter = std::uniform_int_distribution<duration::rep>(
-        store_backoff.count() / 2, store_backoff.count())(random);
-    next_store_read = now + duration(jitter);
-    store_backoff = std::min(2 * store_backoff, longest_store_backoff);
+    auto const outcome = fleet_reader.on_answer(call_id, answer, now);
+    if (outcome == store_reader::outcome::failed)
+    {
+        ++counts.store_no_answers;
+        return;
+    }
+    auto const& found = std::get<store_objects>(answer);
+    if (outcome == store_reader::outcome::watched)
+        return learn(copy.revision(), found.revision, found.objects, std::nullopt, now);
+    auto objects = found.objects;
+    for (auto& o : copy.missing_from(object_kind::fleet, found.revision, found.objects))
+        objects.push_back(std::move(o));
+    learn(0, found.revision, objects, std::nullopt, now);
+    register_if_listed(now);
 }
 
-void coordinator::impl::on_read(bool listed, store_answer const& answer, instant now)
+void coordinator::impl::on_config_read(std::uint64_t call_id, store_answer const& answer,
+                                       instant now)
 {
-    auto const* found = std::get_if<store_objects>(&answer);
-    if (found == nullptr)
-        return back_off_reads(now);
-    store_backoff = 100ms;
-    // A list holds all objects, a watch those after the revision that it named.
-    learn(listed ? 0 : copy.revision(), found->revision, found->objects, std::nullopt,
-          now);
-    if (listed && at == phase::listing)
-        register_self(now);
+    if (config_reader.on_answer(call_id, answer, now) == store_reader::outcome::failed)
+    {
+        ++counts.store_no_answers;
+        return;
+    }
+    auto const& found = std::get<store_objects>(answer);
+    copy.note_config_revision(found.revision);
+    learn_config(found.objects, std::nullopt, now);
+    register_if_listed(now);
 }
 
 void coordinator::impl::on_decision(write_decision const& decision, instant now)
 {
-    auto const& name = decision.write.name;
-    if (name == member_object(opts.self))
-        on_own_decision(decision, now);
     auto const version = decision.current.version;
+    bool const own = decision.write.name == member_object(opts.self.node);
+    if (own && decision.accepted)
+        on_own_decision(decision, now); // first, so that peers are told
     if (version > 0 && decision.accepted)
         learn(version - 1, version, {decision.current}, std::nullopt, now);
     else if (version > 0 && copy.apply(decision.current))
         after_conflict(decision.current, now);
+    else if (version == 0)
+        fleet_reader.want_list(); // the object that was to be replaced is not there
+    if (own && !decision.accepted)
+        on_own_decision(decision, now);
 }
 
 void coordinator::impl::on_own_decision(write_decision const& decision, instant now)
 {
-    if (decision.accepted)
-        watchers_since = now;
+    if (at == phase::ended)
+        return;
     lease.end_change(decision.accepted);
+    if (decision.accepted)
+        return adopt(std::get<member_record>(*decision.write.value),
+                     decision.current.version, now);
     if (at != phase::registering)
         return;
-    if (!decision.accepted)
-        return end_membership(false); // evicted before it knew that it had joined
-    at = phase::member;
-    lease.set_watchers(std::get<member_record>(*decision.write.value).watchers);
+    // Somebody has changed the record of the node's earlier process meanwhile.
+    at = phase::listing;
+    register_self(now);
 }
 
 void coordinator::impl::after_conflict(object const& current, instant now)
@@ -264,6 +326,27 @@
     effects.emplace_back(replica_changed{});
 }
 
+bool coordinator::impl::knows_its_tenure() const
+{
+    return copy.revision() >= takeover_version || !opts.guard.sync_after_takeover;
+}
+
+bool coordinator::impl::has_caught_up(shard_id const& shard)
+{
+    if (!knows_its_tenure())
+        return false;
+    // The owner before may have acted on any object that was older than this assignment:
+    // none of them may be missing here.
+    auto const first = shard.index / shards_per_chunk * shards_per_chunk;
+    auto const version = copy.version_of(chunk_object(shard.service, first));
+    if (copy.revision() < version)
+        return false;
+    if (!opts.ordered_configuration || copy.config_revision() >= version)
+        return true;
+    config_reader.want_list();
+    return false;
+}
+
 coordinator::coordinator(coordinator_options opts)
     : m_impl(std::make_unique<impl>(std::move(opts)))
 {
@@ -297,14 +380,10 @@
     auto& s = *m_impl;
     if (s.at == impl::phase::ended)
         return;
-    if (s.list_call == call_id || s.watch_call == call_id)
-    {
-        bool const listed = s.list_call == call_id;
-        (listed ? s.list_call : s.watch_call).reset();
-        s.on_read(listed, answer, now);
-        s.read_store(now);
-        return;
-    }
+    if (s.fleet_reader.waits_for(call_id))
+        return s.on_fleet_read(call_id, answer, now), s.read_store(now);
+    if (s.config_reader.waits_for(call_id))
+        return s.on_config_read(call_id, answer, now), s.read_store(now);
     if (std::holds_alternative<store_no_answer>(answer))
         ++s.counts.store_no_answers;
     if (auto const decision = s.writer.on_answer(call_id, answer, now))
@@ -323,6 +402,8 @@
     }
     s.last_tick = now;
     s.read_store(now);
+    if (s.at == impl::phase::listing && now >= s.next_registration)
+        s.retry_registration(now);
     for (auto& c : s.writer.repeat(s.next_call_id, now))
     {
         ++s.counts.store_calls;
@@ -355,9 +436,10 @@
 }
 
 void coordinator::set_services(std::vector<keyed_service> services,
-                               duration unfenced_wait)
+                               duration unfenced_wait, bool ordered_configuration)
 {
     m_impl->opts.unfenced_wait = unfenced_wait;
+    m_impl->opts.ordered_configuration = ordered_configuration;
     m_impl->opts.services = std::move(services);
     m_impl->roles_stale = true;
 }
@@ -365,14 +447,12 @@
 void coordinator::set_targets(std::vector<target> targets)
 {
     m_impl->opts.targets = std::move(targets);
+    m_impl->targets_known = true;
 }
 
 admission_check coordinator::try_begin(shard_id const& shard, instant now)
 {
-    // The owner before may have acted on any object that was older than this assignment,
-    // such as a configuration: none of them may be missing here.
-    auto const first = shard.index / shards_per_chunk * shards_per_chunk;
-    if (copy().revision() < copy().version_of(chunk_object(shard.service, first)))
+    if (!m_impl->has_caught_up(shard) || m_impl->tenure_ends())
         return not_yet{};
     return m_impl->shards.try_begin(shard, now, lease_until());
 }
@@ -388,9 +468,34 @@
         m_impl->note_drained(shard);
 }
 
+void coordinator::begin_drain(shard_id const& shard)
+{
+    if (m_impl->shards.begin_drain(shard))
+        m_impl->note_drained(shard);
+}
+
+std::optional<std::vector<owned_shard>> coordinator::servable(std::string const& service,
+                                                              instant now)
+{
+    if (now >= lease_until() || !m_impl->knows_its_tenure())
+        return std::nullopt;
+    auto owned = m_impl->shards.owned_shards(service);
+    std::optional<std::uint32_t> checked; // chunk
+    for (auto const& s : owned)
+    {
+        if (checked == s.index / shards_per_chunk)
+            continue;
+        checked = s.index / shards_per_chunk;
+        if (!m_impl->has_caught_up({service, s.index}))
+            return std::nullopt;
+    }
+    return owned;
+}
+
 void coordinator::confirm_release(shard_release const& release, instant now)
 {
-    m_impl->confirmed[release.shard] = release.epoch;
+    m_impl->confirmed[release.shard] = {.epoch = release.epoch,
+                                        .handover = release.handover};
     m_impl->next_release_send = now;
     m_impl->send_releases(now);
 }
@@ -412,6 +517,13 @@
     return std::move(m_impl->copy);
 }
 
+owner_id coordinator::owner() const
+{
+    auto const* record = m_impl->own_record();
+    return record == nullptr || m_impl->at != impl::phase::member ? owner_id{}
+                                                                  : record->owner();
+}
+
 shard_ownership const& coordinator::shards() const
 {
     return m_impl->shards;
--- a/src/process/coordinator_chunks.cpp
+++ b/src/coordination/coordinator_chunks.cpp
@@ -1,7 +1,7 @@
 // A coordinator as keeper of chunks, and as owner that releases shards.
-#include "process/coordinator_impl.hpp"
+#include "coordination/coordinator_impl.hpp"
 
-#include "version/roles.hpp"
+#include "coordination/roles.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -17,9 +17,9 @@
 constexpr duration plan_interval = 500ms;       // when nothing has changed
 } // namespace
 
-std::set<member_id> coordinator::impl::held_owners(instant now) const
+std::set<owner_id> coordinator::impl::held_owners(instant now) const
 {
-    std::set<member_id> held;
+    std::set<owner_id> held;
     if (opts.unfenced_wait > 0us)
         for (auto const& [id, since] : gone_since)
             if (now - since < opts.unfenced_wait)
@@ -35,7 +35,9 @@
     roles_stale = false;
     keeper_ranks.clear();
     auto const* self = own_record();
-    listens = self != nullptr && is_listener(copy, *self);
+    listens = self != nullptr && is_listener(copy, *self, object_kind::fleet);
+    config_listens =
+        self != nullptr && is_listener(copy, *self, object_kind::configuration);
     for (auto const& service : opts.services)
         for (std::uint32_t first = 0; first < service.shards; first += shards_per_chunk)
         {
@@ -96,12 +98,17 @@
 
 void coordinator::impl::send_releases(instant now)
 {
-    if (now < next_release_send)
+    if (now < next_release_send || now < releases_from)
         return;
-    auto all = shards.releases();
-    std::erase_if(
-        all, [&](shard_release const& r)
-        { return !confirmed.contains(r.shard) || confirmed[r.shard] != r.epoch; });
+    std::vector<shard_release> all;
+    for (auto& r : shards.releases())
+    {
+        auto const it = confirmed.find(r.shard);
+        if (it == confirmed.end() || it->second.epoch != r.epoch)
+            continue;
+        r.handover = it->second.handover;
+        all.push_back(std::move(r));
+    }
     if (all.empty())
     {
         release_sends = 0;
--- a/src/process/coordinator_evictions.cpp
+++ b/src/coordination/coordinator_evictions.cpp
@@ -1,7 +1,7 @@
 // A coordinator that ends the leases of members that have fallen silent.
-#include "process/coordinator_impl.hpp"
+#include "coordination/coordinator_impl.hpp"
 
-#include "version/roles.hpp"
+#include "coordination/roles.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -21,7 +21,7 @@
 void coordinator::impl::start_eviction(member_id const& subject, instant now)
 {
     auto const* m = copy.member(subject);
-    auto const name = member_object(subject);
+    auto const name = member_object(subject.node);
     if (m == nullptr || m->state != member_state::live || writer.busy(name))
         return;
     ++counts.evictions_started;
@@ -44,11 +44,7 @@
     {
         if (m.state != member_state::live || id == opts.self)
             continue;
-        bool const predecessor =
-            id.node == opts.self.node && id.incarnation < opts.self.incarnation;
-        bool const unwatched =
-            m.watchers.empty() && now - first_seen[id] > unwatched_limit;
-        if (predecessor || unwatched)
+        if (m.watchers.empty() && now - first_seen[id] > unwatched_limit)
             start_eviction(id, now);
     }
 }
@@ -83,12 +79,13 @@
             continue;
         if (!work.steps)
             work.steps.emplace(*m, opts.lease, opts.guard);
+        work.steps->on_started(now);
         note_ended(subject, *work.steps, now);
         if (now >= work.next_refuse)
             ask_to_refuse(subject, work, now);
         auto const over = work.steps->over_at();
         counts.evictions_waiting += over ? 0 : 1;
-        auto const name = member_object(subject);
+        auto const name = member_object(subject.node);
         if (!over || now < *over || writer.busy(name))
             continue;
         auto next = *m;
@@ -97,29 +94,12 @@
     }
 }
 
-bool coordinator::impl::has_ended(member_id const& id) const
-{
-    auto const* m = copy.member(id);
-    return copy.is_gone(id) || (m != nullptr && is_replaced(*m));
-}
-
-bool coordinator::impl::is_replaced(member_record const& m) const
-{
-    for (auto it = copy.members().upper_bound(m.id);
-         it != copy.members().end() && it->first.node == m.id.node; ++it)
-        if (it->second.endpoint == m.endpoint)
-            return true;
-    return false;
-}
-
 void coordinator::impl::note_ended(member_id const& subject, eviction& steps,
                                    instant now) const
 {
     auto const* m = copy.member(subject);
-    if (is_replaced(*m))
-        steps.on_replaced(now);
     for (auto const& id : m->watchers)
-        if (has_ended(id))
+        if (copy.is_gone(id))
             steps.on_watcher_gone(id, now);
 }
 
@@ -138,32 +118,42 @@
 
 void coordinator::impl::delete_gone(instant now)
 {
-    for (auto const& [id, since] : gone_since)
+    for (auto const& [owner, since] : gone_since)
     {
-        auto const* m = copy.member(id);
-        auto const name = member_object(id);
-        if (m == nullptr || now - since < gone_record_kept || writer.busy(name) ||
-            work_rank(copy, opts.self, "delete/" + id.node) != 0 || referred_to(id))
+        auto const* m = copy.node(owner.node);
+        auto const name = member_object(owner.node);
+        if (m == nullptr || m->owner() != owner || now - since < gone_record_kept ||
+            writer.busy(name) ||
+            work_rank(copy, opts.self, "delete/" + owner.node) != 0 || referred_to(*m))
             continue;
         write({.name = name, .expected = copy.version_of(name), .value = {}}, now);
     }
     std::erase_if(gone_since,
-                  [&](auto const& entry) { return copy.member(entry.first) == nullptr; });
+                  [&](auto const& entry)
+                  {
+                      auto const* m = copy.node(entry.first.node);
+                      bool const present = m != nullptr && m->owner() == entry.first;
+                      return !present && now - entry.second > gone_record_kept;
+                  });
 }
 
-bool coordinator::impl::referred_to(member_id const& id) const
+bool coordinator::impl::referred_to(member_record const& gone) const
 {
     for (auto const& entry : copy.members())
     {
         auto const& m = entry.second;
         if (m.state != member_state::gone &&
-            std::find(m.watchers.begin(), m.watchers.end(), id) != m.watchers.end())
+            std::find(m.watchers.begin(), m.watchers.end(), gone.id) != m.watchers.end())
             return true;
     }
+    auto const named = [&](owner_id const& owner)
+    {
+        return owner.node == gone.id.node;
+    };
     for (auto const& service : opts.services)
         for (std::uint32_t shard = 0; shard < service.shards; ++shard)
             if (auto const* a = copy.find_assignment({service.name, shard});
-                a != nullptr && (a->owner == id || a->successor == id))
+                a != nullptr && (named(a->owner) || named(a->successor)))
                 return true;
     return false;
 }
--- a/src/process/coordinator_impl.hpp
+++ b/src/coordination/coordinator_impl.hpp
@@ -2,13 +2,14 @@
 //
 // The parts stand in files by subject: coordinator.cpp (events, replica, store),
 // coordinator_membership.cpp, coordinator_evictions.cpp and coordinator_chunks.cpp.
-#ifndef BUCKTHORNUSHER_PROCESS_COORDINATOR_IMPL_HPP
-#define BUCKTHORNUSHER_PROCESS_COORDINATOR_IMPL_HPP
+#ifndef BUCKTHORNUSHER_COORDINATION_COORDINATOR_IMPL_HPP
+#define BUCKTHORNUSHER_COORDINATION_COORDINATOR_IMPL_HPP
 
 #include "buckthornusher/coordinator.hpp"
 
-#include "process/store_writer.hpp"
-#include "version/steward.hpp"
+#include "coordination/steward.hpp"
+#include "coordination/store_reader.hpp"
+#include "coordination/store_writer.hpp"
 
 #include <set>
 
@@ -42,17 +43,24 @@
     explicit impl(coordinator_options o)
         : opts(std::move(o)), copy(std::move(opts.known)), lease(opts.lease, opts.guard),
           watcher(opts.lease), writer(opts.seed, opts.guard),
-          shards(opts.self, opts.guard), random(opts.seed)
+          shards(opts.guard, opts.granted_upstreams),
+          fleet_reader({.kind = object_kind::fleet,
+                        .watch_gap = fleet_watch_gap,
+                        .seed = opts.seed}),
+          config_reader({.kind = object_kind::configuration, .seed = opts.seed + 1})
     {
     }
 
+    static constexpr duration fleet_watch_gap = 200ms;
+
     coordinator_options opts;
     replica copy;
     lease_holder lease;
     lease_watcher watcher;
     store_writer writer;
     shard_ownership shards;
-    std::mt19937_64 random;
+    store_reader fleet_reader;
+    store_reader config_reader;
     coordinator_counts counts;
     std::vector<effect> effects;
 
@@ -63,17 +71,18 @@
     instant next_renewal;
     instant next_watcher_change;
     instant next_member_review;
-    instant watchers_since; // when the present watchers were accepted
-
-    // Store reads: one list until it is answered, then one watch if this member listens.
-    std::optional<std::uint64_t> list_call;
-    std::optional<std::uint64_t> watch_call;
-    instant next_store_read;
-    duration store_backoff = 100ms;
+    instant next_registration;
+    instant watchers_since;     // when the present watchers were accepted
+    bool targets_known = false; // the upstreams have been told since the start
+    // Of the record by which this process took over a tenure: what its predecessor may
+    // have acted on is known once the replica has come so far.
+    std::uint64_t takeover_version = 0;
+    owner_id served_as;    // the present tenure; none before the first
+    instant releases_from; // no shard is released before
 
     std::map<member_id, eviction_work> evictions;
     std::map<member_id, instant> first_seen; // members in the replica
-    std::map<member_id, instant> gone_since; // gone members in the replica
+    std::map<owner_id, instant> gone_since;  // tenures that are over, if still known
     instant last_membership_change;
     instant last_planned_move;
 
@@ -89,11 +98,13 @@
     // Roles that follow from the members, for one generation of them.
     std::uint64_t roles_generation = 0;
     bool roles_stale = true;
-    bool listens = false;
+    bool listens = false;                            // to the fleet's objects
+    bool config_listens = false;                     // to the configuration
     std::map<std::string, std::size_t> keeper_ranks; // by chunk object
 
     std::optional<instant> behind_since; // a peer's replica is ahead of ours
     std::uint64_t highest_revision = 0;  // that a peer has had
+    std::uint64_t highest_config = 0;    // the same of the configuration's version
     instant next_pull;
 
     // ---- sending ----
@@ -123,11 +134,27 @@
 
     void note_drained(shard_id const& shard);
 
+    // Whether all is known that the node's earlier process may have acted on, such as a
+    // move for which it has released a shard.
+    bool knows_its_tenure() const;
+
+    // Whether nothing is missing that an earlier owner of the shard may have acted on.
+    bool has_caught_up(shard_id const& shard);
+
     void refresh_subjects(instant now);
 
+    // The configuration, from the store or from `sender`.
+    void learn_config(std::vector<object> const& objects,
+                      std::optional<member_id> const& sender, instant now);
+
+    // Whom to tell what came from `sender`, or from the store if there is none.
+    std::vector<member_id> told_by(std::optional<member_id> const& sender,
+                                   object_kind kind) const;
+
     // A peer has applied more than we have; ask it if that does not pass by itself. A
     // peer that is behind as well says nothing about the others.
-    void note_revision(member_id const& peer, std::uint64_t revision, instant now);
+    void note_revision(member_id const& peer, std::uint64_t revision,
+                       std::uint64_t config_version, instant now);
 
     // ---- membership and lease ----
 
@@ -135,9 +162,24 @@
 
     void register_self(instant now);
 
+    void retry_registration(instant now);
+
     // Begins with the objects that an earlier incarnation of this process knew.
     void resume(instant now);
 
+    // The own record is in force: its watchers count, and its tenure.
+    void adopt(member_record const& record, std::uint64_t version, instant now);
+    void begin_tenure(owner_id const& owner);
+
+    // An upstream that the record names has gone or has been started anew.
+    bool upstream_lost(member_record const& record) const;
+
+    // The tenure cannot go on, and ends once nothing is in work any more.
+    bool tenure_ends() const;
+
+    // Registers once all objects have been listed.
+    void register_if_listed(instant now);
+
     // Watchers that have not acked for two rounds.
     std::vector<member_id> silent_watchers(instant now) const;
 
@@ -165,12 +207,6 @@
 
     void continue_evictions(instant now);
 
-    // The member cannot ack any more, but its last acks may still count.
-    bool has_ended(member_id const& id) const;
-
-    // A later incarnation has the member's endpoint.
-    bool is_replaced(member_record const& m) const;
-
     void note_ended(member_id const& subject, eviction& steps, instant now) const;
 
     void ask_to_refuse(member_id const& subject, eviction_work& work, instant now);
@@ -178,12 +214,12 @@
     // Deletes records of members that nothing refers to any more.
     void delete_gone(instant now);
 
-    bool referred_to(member_id const& id) const;
+    bool referred_to(member_record const& gone) const;
 
     // ---- chunks ----
 
     // Gone owners whose upstreams may still run a request.
-    std::set<member_id> held_owners(instant now) const;
+    std::set<owner_id> held_owners(instant now) const;
 
     // This member's places among the keepers of chunks, by chunk object.
     void refresh_roles();
@@ -214,9 +250,9 @@
 
     void read_store(instant now);
 
-    void back_off_reads(instant now);
+    void on_fleet_read(std::uint64_t call_id, store_answer const& answer, instant now);
 
-    void on_read(bool listed, store_answer const& answer, instant now);
+    void on_config_read(std::uint64_t call_id, store_answer const& answer, instant now);
 
     void on_decision(write_decision const& decision, instant now);
 
--- /dev/null
+++ b/src/coordination/coordinator_membership.cpp
@@ -0,0 +1,237 @@
+// A coordinator as a member: its record, its watchers and its lease.
+#include "coordination/coordinator_impl.hpp"
+
+#include "coordination/roles.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace buckthornusher
+{
+
+namespace
+{
+constexpr duration registration_retry = 1s;
+constexpr duration quick_renewal = 200ms; // while there is no lease
+constexpr duration watcher_change_interval = 1s;
+constexpr duration watcher_review_interval = 200ms;
+} // namespace
+
+void coordinator::impl::end_membership(bool planned)
+{
+    lease.revoke();
+    at = phase::ended;
+    effects.emplace_back(membership_ended{.planned = planned});
+}
+
+void coordinator::impl::register_self(instant now)
+{
+    auto const name = member_object(opts.self.node);
+    auto const* before = copy.node(opts.self.node);
+    // Of two processes of a node the later incarnation is the one that lives, so this one
+    // must be later than all before it. The embedder makes a new one.
+    if (before != nullptr && before->id.incarnation >= opts.self.incarnation)
+        return end_membership(false);
+    bool const over = before == nullptr || before->state == member_state::gone;
+    // The same name elsewhere: that member has to be ended by those who watch it.
+    if (!over && before->endpoint != opts.endpoint)
+        return;
+    if (writer.busy(name))
+        return;
+    member_record self{.id = opts.self,
+                       .tenure = opts.self.incarnation,
+                       .inherited = false,
+                       .endpoint = opts.endpoint,
+                       .region = opts.region,
+                       .domain = opts.domain,
+                       .state = member_state::live,
+                       .watchers = {},
+                       .targets = opts.targets,
+                       .draining = false};
+    if (before != nullptr)
+        self.tenure = std::max(self.tenure, before->tenure + 1);
+    if (!over)
+    {
+        self.tenure = before->tenure;
+        self.inherited = true;
+        if (!targets_known)
+            self.targets = before->targets;
+        else if (upstream_lost(*before))
+            self.tenure = std::max(opts.self.incarnation, before->tenure + 1);
+    }
+    self.watchers = choose_watchers(copy, self, opts.lease.watchers, {});
+    at = phase::registering;
+    auto const* o = copy.find(name);
+    write({.name = name,
+           .expected = o != nullptr && o->value ? o->version : 0,
+           .value = self},
+          now);
+}
+
+// The node's name is still that of a member elsewhere; looks from time to time.
+void coordinator::impl::retry_registration(instant now)
+{
+    next_registration = now + registration_retry;
+    if (fleet_reader.list_wanted())
+        return; // its answer leads to the registration
+    fleet_reader.want_list();
+}
+
+void coordinator::impl::adopt(member_record const& record, std::uint64_t version,
+                              instant now)
+{
+    if (at == phase::registering)
+    {
+        at = phase::member;
+        takeover_version = record.inherited ? version : 0;
+        // The upstream may still run what the earlier process sent it, within its lease.
+        if (record.inherited && opts.guard.wait_for_inherited)
+            releases_from = now + opts.lease.longest_lease() + opts.unfenced_wait;
+    }
+    if (record.watchers != lease.watchers())
+        watchers_since = now;
+    lease.set_watchers(record.watchers);
+    begin_tenure(record.owner());
+}
+
+void coordinator::impl::begin_tenure(owner_id const& owner)
+{
+    if (owner == served_as)
+        return;
+    served_as = owner;
+    shards.set_self(owner);
+    for (auto const& o : copy.changed_since(0))
+        if (o.value && std::holds_alternative<chunk_record>(*o.value))
+            follow_chunk(std::get<chunk_record>(*o.value));
+}
+
+bool coordinator::impl::tenure_ends() const
+{
+    auto const* record = own_record();
+    return targets_known && record != nullptr && upstream_lost(*record);
+}
+
+void coordinator::impl::register_if_listed(instant now)
+{
+    if (at == phase::listing && !fleet_reader.list_wanted() &&
+        !config_reader.list_wanted())
+        register_self(now);
+}
+
+bool coordinator::impl::upstream_lost(member_record const& record) const
+{
+    return std::any_of(record.targets.begin(), record.targets.end(),
+                       [&](target const& was)
+                       {
+                           return std::none_of(opts.targets.begin(), opts.targets.end(),
+                                               [&](target const& is) {
+                                                   return is.service == was.service &&
+                                                          is.life == was.life;
+                                               });
+                       });
+}
+
+void coordinator::impl::resume(instant now)
+{
+    for (auto const& o : copy.changed_since(0))
+        follow(o, now);
+    refresh_subjects(now);
+    // Members may have been told of changes that this one was not told of.
+    fleet_reader.want_list();
+    register_self(now);
+}
+
+std::vector<member_id> coordinator::impl::silent_watchers(instant now) const
+{
+    std::vector<member_id> silent;
+    for (auto const& id : lease.watchers())
+    {
+        auto const acked = lease.last_ack(id).value_or(watchers_since);
+        if (now - std::max(acked, watchers_since) > 2 * opts.lease.renew_interval)
+            silent.push_back(id);
+    }
+    return silent;
+}
+
+void coordinator::impl::update_self(instant now)
+{
+    auto const name = member_object(opts.self.node);
+    auto const* current = own_record();
+    if (current == nullptr || writer.busy(name))
+        return;
+    auto next = *current;
+    if (targets_known)
+    {
+        next.targets = opts.targets;
+        if (upstream_lost(*current))
+        {
+            if (shards.running() > 0 && !opts.granted_upstreams)
+                next.targets = current->targets;
+            else
+            {
+                ++next.tenure;
+                next.inherited = false;
+            }
+        }
+    }
+    if (leaving && !next.draining)
+        next.draining = true;
+    else if (leaving && has_left())
+    {
+        next.state = member_state::gone;
+        lease.revoke(); // from here this member serves nothing
+    }
+    else if (now >= next_watcher_change)
+    {
+        next_watcher_change = now + watcher_review_interval;
+        auto const suspects = silent_watchers(now);
+        auto const better = choose_watchers(copy, next, opts.lease.watchers, suspects);
+        if (watchers_value(copy, next, better, suspects) >
+            watchers_value(copy, next, next.watchers, suspects))
+            next.watchers = better;
+    }
+    if (next == *current)
+        return;
+    if (next.watchers != current->watchers)
+    {
+        ++counts.watcher_changes;
+        next_watcher_change = now + watcher_change_interval;
+        lease.begin_change(next.watchers);
+    }
+    write_record(name, next, now);
+}
+
+bool coordinator::impl::has_left() const
+{
+    if (shards.running() > 0)
+        return false;
+    for (auto const& service : opts.services)
+        for (std::uint32_t shard = 0; shard < service.shards; ++shard)
+            if (auto const* a = copy.find_assignment({service.name, shard});
+                a != nullptr && a->owner == served_as)
+                return false;
+    return true;
+}
+
+void coordinator::impl::renew_lease(instant now)
+{
+    if (now < next_renewal)
+        return;
+    auto const interval =
+        now < lease.valid_until() ? opts.lease.renew_interval : quick_renewal;
+    next_renewal = now + interval;
+    ++counts.renewals;
+    auto const sequence = lease.start_renewal(now);
+    for (auto const& id : lease.asked())
+        send(id, renew{.sequence = sequence,
+                       .revision = copy.revision(),
+                       .config_version = copy.version_of(config_object)});
+}
+
+instant coordinator::impl::watch_permission() const
+{
+    return opts.guard.permission_without_lease ? lease.permitted_until()
+                                               : lease.valid_until();
+}
+
+} // namespace buckthornusher
--- a/src/process/eviction.cpp
+++ b/src/coordination/eviction.cpp
@@ -7,7 +7,8 @@
 {
 
 eviction::eviction(member_record const& record, lease_options opts, guards g)
-    : m_options(opts), m_guards(g), m_watchers(record.watchers)
+    : m_options(opts), m_guards(g), m_watchers(record.watchers),
+      m_inherited(record.inherited && g.wait_for_inherited)
 {
 }
 
@@ -19,6 +20,8 @@
     auto wait = duration{0};
     if (elapsed && m_guards.wait_after_refusal)
         wait = std::max(duration{0}, m_options.longest_lease() - *elapsed);
+    if (!elapsed && m_inherited)
+        wait = m_options.longest_lease();
     m_refusals.try_emplace(watcher, now + wait);
 }
 
@@ -29,10 +32,11 @@
     m_refusals.try_emplace(watcher, now + m_options.longest_lease());
 }
 
-void eviction::on_replaced(instant now)
+void eviction::on_started(instant now)
 {
-    if (!m_replaced_over)
-        m_replaced_over = now + m_options.longest_lease();
+    if (!m_watchers.empty() || m_unwatched_over)
+        return;
+    m_unwatched_over = m_inherited ? now + m_options.longest_lease() : now;
 }
 
 std::vector<member_id> eviction::missing() const
@@ -46,18 +50,16 @@
 
 std::optional<instant> eviction::over_at() const
 {
-    // A member without watchers never had a lease.
     if (m_watchers.empty())
-        return instant{};
+        return m_unwatched_over;
     auto const needed = majority_of(m_watchers.size());
     if (m_refusals.size() < needed)
-        return m_replaced_over;
+        return std::nullopt;
     std::vector<instant> ends;
     for (auto const& entry : m_refusals)
         ends.push_back(entry.second);
     std::sort(ends.begin(), ends.end());
-    return m_replaced_over ? std::min(ends[needed - 1], *m_replaced_over)
-                           : ends[needed - 1];
+    return ends[needed - 1];
 }
 
 } // namespace buckthornusher
--- a/src/process/ownership.cpp
+++ b/src/coordination/ownership.cpp
@@ -6,19 +6,26 @@
 
 bool shard_ownership::on_assignment(shard_id const& shard, assignment const& a)
 {
-    bool const names_me = a.owner == m_self || a.successor == m_self;
+    bool const names_me = m_self && (a.owner == m_self || a.successor == m_self);
     auto const it = m_shards.find(shard);
     if (it == m_shards.end())
     {
         if (!names_me)
             return false;
-        m_shards[shard].current = a;
-        return release_if_drained(m_shards[shard]);
+        auto& s = m_shards[shard];
+        s.current = a;
+        s.draining = a.successor && !m_drain_on_demand;
+        return release_if_drained(s);
     }
     auto& s = it->second;
     if (a.epoch > s.current.epoch || a.owner != s.current.owner)
+    {
         s.released = false;
+        s.draining = false;
+    }
     s.current = a;
+    if (a.successor && !m_drain_on_demand)
+        s.draining = true;
     bool const newly_released = release_if_drained(s);
     if (!names_me && s.running == 0)
         m_shards.erase(it);
@@ -29,12 +36,12 @@
 {
     if (!mine(s))
         return false;
-    return !s.current.successor || !m_guards.release_before_move;
+    return !s.draining || !m_guards.release_before_move;
 }
 
 bool shard_ownership::release_if_drained(state& s) const
 {
-    if (s.released || s.current.owner != m_self || !s.current.successor || s.running > 0)
+    if (s.released || s.current.owner != m_self || !s.draining || s.running > 0)
         return false;
     s.released = true;
     return true;
@@ -85,6 +92,28 @@
     return newly_released;
 }
 
+bool shard_ownership::begin_drain(shard_id const& shard)
+{
+    auto const it = m_shards.find(shard);
+    if (it == m_shards.end() || !mine(it->second) || !it->second.current.successor)
+        return false;
+    it->second.draining = true;
+    return release_if_drained(it->second);
+}
+
+std::vector<owned_shard> shard_ownership::owned_shards(std::string const& service) const
+{
+    std::vector<owned_shard> found;
+    for (auto it = m_shards.lower_bound({.service = service, .index = 0});
+         it != m_shards.end() && it->first.service == service; ++it)
+        if (mine(it->second) && !it->second.draining)
+            found.push_back({.index = it->first.index,
+                             .epoch = it->second.current.epoch,
+                             .handover = it->second.current.handover,
+                             .moving = static_cast<bool>(it->second.current.successor)});
+    return found;
+}
+
 std::vector<shard_release> shard_ownership::releases() const
 {
     std::vector<shard_release> found;
--- a/src/version/planner.cpp
+++ b/src/coordination/planner.cpp
@@ -39,26 +39,26 @@
     }
 
     // The member that has the shard, or will have it when its move is done; none if lost.
-    member_id holder_of(assignment const& a) const
+    owner_id holder_of(assignment const& a) const
     {
         if (a.successor && m_targets.contains(a.successor))
             return a.successor;
-        return m_targets.contains(a.owner) ? a.owner : member_id{};
+        return m_targets.contains(a.owner) ? a.owner : owner_id{};
     }
 
-    bool draining(member_id const& id) const { return m_targets.at(id)->draining; }
+    bool draining(owner_id const& id) const { return m_targets.at(id)->draining; }
 
-    double relative(member_id const& id) const
+    double relative(owner_id const& id) const
     {
         return load(id) / m_targets.at(id)->slots;
     }
-    double relative_with(member_id const& id, double added) const
+    double relative_with(owner_id const& id, double added) const
     {
         return (load(id) + added) / m_targets.at(id)->slots;
     }
     double mean() const { return m_slots == 0 ? 0 : m_total / m_slots; }
 
-    void move(member_id const& from, member_id const& to, double w)
+    void move(owner_id const& from, owner_id const& to, double w)
     {
         if (from)
             m_load[from] -= w;
@@ -66,18 +66,18 @@
     }
 
     // The target with the lowest load; none if all drain.
-    member_id lowest() const
+    owner_id lowest() const
     {
-        member_id best;
+        owner_id best;
         for (auto const& target : m_input.targets)
             if (!target.draining && (!best || relative(target.id) < relative(best)))
                 best = target.id;
         return best;
     }
 
-    member_id highest() const
+    owner_id highest() const
     {
-        member_id best;
+        owner_id best;
         for (auto const& target : m_input.targets)
             if (!target.draining && (!best || relative(target.id) > relative(best)))
                 best = target.id;
@@ -85,10 +85,10 @@
     }
 
     // The highest rendezvous score among targets that stay at or below `bound`.
-    member_id place(std::uint32_t shard, double bound) const
+    owner_id place(std::uint32_t shard, double bound) const
     {
         auto const subject = m_input.service + "/" + std::to_string(shard);
-        member_id best;
+        owner_id best;
         std::uint64_t best_score = 0;
         for (auto const& target : m_input.targets)
         {
@@ -106,15 +106,15 @@
     }
 
 private:
-    double load(member_id const& id) const
+    double load(owner_id const& id) const
     {
         auto const it = m_load.find(id);
         return it == m_load.end() ? 0 : it->second;
     }
 
     plan_input const& m_input;
-    std::map<member_id, plan_target const*> m_targets;
-    std::map<member_id, double> m_load;
+    std::map<owner_id, plan_target const*> m_targets;
+    std::map<owner_id, double> m_load;
     double m_slots = 0;
     double m_total = 0;
 };
@@ -158,8 +158,8 @@
 // The shard of `from` whose move to `to` brings both closest to each other, if any
 // lowers the higher of the two.
 std::int64_t best_shard(plan_input const& input, load_table const& loads,
-                        std::vector<bool> const& moved, member_id const& from,
-                        member_id const& to)
+                        std::vector<bool> const& moved, owner_id const& from,
+                        owner_id const& to)
 {
     std::int64_t best = -1;
     auto best_peak = loads.relative(from);
--- a/src/version/replica.cpp
+++ b/src/coordination/replica.cpp
@@ -6,14 +6,24 @@
 namespace buckthornusher
 {
 
-std::string member_object(member_id const& id)
+namespace
 {
-    return "members/" + id.node + "@" + std::to_string(id.incarnation);
+constexpr std::string_view member_prefix = "member.";
+} // namespace
+
+std::string member_object(std::string const& node)
+{
+    return std::string(member_prefix) + node;
 }
 
 std::string chunk_object(std::string const& service, std::uint32_t first_shard)
 {
-    return "shards/" + service + "/" + std::to_string(first_shard / shards_per_chunk);
+    return "shards." + service + "." + std::to_string(first_shard / shards_per_chunk);
+}
+
+object_kind kind_of(std::string_view name)
+{
+    return name == config_object ? object_kind::configuration : object_kind::fleet;
 }
 
 bool replica::apply(object const& o)
@@ -21,13 +31,18 @@
     auto& known = m_objects[o.name];
     if (o.version <= known.version)
         return false;
-    m_by_version.erase(known.version);
-    m_by_version[o.version] = o.name;
+    m_by_version.erase({known.version, o.name});
+    m_by_version.emplace(o.version, o.name);
     if (known.value && std::holds_alternative<member_record>(*known.value))
         m_members.erase(std::get<member_record>(*known.value).id);
+    if (known.value && std::holds_alternative<chunk_record>(*known.value))
+    {
+        auto const& chunk = std::get<chunk_record>(*known.value);
+        m_chunks[chunk.service][chunk.first_shard / shards_per_chunk] = nullptr;
+    }
     known = o;
     ++m_generation;
-    if (o.name.starts_with("members/"))
+    if (o.name.starts_with(member_prefix))
         ++m_member_generation;
     if (!known.value)
         return true;
@@ -55,11 +70,31 @@
     return true;
 }
 
+std::vector<object> replica::missing_from(object_kind kind, std::uint64_t to,
+                                          std::vector<object> const& objects) const
+{
+    std::set<std::string_view> listed;
+    for (auto const& o : objects)
+        listed.insert(o.name);
+    std::vector<object> missing;
+    for (auto const& [name, o] : m_objects)
+        if (kind_of(name) == kind && o.value && o.version <= to && !listed.contains(name))
+            missing.push_back({.name = name, .version = to, .value = {}});
+    return missing;
+}
+
+void replica::note_config_revision(std::uint64_t to)
+{
+    m_config_revision = std::max(m_config_revision, to);
+}
+
 std::vector<object> replica::changed_since(std::uint64_t since) const
 {
     std::vector<object> changed;
-    for (auto it = m_by_version.upper_bound(since); it != m_by_version.end(); ++it)
-        changed.push_back(m_objects.at(it->second));
+    for (auto it = m_by_version.lower_bound({since + 1, {}}); it != m_by_version.end();
+         ++it)
+        if (kind_of(it->second) == object_kind::fleet)
+            changed.push_back(m_objects.at(it->second));
     return changed;
 }
 
@@ -81,12 +116,36 @@
     return it == m_members.end() ? nullptr : &it->second;
 }
 
+member_record const* replica::node(std::string const& name) const
+{
+    auto const* o = find(member_object(name));
+    return o == nullptr || !o->value ? nullptr : std::get_if<member_record>(&*o->value);
+}
+
+member_record const* replica::serving(owner_id const& owner) const
+{
+    auto const* m = node(owner.node);
+    bool const serves =
+        m != nullptr && m->tenure == owner.tenure && m->state != member_state::gone;
+    return serves ? m : nullptr;
+}
+
 bool replica::is_gone(member_id const& id) const
 {
-    if (find(member_object(id)) == nullptr)
+    if (find(member_object(id.node)) == nullptr)
+        return false;
+    auto const* m = node(id.node);
+    return m == nullptr || m->id.incarnation > id.incarnation ||
+           (m->id == id && m->state == member_state::gone);
+}
+
+bool replica::is_over(owner_id const& owner) const
+{
+    if (find(member_object(owner.node)) == nullptr)
         return false;
-    auto const* m = member(id);
-    return m == nullptr || m->state == member_state::gone;
+    auto const* m = node(owner.node);
+    return m == nullptr || m->tenure > owner.tenure ||
+           (m->tenure == owner.tenure && m->state == member_state::gone);
 }
 
 config_record const* replica::config() const
