--- a/bench/placement.cpp
+++ b/bench/placement.cpp
@@ -183,7 +183,7 @@
                 input.targets.push_back(
                     {.id = {"t" + std::to_string(t), m_incarnations[t]},
                      .domain = "",
-                     .slots = m_scene.slots});
+                     .capacity = static_cast<double>(m_scene.slots)});
         input.assignments.resize(m_scene.shards);
         input.weights.resize(m_scene.shards);
         for (std::uint32_t rank = 0; rank < m_scene.shards; ++rank)
--- a/include/buckthornusher/coordinator.hpp
+++ b/include/buckthornusher/coordinator.hpp
@@ -151,6 +151,9 @@
     // must be sure that nothing that the old life was granted is still held.
     void set_targets(std::vector<target> targets);
 
+    // What this member's shards are asked for; to be told about once a second.
+    void report_load(load_report const& report, instant now);
+
     // ---- requests ----
     admission_check try_begin(shard_id const& shard, instant now);
     bool may_send(shard_id const& shard, std::uint64_t epoch, instant now) const;
--- a/include/buckthornusher/hold_ledger.hpp
+++ b/include/buckthornusher/hold_ledger.hpp
@@ -17,9 +17,9 @@
 //   for (auto& r : ledger.take_released()) ...
 //   if (ledger.held_until(shard, epoch) > now) the upstream may be asked
 //
-// Only durations on one process's clock are compared; an upstream's clock may be slower by
-// `drift_percent`. Cost: O(n log n) in the shards and the reported ranges for each report,
-// O(log n) for each question.
+// Only durations on one process's clock are compared; an upstream's clock may be slower
+// by `drift_percent`. Cost: O(n log n) in the shards and the reported ranges for each
+// report, O(log n) for each question.
 #ifndef BUCKTHORNUSHER_HOLD_LEDGER_HPP
 #define BUCKTHORNUSHER_HOLD_LEDGER_HPP
 
@@ -38,10 +38,10 @@
 
 struct hold_options
 {
-    duration longest = 10s;     // of one hold
-    duration shortest = 300ms;  // a shorter one is not worth an answer
-    int drift_percent = 2;      // by which the upstream's clock may be slow
-    duration margin = 50ms;     // between a hold's end and that of the lease
+    duration longest = 10s;           // of one hold
+    duration shortest = 300ms;        // a shorter one is not worth an answer
+    int drift_percent = 2;            // by which the upstream's clock may be slow
+    duration margin = 50ms;           // between a hold's end and that of the lease
     std::size_t answer_bytes = 3'900; // an answer's ranges at most
     std::size_t range_bytes = 30;     // of a range besides its handover
     friend bool operator==(hold_options const&, hold_options const&) = default;
@@ -100,8 +100,8 @@
     struct state
     {
         std::uint64_t epoch = 0;
-        instant until;      // held at least until then
-        instant over;       // not held after, by the upstream's slow clock
+        instant until; // held at least until then
+        instant over;  // not held after, by the upstream's slow clock
         bool left_out = false;
         std::string handover; // given at its release
     };
--- a/include/buckthornusher/messages.hpp
+++ b/include/buckthornusher/messages.hpp
@@ -71,8 +71,25 @@
     friend bool operator==(released const&, released const&) = default;
 };
 
+// Requests a second for a shard.
+struct shard_rate
+{
+    std::uint32_t shard = 0;
+    double rate = 0;
+    friend bool operator==(shard_rate const&, shard_rate const&) = default;
+};
+
+// What the sender's shards of a service are asked for, and what its upstream can do.
+struct load_report
+{
+    std::string service;
+    double capacity = 0;           // requests a second; 0: not known yet
+    std::vector<shard_rate> rates; // of its shards that got requests
+    friend bool operator==(load_report const&, load_report const&) = default;
+};
+
 using control_message =
-    std::variant<renew, renew_ack, refuse, refused, deltas, pull, released>;
+    std::variant<renew, renew_ack, refuse, refused, deltas, pull, released, load_report>;
 
 } // namespace buckthornusher
 
--- a/include/buckthornusher/placement.hpp
+++ b/include/buckthornusher/placement.hpp
@@ -34,8 +34,8 @@
     std::uint32_t slots = 0;   // that are used at present
     std::uint32_t running = 0; // requests
     std::uint32_t waiting = 0;
-    duration service{0};    // mean time of a request
-    bool accepting = true;  // false: it is leaving, or gone
+    duration service{0};   // mean time of a request
+    bool accepting = true; // false: it is leaving, or gone
     friend bool operator==(upstream_load const&, upstream_load const&) = default;
 };
 
@@ -57,11 +57,11 @@
 
 struct placement_options
 {
-    duration near_trip = 1ms;    // there and back within a region
-    duration far_trip = 42ms;    // to another region
+    duration near_trip = 1ms; // there and back within a region
+    duration far_trip = 42ms; // to another region
     duration domain_penalty = 2ms;
     duration region_penalty = 150ms;
-    duration fresh_for = 500ms;  // a word on load counts in full
+    duration fresh_for = 500ms;   // a word on load counts in full
     duration first_guess = 100ms; // of a service time that is not known
     double tie = 0.05;            // choices this close to the best are drawn
     friend bool operator==(placement_options const&, placement_options const&) = default;
--- a/include/buckthornusher/planner.hpp
+++ b/include/buckthornusher/planner.hpp
@@ -1,15 +1,20 @@
 // Where shards are placed.
 //
-// The planner is a pure function of the members and the present assignments. It keeps
-// owners where they are and proposes as few changes as the bounds allow:
-//   - a shard without an owner goes to the target with the highest rendezvous score
-//     among those with room, so that planners of different chunks agree without talking,
-//     and the shards of a lost member spread over all others;
-//   - a shard of a draining member, or of a target filled above the imbalance bound,
-//     moves to the target with the lowest load, when that lowers the highest load.
-// Load is the number of shards (or their measured weight) over the target's slots.
+// The planner is a pure function of the members and the present assignments, so that
+// planners of different chunks agree without talking. It keeps owners where they are and
+// proposes as few changes as the bounds allow:
+//   - shards without an owner, and those of draining members, go in blocks of neighbours
+//     to the targets that have most room below an even share. Neighbours stay together
+//     where they can, as a range is told to an upstream as one;
+//   - neighbours, or one hot shard, of a target filled above the imbalance bound move to
+//     the target with the lowest load, when that lowers the highest load.
+// Load is the shards' weight over the target's capacity: measured requests over what the
+// upstream can do, or, without a measurement, the number of shards over its slots.
 //
-// Cost: O(shards * targets) in the worst case.
+//   load it answers: keys of which few get most requests, and change; upstreams of
+//   different speeds; one that is lost, leaves, joins or turns slow.
+//
+// Cost: O(shards * moves + shards * targets) in the worst case.
 #ifndef BUCKTHORNUSHER_PLANNER_HPP
 #define BUCKTHORNUSHER_PLANNER_HPP
 
@@ -25,7 +30,7 @@
 {
     owner_id id;
     std::string domain;
-    std::uint32_t slots = 1;
+    double capacity = 1; // in the unit of the shards' weights; above 0
     bool draining = false;
     friend bool operator==(plan_target const&, plan_target const&) = default;
 };
@@ -33,7 +38,8 @@
 struct plan_options
 {
     double imbalance_bound = 1.10; // highest over mean load that is left alone
-    std::size_t max_moves = 64;    // chosen moves in one plan
+    double least_load = 0;         // a target below this load is left alone as well
+    std::size_t max_moves = 8;     // chosen moves of neighbours together in one plan
 };
 
 // `weights` are the shards' loads, one each if empty.
--- a/include/buckthornusher/retry_budget.hpp
+++ b/include/buckthornusher/retry_budget.hpp
@@ -28,8 +28,9 @@
     double reserve = 20; // repeats in a window without any request, by all nodes
     duration window = 10s;
     std::uint32_t nodes = 1; // that share the reserve
-    // Kept back from the whole, for repeats that upstreams make of themselves.
-    double safety = 0.75;
+    // The part that is used. The rest is for the calls that upstreams make when they run
+    // a request a second time: those count as repeats at the service that they call.
+    double used = 0.45;
     friend bool operator==(retry_budget_options const&,
                            retry_budget_options const&) = default;
 };
@@ -39,12 +40,20 @@
 public:
     explicit retry_budget(retry_budget_options opts) : m_options(opts) {}
 
+    // The window's length must stay.
+    void set_options(retry_budget_options opts)
+    {
+        opts.nodes = m_options.nodes;
+        opts.window = m_options.window;
+        m_options = opts;
+    }
     void set_nodes(std::uint32_t nodes) { m_options.nodes = nodes == 0 ? 1 : nodes; }
 
     // A caller's request for the service.
     void on_request(std::string const& service, instant now);
-    // Takes one repeat from the budget; false if there is none.
-    bool try_repeat(std::string const& service, instant now);
+    // Takes one repeat from the budget; false if it would leave less than that share of
+    // the budget to others.
+    bool try_repeat(std::string const& service, instant now, double kept_share = 0);
     // Repeats that could be made now.
     double left(std::string const& service, instant now) const;
 
@@ -60,6 +69,14 @@
     // A ring by step number; one more than a window holds, as the first is cut.
     using ring = std::array<step, steps + 1>;
 
+    struct sums
+    {
+        double requests = 0;
+        double repeats = 0;
+    };
+
+    sums count(std::string const& service, instant now) const;
+    double allowed(sums const& s) const;
     std::int64_t step_number(instant now) const;
     step& step_at(std::string const& service, instant now);
 
--- a/src/connection/caller_form.cpp
+++ b/src/connection/caller_form.cpp
@@ -55,8 +55,7 @@
     http_response response{.status = http_status(r.why, r.may_have_run)};
     auto& headers = response.headers;
     headers.push_back({"content-type", "application/problem+json"});
-    headers.push_back(
-        {"buckthornusher-outcome", r.may_have_run ? "unknown" : "refused"});
+    headers.push_back({"buckthornusher-outcome", r.may_have_run ? "unknown" : "refused"});
     headers.push_back({"buckthornusher-reason", std::string(to_string(r.why))});
     if (r.retry_after > 0us)
     {
--- a/src/connection/http_codec.cpp
+++ b/src/connection/http_codec.cpp
@@ -23,8 +23,8 @@
 constexpr int version_not_supported = 505;
 
 constexpr std::array<std::string_view, 9> connection_headers{
-    "connection", "keep-alive", "proxy-connection", "te",    "trailer",
-    "upgrade",    "expect",     "transfer-encoding", "content-length"};
+    "connection", "keep-alive",        "proxy-connection", "te", "trailer", "upgrade",
+    "expect",     "transfer-encoding", "content-length"};
 
 std::string_view to_view(boost::beast::string_view text)
 {
@@ -59,13 +59,15 @@
     return headers;
 }
 
-template <class Fields> std::size_t count(Fields const& fields, http::field name)
+template <class Fields>
+std::size_t count(Fields const& fields, http::field name)
 {
     return fields.count(name);
 }
 
 // The framing that is accepted beyond what Beast checks; an empty text if it is.
-template <class Fields> std::string_view framing_problem(Fields const& fields)
+template <class Fields>
+std::string_view framing_problem(Fields const& fields)
 {
     if (count(fields, http::field::transfer_encoding) > 1)
         return "more than one Transfer-Encoding";
@@ -98,7 +100,8 @@
 
 // What both readers do: the header first, which is kept apart from the fields that may
 // come after a chunked body, then the body.
-template <class Parser> struct reader_state
+template <class Parser>
+struct reader_state
 {
     Parser parser;
     http_headers headers;
@@ -132,7 +135,8 @@
 
     // Reads as far as it can. `check` returns what is wrong with the header, or an empty
     // text.
-    template <class Check> std::size_t parse(std::string_view bytes, Check check)
+    template <class Check>
+    std::size_t parse(std::string_view bytes, Check check)
     {
         std::size_t used = 0;
         while (error.status == 0 && !parser.is_done() && used < bytes.size())
@@ -154,7 +158,8 @@
     }
 
     // Beast wants the bytes that it has not used again, with more: they are kept here.
-    template <class Check> std::size_t put(std::string_view bytes, Check check)
+    template <class Check>
+    std::size_t put(std::string_view bytes, Check check)
     {
         if (bytes.empty() || error.status != 0 || parser.is_done())
             return 0;
@@ -211,21 +216,19 @@
 
 std::size_t request_reader::put(std::string_view bytes)
 {
-    return m_impl->state.put(bytes,
-                             [](auto const& message) -> std::string_view
-                             {
-                                 if (auto const problem = framing_problem(message);
-                                     !problem.empty())
-                                     return problem;
-                                 if (message.count(http::field::host) > 1 ||
-                                     (message.version() >= 11 &&
-                                      message.count(http::field::host) == 0))
-                                     return "not exactly one Host";
-                                 if (message.target().empty() ||
-                                     message.target().front() != '/')
-                                     return "a target that is not a path";
-                                 return {};
-                             });
+    return m_impl->state.put(
+        bytes,
+        [](auto const& message) -> std::string_view
+        {
+            if (auto const problem = framing_problem(message); !problem.empty())
+                return problem;
+            if (message.count(http::field::host) > 1 ||
+                (message.version() >= 11 && message.count(http::field::host) == 0))
+                return "not exactly one Host";
+            if (message.target().empty() || message.target().front() != '/')
+                return "a target that is not a path";
+            return {};
+        });
 }
 
 bool request_reader::header_complete() const
@@ -280,8 +283,8 @@
 
 std::size_t response_reader::put(std::string_view bytes)
 {
-    return m_impl->state.put(bytes,
-                             [](auto const& message) { return framing_problem(message); });
+    return m_impl->state.put(bytes, [](auto const& message)
+                             { return framing_problem(message); });
 }
 
 void response_reader::put_end()
--- a/src/connection/store_client.cpp
+++ b/src/connection/store_client.cpp
@@ -12,7 +12,7 @@
 constexpr std::size_t connections = 6; // two of them may hold watches
 constexpr std::uint64_t largest_answer = 64'000'000;
 // A watch is held by the store; its answer may be this much later than it was asked for.
-constexpr duration watch_slack = 1s;
+constexpr duration watch_slack = 700ms;
 
 } // namespace
 
@@ -78,8 +78,10 @@
 void store_client::watch(store_watch const& operation, callback done)
 {
     ++m_counts.watches;
-    send(platform::watch_request(operation, m_options.watch_wait),
-         m_options.watch_wait + watch_slack,
+    auto const wait = operation.kind == object_kind::configuration
+                          ? m_options.config_watch
+                          : m_options.fleet_watch;
+    send(platform::watch_request(operation, wait), wait + watch_slack,
          [this, operation, done = std::move(done)](http_result result)
          {
              done(note(result.has_value()
--- a/src/connection/store_client.hpp
+++ b/src/connection/store_client.hpp
@@ -38,7 +38,10 @@
         tcp_address address;
         std::string agent; // names the caller to the store's operators
         duration call_timeout = 1s;
-        duration watch_wait = 10s; // how long the store holds a watch without changes
+        // How long the store holds a watch without changes. A connection that has gone
+        // silent is noticed after it; what operators write is to be in force soon.
+        duration fleet_watch = 8s;
+        duration config_watch = 2s;
     };
 
     store_client(event_loop& loop, options const& opts);
--- a/src/connection/upstream_order.hpp
+++ b/src/connection/upstream_order.hpp
@@ -14,9 +14,9 @@
 
 struct upstream_order
 {
-    upstream_life life;          // the run of the upstream that is meant
-    std::string origin;          // the service beside which the request began
-    duration time_left{0};       // until nobody waits for the answer
+    upstream_life life;                 // the run of the upstream that is meant
+    std::string origin;                 // the service beside which the request began
+    duration time_left{0};              // until nobody waits for the answer
     std::optional<std::uint32_t> shard; // of a keyed service
     std::uint64_t epoch = 0;
     instant lease_until;
@@ -26,11 +26,11 @@
 
 enum class answer_meaning
 {
-    answered,     // the upstream's own answer, good or bad
-    failed,       // the same, and it tells of a failure of the upstream
-    no_room,      // it did not run: the upstream takes no more now
-    not_held,     // it did not run: another run of it, or not the holder of the key
-    spoilt,       // not the upstream's whole answer; it may have run
+    answered, // the upstream's own answer, good or bad
+    failed,   // the same, and it tells of a failure of the upstream
+    no_room,  // it did not run: the upstream takes no more now
+    not_held, // it did not run: another run of it, or not the holder of the key
+    spoilt,   // not the upstream's whole answer; it may have run
 };
 
 } // namespace buckthornusher
--- a/src/connection/wire.cpp
+++ b/src/connection/wire.cpp
@@ -219,6 +219,28 @@
     }
 }
 
+void encode_to(load_report const& m, wire::Envelope& out)
+{
+    auto& w = *out.mutable_load_report();
+    w.set_service(m.service);
+    w.set_capacity(static_cast<float>(m.capacity));
+    for (auto const& r : m.rates)
+    {
+        w.add_shards(r.shard);
+        w.add_rates(static_cast<float>(r.rate));
+    }
+}
+
+std::optional<control_message> decode_load_report(wire::LoadReport const& w)
+{
+    if (w.shards_size() != w.rates_size())
+        return std::nullopt;
+    load_report m{.service = w.service(), .capacity = w.capacity(), .rates = {}};
+    for (int i = 0; i < w.shards_size(); ++i)
+        m.rates.push_back({.shard = w.shards(i), .rate = w.rates(i)});
+    return m;
+}
+
 std::optional<control_message> decode_deltas(wire::Deltas const& w)
 {
     deltas m{.from = w.from(), .to = w.to(), .objects = {}};
@@ -305,6 +327,8 @@
                                 .handover = r.handover()});
         return m;
     }
+    case wire::Envelope::kLoadReport:
+        return decode_load_report(in.load_report());
     default:
         return std::nullopt;
     }
--- a/src/coordination/coordinator.cpp
+++ b/src/coordination/coordinator.cpp
@@ -247,14 +247,22 @@
     bool const is_member = at == phase::member;
     if (is_member && copy.revision() < takeover_version && opts.guard.sync_after_takeover)
         fleet_reader.want_list();
-    fleet_reader.set_listening(is_member && listens);
-    config_reader.set_listening(is_member && config_listens);
+    bool const alone = is_member && is_alone(now);
+    fleet_reader.set_listening(is_member && (listens || alone));
+    config_reader.set_listening(is_member && (config_listens || alone));
     if (auto operation = fleet_reader.next(next_call_id, copy.revision(), now))
         call(std::move(*operation));
     if (auto operation = config_reader.next(next_call_id, copy.config_revision(), now))
         call(std::move(*operation));
 }
 
+bool coordinator::impl::is_alone(instant now) const
+{
+    auto const until = lease.valid_until();
+    auto const acked = until == instant::min() ? until : until - opts.lease.length;
+    return now - std::max(acked, watchers_since) > 2 * opts.lease.renew_interval;
+}
+
 void coordinator::impl::on_fleet_read(std::uint64_t call_id, store_answer const& answer,
                                       instant now)
 {
@@ -450,6 +458,12 @@
     m_impl->targets_known = true;
 }
 
+void coordinator::report_load(load_report const& report, instant now)
+{
+    if (m_impl->at == impl::phase::member)
+        m_impl->tell_load(report, now);
+}
+
 admission_check coordinator::try_begin(shard_id const& shard, instant now)
 {
     if (!m_impl->has_caught_up(shard) || m_impl->tenure_ends())
--- a/src/coordination/coordinator_chunks.cpp
+++ b/src/coordination/coordinator_chunks.cpp
@@ -15,6 +15,12 @@
 constexpr duration quiet_before_placing = 1s;   // after the last join
 constexpr duration quiet_before_rebalance = 3s; // after the last join, loss or move
 constexpr duration plan_interval = 500ms;       // when nothing has changed
+// The same where requests are measured: hot keys change within seconds.
+constexpr duration quiet_before_balancing = 1'500ms;
+constexpr duration load_kept = 5s; // a measurement counts
+// Of an upstream's capacity: below it, an uneven share costs callers less than a move.
+constexpr double least_measured_load = 0.55;
+constexpr std::size_t load_keepers = 2; // of a chunk that are told
 } // namespace
 
 std::set<owner_id> coordinator::impl::held_owners(instant now) const
@@ -56,14 +62,11 @@
     planned_generation = copy.generation();
     next_plan = now + plan_interval;
     auto const held = held_owners(now);
-    auto planning = opts.planning;
-    if (now - last_membership_change < quiet_before_rebalance ||
-        now - last_planned_move < quiet_before_rebalance)
-        planning.max_moves = 0;
     bool const place_new = now - last_membership_change >= quiet_before_placing;
     for (auto const& service : opts.services)
     {
         std::optional<std::vector<plan_change>> changes;
+        auto const* load = known_load(service.name, now);
         for (std::uint32_t first = 0; first < service.shards; first += shards_per_chunk)
         {
             auto const name = chunk_object(service.name, first);
@@ -71,7 +74,8 @@
             if (rank == keeper_ranks.end() || writer.busy(name))
                 continue;
             if (!changes)
-                changes = plan(service_input(copy, service), planning);
+                changes = plan(service_input(copy, service, load),
+                               planning_for(load != nullptr, now));
             auto next = next_chunk(copy, service, first, *changes, announced, held,
                                    place_new, opts.guard);
             if (!next)
@@ -89,6 +93,69 @@
     }
 }
 
+service_load const* coordinator::impl::known_load(std::string const& service, instant now)
+{
+    auto const it = loads.find(service);
+    if (it == loads.end())
+        return nullptr;
+    if (now - it->second.told > load_kept)
+    {
+        loads.erase(it);
+        return nullptr;
+    }
+    return &it->second.load;
+}
+
+plan_options coordinator::impl::planning_for(bool measured, instant now) const
+{
+    auto planning = opts.planning;
+    auto const quiet = measured ? quiet_before_balancing : quiet_before_rebalance;
+    if (now - last_membership_change < quiet || now - last_planned_move < quiet)
+        planning.max_moves = 0;
+    if (measured)
+        planning.least_load = least_measured_load;
+    return planning;
+}
+
+void coordinator::impl::on(member_id const& from, load_report const& m, instant now)
+{
+    auto const* sender = copy.node(from.node);
+    if (sender == nullptr)
+        return;
+    auto& known = loads[m.service];
+    known.told = now;
+    auto& rates = known.load.rates;
+    std::erase_if(rates,
+                  [&](auto const& entry)
+                  {
+                      auto const* a = copy.find_assignment({m.service, entry.first});
+                      return a != nullptr && a->owner == sender->owner();
+                  });
+    for (auto const& r : m.rates)
+        rates[r.shard] = r.rate;
+    if (m.capacity > 0)
+        known.load.capacities[from.node] = m.capacity;
+}
+
+// To the first keeper of each chunk.
+void coordinator::impl::tell_load(load_report const& report, instant now)
+{
+    std::set<member_id> told;
+    for (auto const& service : opts.services)
+        for (std::uint32_t first = 0;
+             service.name == report.service && first < service.shards;
+             first += shards_per_chunk)
+            for (std::size_t rank = 0; rank < load_keepers; ++rank)
+                if (auto const keeper = member_at_rank(
+                        copy, "keep/" + chunk_object(service.name, first), rank))
+                    told.insert(keeper);
+    for (auto const& keeper : told)
+        if (keeper == opts.self)
+            on(opts.self, report, now);
+        else
+            send(keeper, report);
+}
+
 void coordinator::impl::note_planned_moves(chunk_record const& next, instant now)
 {
     for (auto const& a : next.assignments)
--- a/src/coordination/coordinator_impl.hpp
+++ b/src/coordination/coordinator_impl.hpp
@@ -86,6 +86,13 @@
     instant last_membership_change;
     instant last_planned_move;
 
+    struct told_load
+    {
+        service_load load;
+        instant told;
+    };
+    std::map<std::string, told_load> loads; // by service
+
     release_table announced; // releases that owners have sent to this keeper
     release_table confirmed; // own releases whose state has been handed over
     std::map<std::string, instant>
@@ -230,8 +237,17 @@
 
     void send_releases(instant now);
 
+    // What owners have reported of the service, null if that is too old.
+    service_load const* known_load(std::string const& service, instant now);
+
+    plan_options planning_for(bool measured, instant now) const;
+
+    void tell_load(load_report const& report, instant now);
+
     // ---- messages ----
 
+    void on(member_id const& from, load_report const& m, instant now);
+
     void on(member_id const& from, renew const& m, instant now);
 
     void on(member_id const& from, renew_ack const& m, instant now);
@@ -250,6 +266,9 @@
 
     void read_store(instant now);
 
+    // Those who would tell of changes do not answer: the store has to be asked.
+    bool is_alone(instant now) const;
+
     void on_fleet_read(std::uint64_t call_id, store_answer const& answer, instant now);
 
     void on_config_read(std::uint64_t call_id, store_answer const& answer, instant now);
--- a/src/coordination/hold_ledger.cpp
+++ b/src/coordination/hold_ledger.cpp
@@ -37,8 +37,8 @@
 
 std::vector<held_range> sorted(std::vector<held_range> holds)
 {
-    std::sort(holds.begin(), holds.end(), [](held_range const& a, held_range const& b)
-              { return a.keys < b.keys; });
+    std::sort(holds.begin(), holds.end(),
+              [](held_range const& a, held_range const& b) { return a.keys < b.keys; });
     return holds;
 }
 
@@ -110,29 +110,29 @@
             append(fresh, {.keys = keys, .epoch = w.epoch, .handover = w.handover});
     }
     auto room = m_options.answer_bytes;
-    std::erase_if(known, [&](granted_range const& range) { return !take_room(range, room); });
+    std::erase_if(known,
+                  [&](granted_range const& range) { return !take_room(range, room); });
     for (auto& range : fresh)
         if (take_room(range, room))
             known.push_back(std::move(range));
     return {.ranges = std::move(known), .hold = {}};
 }
 
-std::optional<upstream_grant>
-hold_ledger::on_report(upstream_report const& report,
-                       std::vector<wanted_shard> const& wanted,
-                       std::vector<wanted_shard> const& leaving, instant lease_until,
-                       instant now)
+std::optional<upstream_grant> hold_ledger::on_report(
+    upstream_report const& report, std::vector<wanted_shard> const& wanted,
+    std::vector<wanted_shard> const& leaving, instant lease_until, instant now)
 {
     constexpr int percent = 100;
     note_report(report, now);
     for (auto const& l : leaving)
         m_states.try_emplace(
-            l.index, state{.epoch = l.epoch,
-                           .until = {},
-                           .over = now + m_options.longest *
-                                             (percent + m_options.drift_percent) / percent,
-                           .left_out = true,
-                           .handover = {}});
+            l.index,
+            state{.epoch = l.epoch,
+                  .until = {},
+                  .over = now + m_options.longest * (percent + m_options.drift_percent) /
+                                    percent,
+                  .left_out = true,
+                  .handover = {}});
     auto const left = lease_until <= now ? duration{0} : lease_until - now;
     auto const hold =
         std::min(m_options.longest,
@@ -148,13 +148,12 @@
     for (auto const& w : wanted)
     {
         auto const keys = numbers_of_shard(w.index, m_shards);
-        bool const included =
-            std::any_of(grant.ranges.begin(), grant.ranges.end(),
-                        [&](granted_range const& r)
-                        {
-                            return r.epoch == w.epoch && r.keys.first <= keys.first &&
-                                   keys.last <= r.keys.last;
-                        });
+        bool const included = std::any_of(grant.ranges.begin(), grant.ranges.end(),
+                                          [&](granted_range const& r) {
+                                              return r.epoch == w.epoch &&
+                                                     r.keys.first <= keys.first &&
+                                                     keys.last <= r.keys.last;
+                                          });
         if (!included)
             continue;
         granted.insert(w.index);
--- a/src/coordination/planner.cpp
+++ b/src/coordination/planner.cpp
@@ -5,6 +5,7 @@
 #include <cmath>
 #include <map>
 #include <numeric>
+#include <optional>
 
 namespace buckthornusher
 {
@@ -23,7 +24,7 @@
         {
             m_targets[target.id] = &target;
             if (!target.draining)
-                m_slots += target.slots;
+                m_capacity += target.capacity;
         }
         for (std::uint32_t shard = 0; shard < input.assignments.size(); ++shard)
         {
@@ -50,13 +51,13 @@
 
     double relative(owner_id const& id) const
     {
-        return load(id) / m_targets.at(id)->slots;
+        return load(id) / m_targets.at(id)->capacity;
     }
     double relative_with(owner_id const& id, double added) const
     {
-        return (load(id) + added) / m_targets.at(id)->slots;
+        return (load(id) + added) / m_targets.at(id)->capacity;
     }
-    double mean() const { return m_slots == 0 ? 0 : m_total / m_slots; }
+    double mean() const { return m_capacity <= 0 ? 0 : m_total / m_capacity; }
 
     void move(owner_id const& from, owner_id const& to, double w)
     {
@@ -84,25 +85,27 @@
         return best;
     }
 
-    // The highest rendezvous score among targets that stay at or below `bound`.
-    owner_id place(std::uint32_t shard, double bound) const
+    // How much more the target could take to have an even share.
+    double room(plan_target const& target) const
     {
-        auto const subject = m_input.service + "/" + std::to_string(shard);
-        owner_id best;
-        std::uint64_t best_score = 0;
+        return mean() * target.capacity - load(target.id);
+    }
+
+    // Among the targets that do not drain the one with most room; none if all drain.
+    owner_id roomiest() const
+    {
+        plan_target const* best = nullptr;
         for (auto const& target : m_input.targets)
-        {
-            if (target.draining || relative_with(target.id, weight(shard)) > bound)
-                continue;
-            // By node, not incarnation: a restarted node scores as before.
-            auto const score = rendezvous_score(subject, target.id.node);
-            if (!best || score > best_score)
-            {
-                best = target.id;
-                best_score = score;
-            }
-        }
-        return best ? best : lowest();
+            if (!target.draining && (best == nullptr || room(target) > room(*best)))
+                best = &target;
+        return best == nullptr ? owner_id{} : best->id;
+    }
+
+    bool has_room(owner_id const& id, double w) const
+    {
+        auto const it = m_targets.find(id);
+        return it != m_targets.end() && !it->second->draining &&
+               room(*it->second) >= w / 2;
     }
 
 private:
@@ -115,69 +118,141 @@
     plan_input const& m_input;
     std::map<owner_id, plan_target const*> m_targets;
     std::map<owner_id, double> m_load;
-    double m_slots = 0;
+    double m_capacity = 0;
     double m_total = 0;
 };
 
-void place_unowned(plan_input const& input, load_table& loads,
-                   std::vector<plan_change>& changes)
+// Places the shards that `placed` names, neighbours together: each goes where the one
+// before it went while there is room, then to the target with most room.
+template <class Placed>
+void place_in_blocks(plan_input const& input, load_table& loads,
+                     std::vector<plan_change>& changes, Placed placed)
 {
-    // One shard more than an even share, so that a placement always exists.
-    auto const smallest = std::min_element(input.targets.begin(), input.targets.end(),
-                                           [](plan_target const& a, plan_target const& b)
-                                           { return a.slots < b.slots; });
-    auto const bound = loads.mean() + 1.0 / smallest->slots;
+    owner_id last; // holds or gets the shard before
     for (std::uint32_t shard = 0; shard < input.assignments.size(); ++shard)
     {
-        if (loads.holder_of(input.assignments[shard]))
+        auto const holder = loads.holder_of(input.assignments[shard]);
+        if (!placed(input.assignments[shard], holder))
+        {
+            last = holder;
             continue;
-        auto const to = loads.place(shard, bound);
+        }
+        auto const w = loads.weight(shard);
+        auto const to = loads.has_room(last, w) ? last : loads.roomiest();
         if (!to)
             return;
-        loads.move({}, to, loads.weight(shard));
+        loads.move(holder, to, w);
         changes.push_back({.shard = shard, .to = to});
+        last = to;
     }
 }
 
+void place_unowned(plan_input const& input, load_table& loads,
+                   std::vector<plan_change>& changes)
+{
+    place_in_blocks(input, loads, changes,
+                    [](assignment const&, owner_id const& holder) { return !holder; });
+}
+
 void drain(plan_input const& input, load_table& loads, std::vector<plan_change>& changes)
 {
-    for (std::uint32_t shard = 0; shard < input.assignments.size(); ++shard)
+    place_in_blocks(input, loads, changes,
+                    [&](assignment const& a, owner_id const& holder)
+                    { return holder && holder == a.owner && loads.draining(holder); });
+}
+
+// Neighbouring shards that would move together.
+struct block
+{
+    std::uint32_t first = 0;
+    std::uint32_t last = 0; // inclusive
+    double weight = 0;
+};
+
+// Looks for the block of `from` to move to `to` that lowers the higher of the two loads
+// most, down to the bound, for what it costs: each shard moved, and each range more. A
+// block is a single shard, or the begin or end of a run of neighbours.
+class block_search
+{
+public:
+    block_search(load_table const& loads, owner_id const& from, owner_id const& to,
+                 double bound)
+        : m_loads(loads), m_from(from), m_to(to), m_bound(bound),
+          m_present(loads.relative(from))
     {
-        auto const& a = input.assignments[shard];
-        auto const holder = loads.holder_of(a);
-        if (!holder || holder != a.owner || !loads.draining(holder))
-            continue;
-        auto const to = loads.lowest();
-        if (!to)
+    }
+
+    void try_run(std::uint32_t first, std::uint32_t last)
+    {
+        block front{.first = first, .last = first, .weight = 0};
+        block back{.first = last, .last = last, .weight = 0};
+        for (std::uint32_t n = 0; n <= last - first; ++n)
+        {
+            front.last = first + n;
+            front.weight += m_loads.weight(front.last);
+            offer(front);
+            back.first = last - n;
+            back.weight += m_loads.weight(back.first);
+            offer(back);
+            // One from the middle leaves two ranges where there was one.
+            offer({.first = first + n,
+                   .last = first + n,
+                   .weight = m_loads.weight(first + n)},
+                  middle_cost);
+        }
+    }
+
+    // Nothing if no block lowers the higher of the two loads.
+    std::optional<block> best() const { return m_best; }
+
+private:
+    // In shards.
+    static constexpr double end_cost = 8;     // moves the place where ranges meet
+    static constexpr double middle_cost = 10; // leaves two ranges where there was one
+
+    void offer(block const& b, double cost = end_cost)
+    {
+        auto const peak = std::max(m_loads.relative_with(m_from, -b.weight),
+                                   m_loads.relative_with(m_to, b.weight));
+        auto const gain = (m_present - std::max(peak, m_bound)) /
+                          (cost + static_cast<double>(b.last - b.first + 1));
+        if (gain <= m_gain)
             return;
-        loads.move(holder, to, loads.weight(shard));
-        changes.push_back({.shard = shard, .to = to});
+        m_gain = gain;
+        m_best = b;
     }
-}
 
-// The shard of `from` whose move to `to` brings both closest to each other, if any
-// lowers the higher of the two.
-std::int64_t best_shard(plan_input const& input, load_table const& loads,
-                        std::vector<bool> const& moved, owner_id const& from,
-                        owner_id const& to)
+    load_table const& m_loads;
+    owner_id m_from;
+    owner_id m_to;
+    double m_bound;
+    double m_present; // the higher load before
+    double m_gain = 0;
+    std::optional<block> m_best;
+};
+
+std::optional<block> best_block(plan_input const& input, load_table const& loads,
+                                std::vector<bool> const& moved, owner_id const& from,
+                                owner_id const& to, double bound)
 {
-    std::int64_t best = -1;
-    auto best_peak = loads.relative(from);
-    for (std::uint32_t shard = 0; shard < input.assignments.size(); ++shard)
+    block_search search(loads, from, to, bound);
+    auto const movable = [&](std::uint32_t shard)
     {
         auto const& a = input.assignments[shard];
-        if (moved[shard] || a.successor || a.owner != from)
+        return !moved[shard] && !a.successor && a.owner == from;
+    };
+    auto const count = static_cast<std::uint32_t>(input.assignments.size());
+    for (std::uint32_t first = 0; first < count; ++first)
+    {
+        if (!movable(first))
             continue;
-        auto const w = loads.weight(shard);
-        auto const peak =
-            std::max(loads.relative_with(from, -w), loads.relative_with(to, w));
-        if (peak < best_peak)
-        {
-            best_peak = peak;
-            best = shard;
-        }
+        auto last = first;
+        while (last + 1 < count && movable(last + 1))
+            ++last;
+        search.try_run(first, last);
+        first = last;
     }
-    return best;
+    return search.best();
 }
 
 void rebalance(plan_input const& input, plan_options const& opts, load_table& loads,
@@ -190,16 +265,19 @@
     {
         auto const from = loads.highest();
         auto const to = loads.lowest();
-        if (!from || from == to ||
+        if (!from || from == to || loads.relative(from) <= opts.least_load ||
             loads.relative(from) <= loads.mean() * opts.imbalance_bound)
             return;
-        auto const shard = best_shard(input, loads, moved, from, to);
-        if (shard < 0)
+        auto const b = best_block(input, loads, moved, from, to,
+                                  loads.mean() * opts.imbalance_bound);
+        if (!b)
             return;
-        auto const index = static_cast<std::uint32_t>(shard);
-        moved[index] = true;
-        loads.move(from, to, loads.weight(index));
-        changes.push_back({.shard = index, .to = to});
+        loads.move(from, to, b->weight);
+        for (auto shard = b->first; shard <= b->last; ++shard)
+        {
+            moved[shard] = true;
+            changes.push_back({.shard = shard, .to = to});
+        }
     }
 }
 
--- a/src/coordination/steward.cpp
+++ b/src/coordination/steward.cpp
@@ -37,7 +37,46 @@
 
 } // namespace
 
-plan_input service_input(replica const& copy, keyed_service const& service)
+namespace
+{
+
+// Shards that nobody asks for count a little, so that they are spread as well.
+constexpr double idle_share = 0.05; // of all weight, for all shards together
+
+// Measured requests in place of numbers of shards.
+void apply_load(plan_input& input, service_load const& load)
+{
+    double total = 0;
+    for (auto const& entry : load.rates)
+        total += entry.second;
+    auto const shards = static_cast<double>(input.assignments.size());
+    input.weights.assign(input.assignments.size(), idle_share * total / shards);
+    for (auto const& [shard, rate] : load.rates)
+        if (shard < input.weights.size())
+            input.weights[shard] += rate;
+    // An upstream that has not been measured is taken to do as much a slot as the others.
+    double known = 0;
+    double known_slots = 0;
+    for (auto const& target : input.targets)
+        if (auto const it = load.capacities.find(target.id.node);
+            it != load.capacities.end())
+        {
+            known += it->second;
+            known_slots += target.capacity;
+        }
+    auto const per_slot = known_slots > 0 ? known / known_slots : 1.0;
+    for (auto& target : input.targets)
+    {
+        auto const it = load.capacities.find(target.id.node);
+        target.capacity =
+            it == load.capacities.end() ? target.capacity * per_slot : it->second;
+    }
+}
+
+} // namespace
+
+plan_input service_input(replica const& copy, keyed_service const& service,
+                         service_load const* load)
 {
     plan_input input;
     input.service = service.name;
@@ -49,7 +88,7 @@
         auto const* t = target_of(m, service.name);
         input.targets.push_back({.id = m.owner(),
                                  .domain = m.domain,
-                                 .slots = std::max(1U, t->slots),
+                                 .capacity = std::max(1.0, static_cast<double>(t->slots)),
                                  .draining = m.draining || t->draining});
     }
     for (std::uint32_t shard = 0; shard < service.shards; ++shard)
@@ -57,6 +96,8 @@
         auto const* a = copy.find_assignment({service.name, shard});
         input.assignments.push_back(a == nullptr ? assignment{} : *a);
     }
+    if (load != nullptr && !load->rates.empty())
+        apply_load(input, *load);
     return input;
 }
 
--- a/src/coordination/steward.hpp
+++ b/src/coordination/steward.hpp
@@ -29,8 +29,17 @@
 };
 using release_table = std::map<shard_id, noted_release>;
 
-// The targets and present assignments of a service.
-plan_input service_input(replica const& copy, keyed_service const& service);
+// What owners have reported of a service lately.
+struct service_load
+{
+    std::map<std::uint32_t, double> rates;    // requests a second, by shard
+    std::map<std::string, double> capacities; // the same that upstreams can do, by node
+    friend bool operator==(service_load const&, service_load const&) = default;
+};
+
+// The targets and present assignments of a service. `load`: null if nothing is known.
+plan_input service_input(replica const& copy, keyed_service const& service,
+                         service_load const* load);
 
 // The chunk as it should be, or nothing if it is right as it is. `changes` are the
 // plan for the whole service. Shards of `held` owners wait, though the owners are gone;
--- a/src/coordination/store_reader.cpp
+++ b/src/coordination/store_reader.cpp
@@ -44,8 +44,8 @@
     }
     if (std::holds_alternative<store_history_lost>(answer))
         m_list_wanted = true;
-    m_backoff = std::clamp(2 * m_backoff, duration(first_backoff),
-                           duration(longest_backoff));
+    m_backoff =
+        std::clamp(2 * m_backoff, duration(first_backoff), duration(longest_backoff));
     m_next_call = now + duration(std::uniform_int_distribution<duration::rep>(
                             m_backoff.count() / 2, m_backoff.count())(m_random));
     return outcome::failed;
--- a/src/process/agent.cpp
+++ b/src/process/agent.cpp
@@ -15,9 +15,13 @@
 constexpr std::size_t most_waiting = 10'000; // orders that wait for their shards
 constexpr std::size_t largest_kept_answer = 4'096;
 constexpr duration wait_retry = 100ms;
+// What has been sent before the limit of a drain arrives before it.
+constexpr duration drain_margin = 200ms;
 // An upstream that answers lives, also if its reports do not arrive.
 constexpr duration answer_proves_life = 2s;
 // The largest pause between a report and the first answer to it that holds can begin.
+constexpr double rate_weight = 0.5; // of the newest second
+constexpr double least_rate = 0.02; // requests a second that are still told
 constexpr char const* old_setup_link = "old setup"; // no service can have this name
 
 template <class... Ts>
@@ -37,6 +41,7 @@
     instant last_answer;   // of an order
     bool departed = false; // it has said that it ends and reports no more
     bool refused = false;  // the last connection to it was refused
+    instant draining_since;
     http_client http;
     upstream_queue queue;
     std::optional<hold_ledger> holds; // of an upstream that serves granted keys only
@@ -90,6 +95,12 @@
     w.id = id;
     w.o = std::move(o);
     w.done = std::move(done);
+    if (m_closing)
+        return finish(w,
+                      order_refused{.why = reason::stopping, .retry_after = wait_retry}),
+               id;
+    if (w.o.shard)
+        ++m_asked[{w.o.service, *w.o.shard}];
     try_begin(w, boot_now());
     return id;
 }
@@ -210,7 +221,7 @@
     if (!choose_backend(w))
         return wait(w);
     auto* l = w.backend.get();
-    bool const gone = l == nullptr || (l->draining() && !w.o.shard);
+    bool const gone = l == nullptr || !takes_orders(*l, w.o.shard.has_value(), now);
     if (gone)
         return finish(
             w, order_refused{.why = reason::not_reached, .retry_after = wait_retry});
@@ -236,6 +247,14 @@
         start_queued(*l, now);
 }
 
+// One that is leaving takes orders for its shards while these move, up to a limit.
+bool agent::takes_orders(link const& l, bool keyed_order, instant now) const
+{
+    if (!l.draining())
+        return true;
+    return keyed_order && now - l.draining_since < m_options.drain_limit - drain_margin;
+}
+
 http_request agent::upstream_request(work const& w, link const& l, duration left) const
 {
     upstream_order const told{
@@ -257,6 +276,8 @@
     w.at = work::state::running;
     auto until = w.o.deadline;
     auto why = now < until ? reason::none : reason::deadline;
+    if (!takes_orders(*l, w.o.shard.has_value(), now))
+        why = reason::not_reached;
     if (w.o.shard)
     {
         // An upstream that is not granted its keys knows the lease by what it is told.
@@ -475,6 +496,7 @@
     l->refused = false;
     if (began_to_drain)
     {
+        l->draining_since = now;
         log_event(log_level::info, "upstream-draining", {{"service", report.service}});
         if (!keyed(report.service))
             refuse_all(l->queue.clear(), reason::not_reached, wait_retry);
@@ -515,6 +537,8 @@
         if (service == old_setup_link || l->described.life.id != life_id)
             continue;
         log_event(log_level::info, "upstream-departs", {{"service", service}});
+        if (!l->draining())
+            l->draining_since = now;
         l->departed = true;
         if (!keyed(service))
             refuse_all(l->queue.clear(), reason::not_reached, wait_retry);
@@ -584,7 +608,45 @@
                          .running = l.queue.running(),
                          .waiting = static_cast<std::uint32_t>(l.queue.queued()),
                          .service = l.queue.mean_service(),
-                         .accepting = !l.draining() && !silent && !l.refused};
+                         .accepting =
+                             !l.draining() && !silent && !l.refused && !m_closing};
+}
+
+void agent::begin_closing()
+{
+    m_closing = true;
+    std::vector<order_id> waiting(m_waiting.begin(), m_waiting.end());
+    for (auto const& entry : m_links)
+        for (auto const id : entry.second->queue.clear())
+            waiting.push_back(id);
+    refuse_all(waiting, reason::stopping, wait_retry);
+}
+
+std::vector<load_report> agent::take_load_reports(instant now)
+{
+    auto const span = std::chrono::duration<double>(now - m_rates_told).count();
+    m_rates_told = now;
+    for (auto& entry : m_rates)
+        entry.second *= 1 - rate_weight;
+    for (auto const& [shard, count] : std::exchange(m_asked, {}))
+        m_rates[shard] += rate_weight * count / span;
+    std::erase_if(m_rates, [](auto const& entry) { return entry.second < least_rate; });
+    std::vector<load_report> reports;
+    for (auto const& [service, l] : m_links)
+    {
+        if (!keyed(service))
+            continue;
+        load_report report{.service = service, .capacity = 0, .rates = {}};
+        auto const service_time =
+            std::chrono::duration<double>(l->queue.mean_service()).count();
+        if (l->last_answer != instant{})
+            report.capacity = l->queue.slots() / service_time;
+        for (auto it = m_rates.lower_bound({.service = service, .index = 0});
+             it != m_rates.end() && it->first.service == service; ++it)
+            report.rates.push_back({.shard = it->first.index, .rate = it->second});
+        reports.push_back(std::move(report));
+    }
+    return reports;
 }
 
 // ---- versions and time ----
--- a/src/process/agent.hpp
+++ b/src/process/agent.hpp
@@ -79,6 +79,7 @@
 {
     upstream_form form;
     duration report_interval = 1s;   // at which upstreams report
+    duration drain_limit = 30s;      // an upstream that leaves gets nothing new after it
     std::uint32_t connections = 110; // to an upstream that does not say how many it takes
 };
 
@@ -128,6 +129,8 @@
     bool upstreams_ended() const;
 
     std::optional<upstream_load> load(std::string const& service, instant now) const;
+    // What keyed services were asked for since the last call.
+    std::vector<load_report> take_load_reports(instant now);
 
     // A new document: which keys the old setup still serves.
     void set_routes(std::shared_ptr<route_table const> routes);
@@ -139,6 +142,9 @@
     // This member's coordinator was replaced; orders that wait are asked again.
     void set_coordinator(coordinator& coord) { m_coordinator = &coord; }
 
+    // From now on nothing new is taken; what waits is refused.
+    void begin_closing();
+
     std::size_t unfinished() const { return m_works.size(); }
     operation_table& operations() { return m_operations; }
 
@@ -153,6 +159,7 @@
     bool keyed(std::string const& service) const;
     void try_begin(work& w, instant now);
     void wait(work& w);
+    bool takes_orders(link const& l, bool keyed_order, instant now) const;
     void admit(work& w, instant now);
     bool choose_backend(work& w);
     bool check_operation(work& w, instant now);
@@ -181,10 +188,15 @@
     };
     std::map<shard_id, backend_counts> m_backends;     // of services with departments
     std::map<order_id, std::unique_ptr<work>> m_works; // unfinished
-    std::set<order_id> m_waiting;                      // for their shard
+    // Requests for shards since the last reports, and the rates that were told in those.
+    std::map<shard_id, std::uint32_t> m_asked;
+    std::map<shard_id, double> m_rates;
+    instant m_rates_told;
+    std::set<order_id> m_waiting; // for their shard
     operation_table m_operations;
     std::mt19937_64 m_random;
     order_id m_next_id = 1;
+    bool m_closing = false;
 };
 
 } // namespace buckthornusher
--- a/src/process/ingress.cpp
+++ b/src/process/ingress.cpp
@@ -25,6 +25,10 @@
 // come back.
 constexpr int waiting_percent = 40;
 constexpr duration owner_retry = 300ms;
+constexpr duration restart_retry = 500ms; // another process follows at this place
+// Of the budget of repeats: an upstream that answers with a failure often does so because
+// another one is short of room, and a repeat adds to that.
+constexpr double kept_from_failures = 0.5;
 constexpr duration silent_for = 1s; // a silent peer is avoided
 // Beyond its deadline an answer is awaited so long, to say truly whether it ran.
 constexpr duration last_word = 60ms;
@@ -118,6 +122,8 @@
     };
     if (m_routes == nullptr)
         return refuse_early("-", reason::no_configuration, owner_retry);
+    if (m_closing)
+        return refuse_early("-", reason::stopping, restart_retry);
     auto const match = m_routes->find(request, m_random());
     if (!match)
         return refuse_early("-", reason::no_route, 0us);
@@ -403,6 +409,8 @@
     auto result = decode(in);
     if (auto const* refused = std::get_if<order_refused>(&result))
     {
+        if (refused->why == reason::stopping)
+            m_table.on_goodbye(node);
         if (refused->why == reason::stale)
             m_table.forget_clock(node);
         else
@@ -430,7 +438,7 @@
 void ingress::on_answered(flight& f, order_answered& result, instant now)
 {
     ++f.arrivals;
-    if (result.failed && take_repeat(f, now))
+    if (result.failed && take_repeat(f, kept_from_failures, now))
         return dispatch_later(f, now);
     auto response = std::visit([&](auto const& form)
                                { return form.answered(std::move(result.response)); },
@@ -463,7 +471,7 @@
 void ingress::on_unknown(flight& f, order_unknown const& result, instant now)
 {
     ++f.arrivals;
-    if (!take_repeat(f, now))
+    if (!take_repeat(f, 0, now))
         return give_up(f, result.why);
     f.hint = {};
     dispatch(f, now);
@@ -482,10 +490,11 @@
 
 // Whether the request may be sent once more though it may have run. Takes it from the
 // budget.
-bool ingress::take_repeat(flight& f, instant now)
+bool ingress::take_repeat(flight& f, double kept_share, instant now)
 {
     if (!f.o.repeatable || f.arrivals >= f.max_attempts ||
-        now + least_time >= f.o.deadline || !m_retries.try_repeat(f.o.service, now))
+        now + least_time >= f.o.deadline ||
+        !m_retries.try_repeat(f.o.service, now, kept_share))
         return false;
     m_metrics.count_retry(f.o.service);
     return true;
@@ -518,7 +527,7 @@
         if (f == nullptr)
             continue;
         ++f->arrivals;
-        if (take_repeat(*f, now))
+        if (take_repeat(*f, 0, now))
         {
             f->tried.insert(node);
             end_sending(*f, true, now);
@@ -579,6 +588,23 @@
         });
 }
 
+void ingress::finish_all()
+{
+    std::vector<flight_id> all;
+    for (auto const& entry : m_flights)
+        all.push_back(entry.first);
+    for (auto const id : all)
+    {
+        auto* f = find(id);
+        if (f == nullptr)
+            continue;
+        if (f->sent_to.empty() && !f->local)
+            refuse(*f, reason::stopping, restart_retry);
+        else
+            give_up(*f, reason::stopping);
+    }
+}
+
 // Requests that wait may have somebody now; reads that were sent to a lost owner go to
 // the next one, within the budget of repeats.
 void ingress::on_replica_changed(instant now)
@@ -592,7 +618,7 @@
         if (m != nullptr && m->state != member_state::gone)
             continue;
         ++f->arrivals;
-        if (!take_repeat(*f, now))
+        if (!take_repeat(*f, 0, now))
             continue;
         end_sending(*f, true, now);
         f->hint = {};
--- a/src/process/ingress.hpp
+++ b/src/process/ingress.hpp
@@ -70,6 +70,11 @@
         m_routes = std::move(routes);
     }
     void set_coordinator(coordinator& coord) { m_coordinator = &coord; }
+    void set_retries(retry_budget_options opts) { m_retries.set_options(opts); }
+    // From now on nothing new is taken.
+    void begin_closing() { m_closing = true; }
+    // Gives every caller its last answer.
+    void finish_all();
     void on_replica_changed(instant now);
     void tick(instant now);
 
@@ -97,7 +102,7 @@
     void on_refused(flight& f, order_refused const& result, instant now);
     void on_unknown(flight& f, order_unknown const& result, instant now);
     void on_moved(flight& f, order_moved const& moved, instant now);
-    bool take_repeat(flight& f, instant now);
+    bool take_repeat(flight& f, double kept_share, instant now);
     void dispatch_later(flight& f, instant now);
     void end_sending(flight& f, bool failed, instant now);
     void on_silent(std::string const& node, instant now);
@@ -129,6 +134,7 @@
     burn_recorder m_burn;
     std::mt19937_64 m_random;
     flight_id m_next_id = 1;
+    bool m_closing = false;
 };
 
 } // namespace buckthornusher
--- a/src/process/log.cpp
+++ b/src/process/log.cpp
@@ -68,6 +68,11 @@
              << logging::expressions::format_date_time<boost::posix_time::ptime>(
                     "TimeStamp", "%Y-%m-%dT%H:%M:%S.%f")
              << " " << logging::expressions::smessage));
+    set_log_level(level);
+}
+
+void set_log_level(std::string const& level)
+{
     logging::core::get()->set_filter(severity >= level_of(level));
 }
 
--- a/src/process/log.hpp
+++ b/src/process/log.hpp
@@ -27,6 +27,8 @@
 // Lines go to standard error as key=value: "ts=... level=info node=a event=joined ...".
 void set_up_log(std::string const& node, std::string const& level);
 
+void set_log_level(std::string const& level);
+
 void log_event(log_level level, std::string_view event,
                std::initializer_list<log_field> fields = {});
 
--- a/src/process/main.cpp
+++ b/src/process/main.cpp
@@ -46,7 +46,14 @@
     set_up_log(settings.value().name, settings.value().log_level);
     try
     {
-        node n(settings.value());
+        auto const source = [path]() -> checked<node_settings>
+        {
+            if (auto const again = read_file(path))
+                return parse_settings(*again);
+            return std::vector{config_error{.found = "a file that cannot be read",
+                                            .allowed = "the settings"}};
+        };
+        node n(settings.value(), source);
         running_node = &n;
         auto const stop = [](int)
         {
@@ -54,6 +61,7 @@
         };
         std::signal(SIGTERM, stop);
         std::signal(SIGINT, stop);
+        std::signal(SIGHUP, [](int) { running_node->request_reload(); });
         return n.run();
     }
     catch (std::exception const& error)
--- a/src/process/node.cpp
+++ b/src/process/node.cpp
@@ -37,11 +37,13 @@
 constexpr duration control_period = 50ms;
 constexpr duration request_period = 20ms;
 constexpr duration peer_review_period = 30s;
+constexpr duration reload_period = 5s; // looks for settings that changed without a signal
+constexpr duration load_report_period = 1s;
 constexpr duration stop_grace = 300ms; // callers' last answers leave
 // Callers that are told to go elsewhere do so within this.
 constexpr duration callers_leave = 3s;
-// Of the grace, for the process's own end.
-constexpr duration end_reserve = 700ms;
+// Before the end of the grace, whoever still waits gets a last answer.
+constexpr duration last_answers = 700ms;
 // A lease outlasts two reports of an upstream, so that one that is lost or late does not
 // end what the upstream holds.
 constexpr int reports_within_lease = 2;
@@ -123,8 +125,8 @@
 
 struct node::impl
 {
-    explicit impl(node_settings s)
-        : settings(std::move(s)),
+    impl(node_settings s, settings_source from)
+        : settings(std::move(s)), source(std::move(from)),
           peers(loop, endpoint(),
                 [this](peer_route const& route, wire::Envelope const& m)
                 { on_peer(route, m); }),
@@ -133,7 +135,8 @@
           coord(make_coordinator({}, {})),
           local(loop, *coord,
                 {.form = make_upstream_form(settings.form),
-                 .report_interval = settings.report_interval}),
+                 .report_interval = settings.report_interval,
+                 .drain_limit = settings.drain_limit}),
           served(local, peers, table, settings.name),
           requests(loop, *coord, local, peers, table, counts,
                    {.form = make_caller_form(settings.form),
@@ -141,9 +144,7 @@
                     .region = settings.region,
                     .domain = settings.domain,
                     .origin = settings.service,
-                    .retries = {.ratio = settings.retry_ratio,
-                                .reserve = settings.retry_reserve,
-                                .window = settings.retry_window}}),
+                    .retries = retries()}),
           handover(*coord, local, peers, settings.form == speech::native),
           operators({.settings = settings,
                      .loop = loop,
@@ -173,6 +174,7 @@
     }
 
     node_settings settings;
+    settings_source source;
     event_loop loop;
     metrics counts;
     peer_socket peers;
@@ -195,13 +197,17 @@
     std::uint64_t config_number = 0;
     std::uint64_t config_refused = 0; // the version of a document that was refused
     std::atomic<int> stops{0};
+    std::atomic<bool> reload_asked{false};
+    instant next_reload;
     bool stopping = false;
     bool leaving = false;
     bool left = false;
+    bool closing = false;
     bool ending = false;
     instant stop_began;
     bool carrying_out = false;
     instant next_peer_review;
+    instant next_load_report;
 
     std::string endpoint() const { return "tcp://" + settings.peers; }
 
@@ -472,11 +478,47 @@
             ask_seeds();
         if (now >= next_peer_review)
             review_peers(now);
+        if (now >= next_load_report)
+        {
+            next_load_report = now + load_report_period;
+            for (auto const& report : local.take_load_reports(now))
+                coord->report_load(report, now);
+        }
         coord->tick(now);
         carry_out();
+        if (reload_asked.exchange(false) || now >= next_reload)
+            reload(now);
         follow_stop(now);
     }
 
+    // The file may change with or without a signal.
+    void reload(instant now)
+    {
+        next_reload = now + reload_period;
+        auto const fresh = source();
+        if (!fresh)
+            return log_event(log_level::error, "settings-refused",
+                             {{"error", to_string(fresh.error().front())}});
+        if (fresh.value() == settings)
+            return;
+        log_event(log_level::info, "settings-changed");
+        auto const& next = fresh.value();
+        settings.grace = next.grace;
+        settings.log_level = next.log_level;
+        settings.retry_ratio = next.retry_ratio;
+        settings.retry_reserve = next.retry_reserve;
+        settings.retry_window = next.retry_window;
+        set_log_level(settings.log_level);
+        requests.set_retries(retries());
+    }
+
+    retry_budget_options retries() const
+    {
+        return {.ratio = settings.retry_ratio,
+                .reserve = settings.retry_reserve,
+                .window = settings.retry_window};
+    }
+
     // Closes connections to endpoints that no member has any more.
     void review_peers(instant now)
     {
@@ -521,21 +563,35 @@
                 carry_out();
             }
         }
-        auto const stop_by = stop_began + settings.grace - end_reserve;
-        bool const idle = requests.unfinished() == 0 && local.unfinished() == 0;
+        if (ending)
+            return;
+        auto const grace_end = stop_began + settings.grace;
         bool const callers_gone =
             settings.form == speech::native || now - stop_began >= callers_leave;
-        if ((left || !leaving) && idle && callers_gone && !ending)
-            end_after(now, stop_grace);
-        if (now >= stop_by || stops > 1)
-            end_after(now, 0us);
+        if (callers_gone && !leaving && !closing)
+            begin_closing();
+        bool const idle = requests.unfinished() == 0 && local.unfinished() == 0;
+        bool const late = now >= grace_end - last_answers || stops > 1;
+        if (late || ((left || !leaving) && idle && callers_gone))
+            end(now, stops > 1 ? 0us : stop_grace);
     }
 
-    void end_after(instant now, duration wait)
+    // Callers have been told to go elsewhere. What is in work here is finished, what
+    // waits or still comes is refused.
+    void begin_closing()
+    {
+        closing = true;
+        log_event(log_level::info, "closing");
+        local.begin_closing();
+        say_goodbye();
+    }
+
+    void end(instant now, duration wait)
     {
-        if (!ending)
-            say_goodbye();
         ending = true;
+        say_goodbye();
+        requests.begin_closing();
+        requests.finish_all();
         loop.timers().at(now + wait, [this](instant) { loop.stop(); });
     }
 
@@ -550,7 +606,8 @@
     }
 };
 
-node::node(node_settings settings) : m_impl(std::make_unique<impl>(std::move(settings)))
+node::node(node_settings settings, settings_source source)
+    : m_impl(std::make_unique<impl>(std::move(settings), std::move(source)))
 {
 }
 
@@ -585,4 +642,9 @@
     ++m_impl->stops;
 }
 
+void node::request_reload()
+{
+    m_impl->reload_asked = true;
+}
+
 } // namespace buckthornusher
--- a/src/process/node.hpp
+++ b/src/process/node.hpp
@@ -7,6 +7,7 @@
 
 #include "version/config.hpp"
 
+#include <functional>
 #include <memory>
 
 namespace buckthornusher
@@ -15,8 +16,11 @@
 class node
 {
 public:
+    // Reads the settings anew; see reload().
+    using settings_source = std::function<checked<node_settings>()>;
+
     // Throws std::runtime_error if an address cannot be bound.
-    explicit node(node_settings settings);
+    node(node_settings settings, settings_source source);
     ~node();
     node(node const&) = delete;
     node& operator=(node const&) = delete;
@@ -28,6 +32,11 @@
     // handler.
     void request_stop();
 
+    // Asks for the settings to be read anew; the node does so from time to time by
+    // itself. What can change in a running process is taken: limits and the log's level.
+    // Settings that cannot be read change nothing. May be called from a signal handler.
+    void request_reload();
+
 private:
     struct impl;
     std::unique_ptr<impl> m_impl;
--- a/src/process/peer_table.hpp
+++ b/src/process/peer_table.hpp
@@ -40,8 +40,8 @@
 
     std::uint64_t session() const { return m_session; }
 
-    // The time now on the peer's clock; nothing if it had to be asked for first, or if the
-    // peer is silent.
+    // The time now on the peer's clock; nothing if it had to be asked for first, or if
+    // the peer is silent.
     std::optional<request_clock::stamp_value>
     stamp(std::string const& node, std::string const& endpoint, instant now);
     void forget_clock(std::string const& node) { m_clocks.forget(node); }
--- a/src/request/placement.cpp
+++ b/src/request/placement.cpp
@@ -72,8 +72,8 @@
     if (now < e.avoid_until)
         return std::nullopt;
     auto const slots = std::max(1U, e.load ? e.load->slots : c.slots);
-    auto const service = e.load && e.load->service > 0us ? e.load->service
-                                                         : m_options.first_guess;
+    auto const service =
+        e.load && e.load->service > 0us ? e.load->service : m_options.first_guess;
     double busy = e.sent_since;
     if (e.load)
     {
@@ -87,8 +87,8 @@
     auto const beyond = std::max(0.0, busy + 1 - slots);
     auto const s = seconds(service);
     auto const failing =
-        std::min(worst_failure,
-                 e.failure * std::exp2(-seconds(now - e.failure_seen) / failure_half_life));
+        std::min(worst_failure, e.failure * std::exp2(-seconds(now - e.failure_seen) /
+                                                      failure_half_life));
     return trip + from_seconds((s + beyond * s / slots) / (1 - failing));
 }
 
@@ -113,9 +113,9 @@
 
 void placement::keep_only(std::vector<std::string> const& nodes)
 {
-    std::erase_if(m_entries,
-                  [&](auto const& e)
-                  { return std::find(nodes.begin(), nodes.end(), e.first) == nodes.end(); });
+    std::erase_if(
+        m_entries, [&](auto const& e)
+        { return std::find(nodes.begin(), nodes.end(), e.first) == nodes.end(); });
 }
 
 } // namespace buckthornusher
--- a/src/request/retry_budget.cpp
+++ b/src/request/retry_budget.cpp
@@ -23,31 +23,42 @@
     ++step_at(service, now).requests;
 }
 
-double retry_budget::left(std::string const& service, instant now) const
+retry_budget::sums retry_budget::count(std::string const& service, instant now) const
 {
-    auto const share = m_options.reserve / m_options.nodes;
+    sums found;
     auto const it = m_services.find(service);
     if (it == m_services.end())
-        return m_options.safety * share;
-    auto const newest = step_number(now);
-    double requests = 0;
-    double repeats = 0;
+        return found;
+    auto const first = step_number(now) - static_cast<std::int64_t>(steps);
     for (auto const& s : it->second)
     {
-        if (s.number < 0 || s.number < newest - static_cast<std::int64_t>(steps))
+        if (s.number < 0 || s.number < first)
             continue;
         // The oldest step may lie outside of the window: its repeats count, its requests
         // do not.
-        repeats += static_cast<double>(s.repeats);
-        if (s.number > newest - static_cast<std::int64_t>(steps))
-            requests += static_cast<double>(s.requests);
+        found.repeats += static_cast<double>(s.repeats);
+        if (s.number > first)
+            found.requests += static_cast<double>(s.requests);
     }
-    return m_options.safety * (share + m_options.ratio * requests) - repeats;
+    return found;
+}
+
+double retry_budget::allowed(sums const& s) const
+{
+    return m_options.used *
+           (m_options.reserve / m_options.nodes + m_options.ratio * s.requests);
+}
+
+double retry_budget::left(std::string const& service, instant now) const
+{
+    auto const s = count(service, now);
+    return allowed(s) - s.repeats;
 }
 
-bool retry_budget::try_repeat(std::string const& service, instant now)
+bool retry_budget::try_repeat(std::string const& service, instant now, double kept_share)
 {
-    if (left(service, now) < 1)
+    auto const s = count(service, now);
+    if (allowed(s) * (1 - kept_share) - s.repeats < 1)
         return false;
     ++step_at(service, now).repeats;
     return true;
--- a/src/request/upstream_queue.cpp
+++ b/src/request/upstream_queue.cpp
@@ -11,7 +11,7 @@
 
 constexpr double sample_weight = 0.1; // of the newest time in a class's mean
 constexpr double shed_decrease = 0.9; // of the limit, when the upstream has no room
-constexpr double least_limit = 0.5; // of the slots: one that sheds at random keeps them
+constexpr double least_limit = 0.5;   // of the slots: one that sheds at random keeps them
 constexpr duration shortest_retry = 50ms;
 constexpr duration longest_retry = 2s;
 
@@ -74,9 +74,8 @@
     auto const wait = expected_wait(r.rank, r.due);
     bool const late = now + wait + service > r.deadline || now + wait > r.start_until;
     if (late || m_queue.size() >= m_options.max_queue)
-        return has_no_room{
-            .retry_after = std::clamp(wait, duration(shortest_retry),
-                                      duration(longest_retry))};
+        return has_no_room{.retry_after = std::clamp(wait, duration(shortest_retry),
+                                                     duration(longest_retry))};
     m_queue.insert({.rank = r.rank, .due = r.due, .id = r.id});
     m_waiting[r.id] = {.request = r, .service = service};
     return waits{.expected = wait};
@@ -101,7 +100,8 @@
     auto const sample = static_cast<double>(took.count());
     auto& mean = m_service_us[request_class];
     mean = mean <= 0 ? sample : mean + sample_weight * (sample - mean);
-    m_mean_us = m_mean_us <= 0 ? sample : m_mean_us + sample_weight * (sample - m_mean_us);
+    m_mean_us =
+        m_mean_us <= 0 ? sample : m_mean_us + sample_weight * (sample - m_mean_us);
 }
 
 std::optional<std::uint64_t> upstream_queue::start_next(instant now)
--- a/src/version/config.cpp
+++ b/src/version/config.cpp
@@ -522,6 +522,8 @@
         r.integer("report_interval_ms", 10, longest_interval_ms, 1'000));
     settings.grace =
         std::chrono::milliseconds(r.integer("grace_ms", 100, longest_grace_ms, 20'000));
+    settings.drain_limit = std::chrono::milliseconds(
+        r.integer("drain_limit_ms", 100, longest_grace_ms, 30'000));
     settings.log_level =
         r.choice("log_level", {"debug", "info", "warning", "error"}, "info");
     r.finish();
--- a/src/version/config.hpp
+++ b/src/version/config.hpp
@@ -169,8 +169,10 @@
         seeds;                     // peers to ask when the store is down, "tcp://IP:port"
     duration report_interval = 1s; // of upstreams
     duration grace = 20s;          // between the request to stop and the end
-    double retry_ratio = 0.2;      // repeats for each request, over all nodes
-    double retry_reserve = 50;     // and besides, in a window
+    // After an upstream has said that it is leaving nothing new is sent to it for longer.
+    duration drain_limit = 30s;
+    double retry_ratio = 0.2;  // repeats for each request, over all nodes
+    double retry_reserve = 50; // and besides, in a window
     duration retry_window = 10s;
     std::string log_level = "info";
     friend bool operator==(node_settings const&, node_settings const&) = default;
