--- a/include/buckthornusher/coordinator.hpp
+++ b/include/buckthornusher/coordinator.hpp
@@ -58,6 +58,9 @@
     // embedder calls begin_drain() for shards that are to move. Otherwise a new life of
     // an upstream takes orders that were meant for the one before.
     bool granted_upstreams = false;
+    // A member that knows of nobody who watches the configuration for so long watches it
+    // itself.
+    duration config_silence = 2s;
     lease_options lease;
     plan_options planning;
     guards guard;
--- a/include/buckthornusher/messages.hpp
+++ b/include/buckthornusher/messages.hpp
@@ -21,6 +21,7 @@
     std::uint64_t sequence = 0;
     std::uint64_t revision = 0; // of the sender's replica
     std::uint64_t config_version = 0;
+    duration config_age{0}; // since some member was seen to watch the configuration
     friend bool operator==(renew const&, renew const&) = default;
 };
 
@@ -30,6 +31,7 @@
     bool permitted = false; // the watcher has the permission to watch
     std::uint64_t revision = 0;
     std::uint64_t config_version = 0;
+    duration config_age{0};
     friend bool operator==(renew_ack const&, renew_ack const&) = default;
 };
 
--- a/include/buckthornusher/upstream_queue.hpp
+++ b/include/buckthornusher/upstream_queue.hpp
@@ -2,10 +2,11 @@
 // refuses at once.
 //
 // The upstream runs `slots` requests at a time. Requests beyond that wait here, the more
-// urgent rank first and within a rank the earliest due first. A request is refused on
-// arrival if, by what the upstream has needed lately, it could not start within what its
-// sender allows or not end before its deadline; so nobody waits for an answer that will
-// not come. The refusal says when there is likely to be room.
+// urgent rank first and within a rank the earliest due first; one that would be late goes
+// after those that would not. A request is refused on arrival if, by what the upstream has
+// needed lately, it could not start within what its sender allows or not end when it is
+// due; so nobody waits for an answer that will not come. The refusal says when there is
+// likely to be room.
 //
 //   load it answers: more work than slots, for seconds or for good; an upstream that
 //   has turned slow or starts cold; a mix of short and long requests.
@@ -13,7 +14,6 @@
 // The time that a request needs is learnt for each class of requests (a route), as
 // requests of one upstream differ far more by class than within one.
 //
-//
 // Cost: O(queue) for an arrival and O(log queue) otherwise; memory is bounded by
 // `max_queue`.
 #ifndef BUCKTHORNUSHER_UPSTREAM_QUEUE_HPP
--- a/src/connection/wire.cpp
+++ b/src/connection/wire.cpp
@@ -23,6 +23,18 @@
     return status.ok();
 }
 
+std::uint64_t to_count(duration d)
+{
+    return static_cast<std::uint64_t>(std::max(d, duration{0}).count());
+}
+
+// What is too long to be one counts as the longest that is told.
+duration to_duration(std::uint64_t count)
+{
+    constexpr std::uint64_t longest = 1'000'000'000'000; // eleven days
+    return duration(static_cast<duration::rep>(std::min(count, longest)));
+}
+
 // ---- records ----
 
 void encode_to(member_record const& m, wire::Record& out)
@@ -158,6 +170,7 @@
     out.mutable_renew()->set_sequence(m.sequence);
     out.mutable_renew()->set_revision(m.revision);
     out.mutable_renew()->set_config_version(m.config_version);
+    out.mutable_renew()->set_config_age(to_count(m.config_age));
 }
 
 void encode_to(renew_ack const& m, wire::Envelope& out)
@@ -167,6 +180,7 @@
     w.set_permitted(m.permitted);
     w.set_revision(m.revision);
     w.set_config_version(m.config_version);
+    w.set_config_age(to_count(m.config_age));
 }
 
 void encode_to(refuse const& m, wire::Envelope& out)
@@ -298,12 +312,14 @@
     case wire::Envelope::kRenew:
         return renew{.sequence = in.renew().sequence(),
                      .revision = in.renew().revision(),
-                     .config_version = in.renew().config_version()};
+                     .config_version = in.renew().config_version(),
+                     .config_age = to_duration(in.renew().config_age())};
     case wire::Envelope::kRenewAck:
         return renew_ack{.sequence = in.renew_ack().sequence(),
                          .permitted = in.renew_ack().permitted(),
                          .revision = in.renew_ack().revision(),
-                         .config_version = in.renew_ack().config_version()};
+                         .config_version = in.renew_ack().config_version(),
+                         .config_age = to_duration(in.renew_ack().config_age())};
     case wire::Envelope::kRefuse:
         return refuse{.subject = decode(in.refuse().subject())};
     case wire::Envelope::kRefused:
--- a/src/coordination/coordinator.cpp
+++ b/src/coordination/coordinator.cpp
@@ -13,6 +13,8 @@
 {
 constexpr duration pause_threshold = 600ms; // between ticks
 constexpr duration pull_patience = 300ms;
+// A watch that was begun longer ago may have been cut off.
+constexpr duration longest_config_watch = 3s;
 } // namespace
 
 void coordinator::impl::send(member_id const& to, control_message message)
@@ -180,6 +182,12 @@
     send(peer, pull{.from = copy.revision(), .config_version = own_config});
 }
 
+void coordinator::impl::note_config_age(std::uint64_t version, duration age, instant now)
+{
+    if (version == copy.version_of(config_object))
+        config_confirmed = std::max(config_confirmed, now - age);
+}
+
 void coordinator::impl::on(member_id const& from, renew const& m, instant now)
 {
     if (watcher.on_renew(from, now))
@@ -190,14 +198,17 @@
         send(from, renew_ack{.sequence = m.sequence,
                              .permitted = now < watch_permission(),
                              .revision = copy.revision(),
-                             .config_version = copy.version_of(config_object)});
+                             .config_version = copy.version_of(config_object),
+                             .config_age = now - config_confirmed});
     }
+    note_config_age(m.config_version, m.config_age, now);
     note_revision(from, m.revision, m.config_version, now);
 }
 
 void coordinator::impl::on(member_id const& from, renew_ack const& m, instant now)
 {
     lease.on_ack(from, m.sequence, m.permitted, now);
+    note_config_age(m.config_version, m.config_age, now);
     note_revision(from, m.revision, m.config_version, now);
 }
 
@@ -247,9 +258,11 @@
     bool const is_member = at == phase::member;
     if (is_member && copy.revision() < takeover_version && opts.guard.sync_after_takeover)
         fleet_reader.want_list();
-    bool const alone = is_member && is_alone(now);
-    fleet_reader.set_listening(is_member && (listens || alone));
-    config_reader.set_listening(is_member && (config_listens || alone));
+    if (config_reader.watching(now, longest_config_watch))
+        config_confirmed = now;
+    bool const nobody_watches = now - config_confirmed > opts.config_silence;
+    fleet_reader.set_listening(is_member && (listens || is_alone(now)));
+    config_reader.set_listening(is_member && (config_listens || nobody_watches));
     if (auto operation = fleet_reader.next(next_call_id, copy.revision(), now))
         call(std::move(*operation));
     if (auto operation = config_reader.next(next_call_id, copy.config_revision(), now))
@@ -366,6 +379,7 @@
 {
     m_impl->last_tick = now;
     m_impl->last_membership_change = now;
+    m_impl->config_confirmed = now;
     if (m_impl->copy.revision() > 0)
         m_impl->resume(now);
     else
--- a/src/coordination/coordinator_impl.hpp
+++ b/src/coordination/coordinator_impl.hpp
@@ -109,6 +109,8 @@
     bool config_listens = false;                     // to the configuration
     std::map<std::string, std::size_t> keeper_ranks; // by chunk object
 
+    instant config_confirmed; // when some member was last seen to watch it
+
     std::optional<instant> behind_since; // a peer's replica is ahead of ours
     std::uint64_t highest_revision = 0;  // that a peer has had
     std::uint64_t highest_config = 0;    // the same of the configuration's version
@@ -266,6 +268,9 @@
 
     void read_store(instant now);
 
+    // A peer of that configuration knows who watches it.
+    void note_config_age(std::uint64_t version, duration age, instant now);
+
     // Those who would tell of changes do not answer: the store has to be asked.
     bool is_alone(instant now) const;
 
--- a/src/coordination/coordinator_membership.cpp
+++ b/src/coordination/coordinator_membership.cpp
@@ -225,7 +225,8 @@
     for (auto const& id : lease.asked())
         send(id, renew{.sequence = sequence,
                        .revision = copy.revision(),
-                       .config_version = copy.version_of(config_object)});
+                       .config_version = copy.version_of(config_object),
+                       .config_age = now - config_confirmed});
 }
 
 instant coordinator::impl::watch_permission() const
--- a/src/coordination/hold_ledger.cpp
+++ b/src/coordination/hold_ledger.cpp
@@ -158,7 +158,8 @@
             continue;
         granted.insert(w.index);
         auto& s = m_states[w.index];
-        s = {.epoch = w.epoch, .until = until, .over = over};
+        // The answer may be lost; then an earlier and longer one goes on.
+        s = {.epoch = w.epoch, .until = until, .over = std::max(s.over, over)};
     }
     for (auto& [index, s] : m_states)
         if (!granted.contains(index))
--- a/src/process/ingress.cpp
+++ b/src/process/ingress.cpp
@@ -25,6 +25,9 @@
 // come back.
 constexpr int waiting_percent = 40;
 constexpr duration owner_retry = 300ms;
+constexpr double class_weight = 0.1; // of the newest time in a class's mean
+// Hardly any request needs more than so many times its class's mean.
+constexpr int longest_over_mean = 8;
 constexpr duration restart_retry = 500ms; // another process follows at this place
 // Of the budget of repeats: an upstream that answers with a failure often does so because
 // another one is short of room, and a repeat adds to that.
@@ -43,6 +46,12 @@
     return std::min(*facts.patience, service.keyed ? service.deadline : longest_deadline);
 }
 
+// Requests of one route need about the same time.
+std::string class_of(route_config const& route)
+{
+    return route.host + route.prefix;
+}
+
 bool repeatable(route_config const& route, http_request const& request)
 {
     switch (route.repeats)
@@ -122,13 +131,13 @@
     };
     if (m_routes == nullptr)
         return refuse_early("-", reason::no_configuration, owner_retry);
-    if (m_closing)
-        return refuse_early("-", reason::stopping, restart_retry);
     auto const match = m_routes->find(request, m_random());
     if (!match)
         return refuse_early("-", reason::no_route, 0us);
     if (match->service->keyed && !shard_of(*match->service, match->key))
         return refuse_early(match->service->name, reason::no_key, 0us);
+    if (m_closing && !ends_in_time(class_of(*match->route), now))
+        return refuse_early(match->service->name, reason::stopping, restart_retry);
     auto facts =
         std::visit([&](auto const& form) { return form.read(request); }, m_options.form);
     auto& f = begin(std::move(request), reply, std::move(facts), *match, now);
@@ -154,7 +163,7 @@
     o.id = std::move(facts.id);
     o.operation = std::move(facts.operation);
     o.origin = m_options.origin;
-    o.request_class = route.host + route.prefix;
+    o.request_class = class_of(route);
     o.rank = route.rank;
     o.repeatable = repeatable(route, request);
     o.deadline = now + deadline_of(facts, match);
@@ -358,6 +367,8 @@
 // Until there is somebody to send it to.
 void ingress::wait(flight& f, instant now)
 {
+    if (m_closing)
+        return refuse(f, reason::stopping, restart_retry);
     m_waiting.insert(f.id);
     if (!f.waiting_since)
         f.waiting_since = now;
@@ -562,6 +573,12 @@
 {
     auto const now = boot_now();
     m_metrics.count_outcome(f.o.service, kind, why, now - f.arrived);
+    if (kind == outcome_kind::answered)
+    {
+        auto const sample = static_cast<double>((now - f.arrived).count());
+        auto& mean = m_class_us[f.o.request_class];
+        mean = mean <= 0 ? sample : mean + class_weight * (sample - mean);
+    }
     m_burn.count(f.o.service, kind == outcome_kind::answered,
                  now - f.arrived > f.latency_bound, now);
     m_loop.timers().cancel(f.timer);
@@ -588,6 +605,15 @@
         });
 }
 
+bool ingress::ends_in_time(std::string const& request_class, instant now) const
+{
+    auto const it = m_class_us.find(request_class);
+    if (it == m_class_us.end())
+        return false;
+    auto const mean = duration(static_cast<duration::rep>(it->second));
+    return now + longest_over_mean * mean < *m_closing;
+}
+
 void ingress::finish_all()
 {
     std::vector<flight_id> all;
--- a/src/process/ingress.hpp
+++ b/src/process/ingress.hpp
@@ -71,8 +71,8 @@
     }
     void set_coordinator(coordinator& coord) { m_coordinator = &coord; }
     void set_retries(retry_budget_options opts) { m_retries.set_options(opts); }
-    // From now on nothing new is taken.
-    void begin_closing() { m_closing = true; }
+    // From now on only requests are taken that are certain enough to end before `end`.
+    void begin_closing(instant end) { m_closing = end; }
     // Gives every caller its last answer.
     void finish_all();
     void on_replica_changed(instant now);
@@ -107,6 +107,7 @@
     void end_sending(flight& f, bool failed, instant now);
     void on_silent(std::string const& node, instant now);
     void on_lost(std::string const& node, bool certainly, instant now);
+    bool ends_in_time(std::string const& request_class, instant now) const;
     void refuse(flight& f, reason why, duration retry_after);
     void give_up(flight& f, reason why);
     void finish(flight& f, http_response response, outcome_kind kind, reason why);
@@ -134,7 +135,8 @@
     burn_recorder m_burn;
     std::mt19937_64 m_random;
     flight_id m_next_id = 1;
-    bool m_closing = false;
+    std::optional<instant> m_closing; // when the last answers are given
+    std::map<std::string, double> m_class_us; // mean time to the answer, by class
 };
 
 } // namespace buckthornusher
--- a/src/process/node.cpp
+++ b/src/process/node.cpp
@@ -37,6 +37,9 @@
 constexpr duration control_period = 50ms;
 constexpr duration request_period = 20ms;
 constexpr duration peer_review_period = 30s;
+constexpr duration longest_config_silence = 5s;
+// Of the bound on a new document, for reading it and passing it on.
+constexpr duration config_reserve = 600ms;
 constexpr duration reload_period = 5s; // looks for settings that changed without a signal
 constexpr duration load_report_period = 1s;
 constexpr duration stop_grace = 300ms; // callers' last answers leave
@@ -228,6 +231,8 @@
             .unfenced_wait = unfenced_wait,
             .ordered_configuration = ordered_configuration,
             .granted_upstreams = settings.form == speech::platform,
+            .config_silence = std::min<duration>(
+                longest_config_silence, settings.config_bound - config_reserve),
             .lease = make_lease(settings),
             .planning = {},
             .guard = {},
@@ -583,6 +588,7 @@
         closing = true;
         log_event(log_level::info, "closing");
         local.begin_closing();
+        requests.begin_closing(stop_began + settings.grace - last_answers);
         say_goodbye();
     }
 
@@ -590,7 +596,7 @@
     {
         ending = true;
         say_goodbye();
-        requests.begin_closing();
+        requests.begin_closing(now);
         requests.finish_all();
         loop.timers().at(now + wait, [this](instant) { loop.stop(); });
     }
--- a/src/request/upstream_queue.cpp
+++ b/src/request/upstream_queue.cpp
@@ -72,7 +72,10 @@
         return starts_now{};
     }
     auto const wait = expected_wait(r.rank, r.due);
-    bool const late = now + wait + service > r.deadline || now + wait > r.start_until;
+    // While there is more work than slots, a slot that is spent on a late answer is
+    // missing for one in time.
+    auto const limit = now + service <= r.due ? std::min(r.due, r.deadline) : r.deadline;
+    bool const late = now + wait + service > limit || now + wait > r.start_until;
     if (late || m_queue.size() >= m_options.max_queue)
         return has_no_room{.retry_after = std::clamp(wait, duration(shortest_retry),
                                                      duration(longest_retry))};
@@ -108,19 +111,26 @@
 {
     if (!has_slot())
         return std::nullopt;
+    auto chosen = m_queue.end();
     for (auto it = m_queue.begin(); it != m_queue.end(); ++it)
     {
         auto const& w = m_waiting.at(it->id);
         // It could not end in time; expire() names it.
         if (now + w.service > w.request.deadline)
             continue;
-        auto const id = it->id;
-        m_running.emplace(id, w.request.request_class);
-        m_waiting.erase(id);
-        m_queue.erase(it);
-        return id;
+        bool const in_time = now + w.service <= w.request.due;
+        if (chosen == m_queue.end() || in_time)
+            chosen = it;
+        if (in_time)
+            break;
     }
-    return std::nullopt;
+    if (chosen == m_queue.end())
+        return std::nullopt;
+    auto const id = chosen->id;
+    m_running.emplace(id, m_waiting.at(id).request.request_class);
+    m_waiting.erase(id);
+    m_queue.erase(chosen);
+    return id;
 }
 
 std::vector<std::uint64_t> upstream_queue::expire(instant now)
--- a/src/version/config.cpp
+++ b/src/version/config.cpp
@@ -524,6 +524,8 @@
         std::chrono::milliseconds(r.integer("grace_ms", 100, longest_grace_ms, 20'000));
     settings.drain_limit = std::chrono::milliseconds(
         r.integer("drain_limit_ms", 100, longest_grace_ms, 30'000));
+    settings.config_bound = std::chrono::milliseconds(
+        r.integer("config_bound_ms", 500, longest_grace_ms, 15'000));
     settings.log_level =
         r.choice("log_level", {"debug", "info", "warning", "error"}, "info");
     r.finish();
--- /dev/null
+++ b/tests/hold_ledger_test.cpp
@@ -0,0 +1,243 @@
+// What an upstream is granted, against a model of an upstream with a clock of its own.
+#include "buckthornusher/hold_ledger.hpp"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <map>
+#include <optional>
+
+namespace buckthornusher
+{
+namespace
+{
+
+constexpr std::uint32_t shards = 8;
+
+instant at_ms(std::int64_t ms)
+{
+    return instant(std::chrono::milliseconds(ms));
+}
+
+// An upstream that holds what the last answer granted, until its own clock says that it
+// has run out, and works on a released shard for a while.
+class model_upstream
+{
+public:
+    explicit model_upstream(int slow_percent) : m_slow_percent(slow_percent) {}
+
+    bool holds(std::uint32_t shard, instant now) const
+    {
+        auto const it = m_holds.find(shard);
+        return it != m_holds.end() && now < it->second.until;
+    }
+
+    upstream_report report(instant now)
+    {
+        upstream_report r;
+        r.service = "s";
+        r.granted = true;
+        r.sequence = ++m_sequence;
+        std::erase_if(m_holds, [&](auto const& h) { return now >= h.second.until; });
+        std::erase_if(m_working, [&](auto const& w) { return now >= w.second; });
+        for (auto const& [shard, h] : m_holds)
+            r.holds.push_back({.keys = numbers_of_shard(shard, shards), .epoch = h.epoch});
+        for (auto const& entry : m_working)
+            if (!m_holds.contains(entry.first))
+                r.holds.push_back({.keys = numbers_of_shard(entry.first, shards)});
+        for (auto const& shard : m_freed)
+            r.freed.push_back({.keys = numbers_of_shard(shard, shards),
+                               .handover = "h" + std::to_string(shard)});
+        return r;
+    }
+
+    // `sent`: when the report was sent. What is left out is released at once, but for
+    // work that goes on until `busy_until`.
+    void take(upstream_grant const& grant, instant sent, instant now, instant busy_until)
+    {
+        auto const until = sent + grant.hold * (100 + m_slow_percent) / 100;
+        std::map<std::uint32_t, hold> next;
+        for (auto const& range : grant.ranges)
+            for (std::uint32_t s = 0; s < shards; ++s)
+                if (range.keys.first <= numbers_of_shard(s, shards).first &&
+                    numbers_of_shard(s, shards).last <= range.keys.last)
+                    next[s] = {.until = until, .epoch = range.epoch};
+        m_freed.clear();
+        for (auto const& entry : m_holds)
+            if (!next.contains(entry.first))
+            {
+                m_freed.push_back(entry.first);
+                // Work ends with the hold under which it began.
+                if (busy_until > now)
+                    m_working[entry.first] = std::min(busy_until, entry.second.until);
+            }
+        m_holds = std::move(next);
+    }
+
+    bool works_on(std::uint32_t shard, instant now) const
+    {
+        auto const it = m_working.find(shard);
+        return it != m_working.end() && now < it->second;
+    }
+
+private:
+    struct hold
+    {
+        instant until;
+        std::uint64_t epoch = 0;
+    };
+
+    int m_slow_percent;
+    std::uint64_t m_sequence = 0;
+    std::map<std::uint32_t, hold> m_holds;
+    std::map<std::uint32_t, instant> m_working;
+    std::vector<std::uint32_t> m_freed;
+};
+
+std::vector<wanted_shard> all_shards(std::uint64_t epoch)
+{
+    std::vector<wanted_shard> wanted;
+    for (std::uint32_t s = 0; s < shards; ++s)
+        wanted.push_back({.index = s, .epoch = epoch, .handover = ""});
+    return wanted;
+}
+
+// Answers are lost, leases end, shards leave. Whatever happens, the upstream holds
+// nothing after the lease under which it was last granted, and a shard that the ledger
+// calls released is neither held nor worked on.
+RC_GTEST_PROP(hold_ledger, nothing_is_held_beyond_the_lease_or_after_its_release, ())
+{
+    model_upstream upstream(*rc::gen::inRange(-2, 3));
+    hold_ledger ledger(shards, {});
+    auto now = at_ms(1'000'000);
+    instant last_lease;
+    std::map<std::uint32_t, bool> leaving;
+    for (int i = 0; i < 60; ++i)
+    {
+        now += std::chrono::milliseconds(*rc::gen::inRange(50, 1'500));
+        auto const sent = now;
+        auto const report = upstream.report(now);
+        now += std::chrono::milliseconds(*rc::gen::inRange(0, 300)); // its way here
+        auto const lease = now + std::chrono::milliseconds(*rc::gen::inRange(-500, 3'000));
+        std::vector<wanted_shard> wanted;
+        std::vector<wanted_shard> left;
+        for (std::uint32_t s = 0; s < shards; ++s)
+        {
+            if (!leaving[s] && *rc::gen::inRange(0, 10) == 0)
+            {
+                leaving[s] = true;
+                left.push_back({.index = s, .epoch = 1, .handover = ""});
+            }
+            if (!leaving[s])
+                wanted.push_back({.index = s, .epoch = 1, .handover = ""});
+        }
+        auto const grant = ledger.on_report(report, wanted, left, lease, now);
+        for (auto const& r : ledger.take_released(now))
+        {
+            RC_ASSERT(leaving[r.index]);
+            RC_ASSERT(!upstream.holds(r.index, now));
+            RC_ASSERT(!upstream.works_on(r.index, now));
+        }
+        bool const lost = *rc::gen::inRange(0, 4) == 0;
+        if (grant && !lost)
+        {
+            last_lease = lease;
+            upstream.take(*grant, sent, now,
+                          now + std::chrono::milliseconds(*rc::gen::inRange(-100, 400)));
+        }
+        // At the end of the lease, whatever comes.
+        for (std::uint32_t s = 0; s < shards; ++s)
+            RC_ASSERT(!upstream.holds(s, last_lease));
+        // What the ledger lets be asked is held, if the answer arrived.
+        for (std::uint32_t s = 0; grant && !lost && s < shards; ++s)
+            if (auto const until = ledger.held_until(s, 1); until > now)
+                RC_ASSERT(upstream.holds(s, std::min(until, sent + grant->hold * 97 / 100)));
+    }
+}
+
+TEST(hold_ledger, a_handover_goes_with_the_release_and_the_next_grant)
+{
+    model_upstream first(0);
+    hold_ledger ledger(shards, {});
+    auto now = at_ms(1'000);
+    auto const lease = now + 10s;
+    auto grant = ledger.on_report(first.report(now), all_shards(3), {}, lease, now);
+    ASSERT_TRUE(grant);
+    EXPECT_EQ(grant->ranges,
+              (std::vector<granted_range>{
+                  {.keys = {.first = 0, .last = 65'535}, .epoch = 3, .handover = ""}}))
+        << "neighbours are told as one";
+    first.take(*grant, now, now, now);
+    auto wanted = all_shards(3);
+    wanted.erase(wanted.begin());
+    now += 500ms;
+    grant = ledger.on_report(first.report(now), wanted,
+                             {{.index = 0, .epoch = 3, .handover = ""}}, lease, now);
+    EXPECT_TRUE(ledger.take_released(now).empty()) << "not before it says so";
+    first.take(*grant, now, now, now);
+    now += 100ms;
+    ledger.on_report(first.report(now), wanted, {}, lease, now);
+    EXPECT_EQ(ledger.take_released(now),
+              (std::vector<released_shard>{{.index = 0, .epoch = 3, .handover = "h0"}}));
+
+    model_upstream second(0);
+    hold_ledger next(shards, {});
+    auto const fresh = next.on_report(second.report(now),
+                                      {{.index = 0, .epoch = 4, .handover = "h0"}}, {},
+                                      lease, now);
+    ASSERT_TRUE(fresh);
+    EXPECT_EQ(fresh->ranges.front().handover, "h0");
+    second.take(*fresh, now, now, now);
+    auto const again = next.on_report(second.report(now),
+                                      {{.index = 0, .epoch = 4, .handover = "h0"}}, {},
+                                      lease, now);
+    EXPECT_EQ(again->ranges.front().handover, "") << "it is needed once";
+}
+
+// A process that has just started does not know what the one before granted: it must not
+// end it, and a shard that is to move is not free before the upstream says so.
+TEST(hold_ledger, a_new_process_goes_on_with_what_is_held)
+{
+    model_upstream upstream(0);
+    auto now = at_ms(1'000);
+    auto const lease = now + 10s;
+    {
+        hold_ledger before(shards, {});
+        upstream.take(*before.on_report(upstream.report(now), all_shards(1), {}, lease, now),
+                      now, now, now);
+    }
+    hold_ledger ledger(shards, {});
+    EXPECT_EQ(ledger.on_report(upstream.report(now), {}, {}, now, now), std::nullopt)
+        << "without a lease nothing is told";
+    auto wanted = all_shards(1);
+    wanted.pop_back();
+    auto const grant = ledger.on_report(upstream.report(now), wanted,
+                                        {{.index = 7, .epoch = 1, .handover = ""}},
+                                        lease, now);
+    EXPECT_TRUE(ledger.take_released(now).empty());
+    upstream.take(*grant, now, now, now);
+    now += 100ms;
+    ledger.on_report(upstream.report(now), wanted, {}, lease, now);
+    EXPECT_EQ(ledger.take_released(now).size(), 1U);
+}
+
+TEST(hold_ledger, an_answer_that_is_too_long_keeps_what_is_held)
+{
+    hold_options const opts{.answer_bytes = 100, .range_bytes = 30};
+    hold_ledger ledger(shards, opts);
+    upstream_report report;
+    report.holds = {{.keys = numbers_of_shard(6, shards), .epoch = 1}};
+    std::vector<wanted_shard> wanted;
+    for (std::uint32_t s = 0; s < shards; s += 2)
+        wanted.push_back({.index = s, .epoch = 1, .handover = ""});
+    auto const grant = ledger.on_report(report, wanted, {}, at_ms(5'000), at_ms(1'000));
+    ASSERT_EQ(grant->ranges.size(), 3U);
+    EXPECT_EQ(grant->ranges.front().keys, numbers_of_shard(6, shards));
+    EXPECT_GT(ledger.held_until(0, 1), at_ms(1'000));
+    EXPECT_LE(ledger.held_until(4, 1), at_ms(1'000)) << "it was not told";
+    ledger.deny(0);
+    EXPECT_LE(ledger.held_until(0, 1), at_ms(1'000)) << "until the next report";
+}
+
+} // namespace
+} // namespace buckthornusher
--- /dev/null
+++ b/tests/platform_test.cpp
@@ -0,0 +1,459 @@
+// The adapter to the platform: what is read from its messages and what is written.
+#include "connection/wire.hpp"
+#include "platform/caller_form.hpp"
+#include "platform/configuration.hpp"
+#include "platform/object_store.hpp"
+#include "platform/reports.hpp"
+#include "platform/upstream_form.hpp"
+
+#include <gtest/gtest.h>
+
+namespace buckthornusher::platform
+{
+namespace
+{
+
+// ---- callers ----
+
+TEST(platform_callers, tell_their_id_and_how_long_they_wait)
+{
+    http_request request{.method = "GET", .target = "/"};
+    request.headers = {{"x-buckthornusher-request-id", "9c"},
+                       {"X-Buckthornusher-Deadline-Ms", "1500"}};
+    EXPECT_EQ(caller_form{}.read(request),
+              (caller_facts{.id = "9c", .patience = 1'500ms, .operation = ""}));
+    EXPECT_EQ(caller_form{}.read({}), caller_facts{});
+    for (auto const* nonsense : {"", "x", "-1"})
+    {
+        http_request bad;
+        bad.headers = {{"X-Buckthornusher-Deadline-Ms", nonsense}};
+        EXPECT_EQ(caller_form{}.read(bad).patience, std::nullopt) << nonsense;
+    }
+}
+
+TEST(platform_callers, cannot_say_where_they_are_or_which_upstream_is_meant)
+{
+    http_request request;
+    request.headers = {{"X-Buckthornusher-Caller-Service", "a"},
+                       {"x-buckthornusher-expect-instance", "b"},
+                       {"X-Other", "c"}};
+    caller_form{}.strip(request);
+    EXPECT_EQ(request.headers, (http_headers{{"X-Other", "c"}}));
+}
+
+TEST(platform_callers, statuses_promise_only_what_is_known)
+{
+    caller_form const form;
+    auto const status = [&](reason why, bool ran)
+    {
+        return form.refused({.why = why, .may_have_run = ran}).status;
+    };
+    EXPECT_EQ(status(reason::overloaded, false), 429);
+    EXPECT_EQ(status(reason::no_owner, false), 503);
+    EXPECT_EQ(status(reason::no_configuration, false), 503);
+    EXPECT_EQ(status(reason::no_route, false), 404);
+    for (auto const why : {reason::answer_lost, reason::owner_lost, reason::deadline,
+                           reason::stopping})
+        EXPECT_TRUE(status(why, true) == 502 || status(why, true) == 504);
+    auto const refused =
+        form.refused({.why = reason::overloaded, .retry_after = 1'250ms});
+    EXPECT_EQ(find_header(refused.headers, "retry-after"), "1.250");
+}
+
+// ---- upstreams ----
+
+TEST(platform_upstreams, are_told_what_is_left_and_which_life_is_meant)
+{
+    http_request request{.method = "GET", .target = "/x?y"};
+    request.headers = {{"Host", "h"},
+                       {"X-Buckthornusher-Request-Id", "9c"},
+                       {"X-Buckthornusher-Deadline-Ms", "1500"}};
+    auto const sent = upstream_form{}.order(
+        request,
+        {.life = {.id = "i-1", .started = 5}, .origin = "desk", .time_left = 1'234'567us});
+    EXPECT_EQ(find_header(sent.headers, "x-buckthornusher-deadline-ms"), "1234");
+    EXPECT_EQ(find_header(sent.headers, "x-buckthornusher-expect-instance"), "i-1");
+    EXPECT_EQ(find_header(sent.headers, "x-buckthornusher-caller-service"), "desk");
+    EXPECT_EQ(find_header(sent.headers, "x-buckthornusher-request-id"), "9c");
+    EXPECT_EQ(sent.target, request.target);
+    EXPECT_EQ(sent.headers.size(), 5U);
+}
+
+TEST(platform_upstreams, an_answer_belongs_to_the_request_whose_id_it_repeats)
+{
+    http_request request;
+    request.headers = {{"X-Buckthornusher-Request-Id", "a"}};
+    http_response answer;
+    EXPECT_FALSE(upstream_form{}.belongs(request, answer));
+    answer.headers = {{"x-buckthornusher-request-id", "b"}};
+    EXPECT_FALSE(upstream_form{}.belongs(request, answer));
+    answer.headers = {{"x-buckthornusher-request-id", "a"}};
+    EXPECT_TRUE(upstream_form{}.belongs(request, answer));
+}
+
+TEST(platform_upstreams, answers_mean_no_more_than_they_say)
+{
+    auto const meaning = [](int status, http_headers headers)
+    {
+        return upstream_form{}.meaning({.status = status, .headers = std::move(headers)});
+    };
+    http_header const signature{"X-Buckthornusher-Response-Signature", "s"};
+    http_header const not_run{"X-Buckthornusher-Not-Executed", "1"};
+    EXPECT_EQ(meaning(200, {signature}), answer_meaning::answered);
+    EXPECT_EQ(meaning(200, {}), answer_meaning::spoilt);
+    EXPECT_EQ(meaning(200, {signature, {"Content-Encoding", "gzip"}}),
+              answer_meaning::spoilt);
+    EXPECT_EQ(meaning(404, {signature}), answer_meaning::answered);
+    EXPECT_EQ(meaning(500, {signature}), answer_meaning::failed);
+    EXPECT_EQ(meaning(504, {signature}), answer_meaning::failed);
+    EXPECT_EQ(meaning(503, {not_run}), answer_meaning::no_room);
+    EXPECT_EQ(meaning(429, {not_run}), answer_meaning::no_room);
+    EXPECT_EQ(meaning(421, {not_run}), answer_meaning::not_held);
+    // These would promise a caller that nothing has run.
+    for (int const status : {408, 429, 503})
+        EXPECT_EQ(meaning(status, {signature}), answer_meaning::spoilt) << status;
+}
+
+// ---- heartbeats ----
+
+http_request beat(std::string body, std::string target = "/v1/instances/i-7")
+{
+    return {.method = "PUT", .target = std::move(target), .headers = {}, .body = std::move(body)};
+}
+
+std::string const whole_beat =
+    R"({"service":"s","address":"10.0.0.9:8080","zone":"z","version":"v1","slots":12,)"
+    R"("state":"draining","cold_remaining_ms":1500,"sequence":4,"born":1767225600123,)"
+    R"("holds":[[0,4095,7],[9000,9999,8]],"freed":[[4096,8191,"5c"]],"later":{}})";
+
+TEST(platform_reports, a_heartbeat_is_read_whole)
+{
+    auto const read = read_announcement(beat(whole_beat));
+    ASSERT_TRUE(std::holds_alternative<upstream_report>(read));
+    auto const& report = std::get<upstream_report>(read);
+    EXPECT_EQ(report.life, (upstream_life{.id = "i-7", .started = 1'767'225'600'123}));
+    EXPECT_EQ(report.service, "s");
+    EXPECT_EQ(report.ip, "10.0.0.9");
+    EXPECT_EQ(report.port, 8'080);
+    EXPECT_EQ(report.slots, 12U);
+    EXPECT_EQ(report.sequence, 4U);
+    EXPECT_EQ(report.state, upstream_state::draining);
+    EXPECT_EQ(report.cold_for, 1'500ms);
+    EXPECT_EQ(report.holds,
+              (std::vector<held_range>{
+                  {.keys = {.first = 0, .last = 4'095}, .epoch = 7},
+                  {.keys = {.first = 9'000, .last = 9'999}, .epoch = 8}}));
+    EXPECT_EQ(report.freed,
+              (std::vector<freed_range>{
+                  {.keys = {.first = 4'096, .last = 8'191}, .handover = "5c"}}));
+}
+
+TEST(platform_reports, what_cannot_be_read_names_no_upstream)
+{
+    auto const without = [](std::string const& part, std::string const& in_place)
+    {
+        auto text = whole_beat;
+        auto const at = text.find(part);
+        EXPECT_NE(at, std::string::npos) << part;
+        return text.replace(at, part.size(), in_place);
+    };
+    std::vector<std::string> const bad{
+        "",
+        "[]",
+        "{",
+        "\xff\xfe",
+        "{}",
+        without(R"("service":"s")", R"("service":7)"),
+        without(R"("service":"s")", R"("service":"")"),
+        without(R"("service":"s",)", ""),
+        without("10.0.0.9:8080", "10.0.0.9"),
+        without("10.0.0.9:8080", "10.0.0.9:0"),
+        without("10.0.0.9:8080", "10.0.0.9:99999"),
+        without("10.0.0.9:8080", ":80"),
+        without(R"("slots":12)", R"("slots":0)"),
+        without(R"("slots":12)", R"("slots":"12")"),
+        without(R"("slots":12)", R"("slots":-1)"),
+        without(R"("sequence":4)", R"("sequence":4.5)"),
+        without(R"("state":"draining")", R"("state":"odd")"),
+        without(R"([0,4095,7])", R"([0,4095])"),
+        without(R"([0,4095,7])", R"([4095,0,7])"),
+        without(R"([0,4095,7])", R"([0,65536,7])"),
+        without(R"([0,4095,7])", R"([-1,4095,7])"),
+        without(R"([0,4095,7])", R"([0,4095,"7"])"),
+        without(R"([4096,8191,"5c"])", R"([4096,8191,5])"),
+        without(R"([[4096,8191,"5c"]])", R"({})"),
+    };
+    for (auto const& body : bad)
+        EXPECT_TRUE(std::holds_alternative<unreadable>(read_announcement(beat(body))))
+            << body;
+    EXPECT_TRUE(std::holds_alternative<unreadable>(
+        read_announcement(beat(whole_beat, "/v1/instances/"))));
+    EXPECT_TRUE(std::holds_alternative<unreadable>(
+        read_announcement(beat(whole_beat, "/v2/instances/i"))));
+    EXPECT_TRUE(std::holds_alternative<unreadable>(
+        read_announcement({.method = "POST", .target = "/v1/instances/i"})));
+}
+
+TEST(platform_reports, a_departure_names_the_life)
+{
+    EXPECT_EQ(read_announcement({.method = "DELETE", .target = "/v1/instances/i-7"}),
+              announcement(departure{.life_id = "i-7"}));
+}
+
+TEST(platform_reports, grants_are_told_as_rows_and_none_renews_nothing)
+{
+    EXPECT_EQ(answer_announcement(std::nullopt).body, "{}");
+    EXPECT_EQ(answer_announcement(upstream_grant{.ranges = {}, .hold = 4s}).body,
+              R"({"hold_ms":4000,"holds":[]})");
+    upstream_grant const grant{
+        .ranges = {{.keys = {.first = 0, .last = 9}, .epoch = 7, .handover = ""},
+                   {.keys = {.first = 20, .last = 29}, .epoch = 12, .handover = "7a"}},
+        .hold = 3'999'999us};
+    EXPECT_EQ(answer_announcement(grant).body,
+              R"({"hold_ms":3999,"holds":[[0,9,7,""],[20,29,12,"7a"]]})");
+}
+
+// ---- the configuration ----
+
+std::string const whole_configuration =
+    R"({"version":7,"routes":[{"name":"r1","host":"a.example","path_prefix":"/x/y/",)"
+    R"("kind":"non_idempotent","timeout_ms":1500,"slo_latency_ms":600,"priority":1,)"
+    R"("service":"s","max_attempts":2},)"
+    R"({"name":"r2","host":"b.example","path_prefix":"/z/","kind":"idempotent",)"
+    R"("timeout_ms":1500,"slo_latency_ms":1600,"priority":2,"service":null,)"
+    R"("max_attempts":2,"traffic_split":[{"service":"s","weight":90},)"
+    R"({"service":"t","weight":10}]}],"services":[{"name":"s","health_path":"/h",)"
+    R"("max_conns":110,"protocol":"h1","tls":false,"sharded":true,"warmup_s":5.0,)"
+    R"("grants":"heartbeat"},{"name":"t","health_path":"/h","max_conns":110,)"
+    R"("protocol":"h1","tls":false}],"limits":{"max_header_bytes":16384,)"
+    R"("max_body_bytes":67108864,"header_timeout_ms":3000,"idle_timeout_ms":15000},)"
+    R"("base_version":5,"later":1})";
+
+TEST(platform_configuration, is_read_whole)
+{
+    auto const parsed = parse_configuration(whole_configuration);
+    ASSERT_TRUE(parsed) << to_string(parsed.error().front());
+    auto const& doc = parsed.value();
+    ASSERT_EQ(doc.services.size(), 2U);
+    EXPECT_TRUE(doc.services[0].keyed);
+    EXPECT_EQ(doc.services[0].keys, key_form::number);
+    EXPECT_EQ(doc.services[0].connections, 110U);
+    EXPECT_FALSE(doc.services[1].keyed);
+    ASSERT_EQ(doc.routes.size(), 2U);
+    auto const& first = doc.routes[0];
+    EXPECT_EQ(first.host, "a.example");
+    EXPECT_EQ(first.prefix, "/x/y/");
+    EXPECT_EQ(first.repeats, repeat_rule::at_most_once);
+    EXPECT_EQ(first.timeout, 1'500ms);
+    EXPECT_EQ(first.latency, 600ms);
+    EXPECT_EQ(first.rank, 1U);
+    EXPECT_EQ(first.max_attempts, 2U);
+    EXPECT_EQ(first.source, key_source::header);
+    EXPECT_EQ(doc.routes[1].services,
+              (std::vector<weighted_service>{{.service = "s", .weight = 90},
+                                             {.service = "t", .weight = 10}}));
+    EXPECT_EQ(doc.routes[1].repeats, repeat_rule::idempotent);
+    EXPECT_EQ(doc.limits,
+              (caller_limits{.header_bytes = 16'384,
+                             .body_bytes = 67'108'864,
+                             .header_timeout = 3s,
+                             .idle_timeout = 15s}));
+}
+
+TEST(platform_configuration, is_refused_whole_if_anything_is_wrong)
+{
+    auto const changed = [](std::string const& part, std::string const& in_place)
+    {
+        auto text = whole_configuration;
+        auto const at = text.find(part);
+        EXPECT_NE(at, std::string::npos) << part;
+        return text.replace(at, part.size(), in_place);
+    };
+    std::vector<std::pair<std::string, std::string>> const bad{
+        {"", "found text that is not a JSON object"},
+        {whole_configuration.substr(0, 300), "found text that is not a JSON object"},
+        {changed(R"("service":"s","max)", R"("service":"u","max)"),
+         "route.service: found \"u\", allowed the name of a service"},
+        {changed(R"("service":"s","max)", R"("max)"),
+         "routes.service: found nothing, allowed a string"},
+        {changed(R"("weight":90)", R"("wait":90)"),
+         "routes.traffic_split.weight: found nothing"},
+        {changed(R"("timeout_ms":1500,)", ""), "routes.timeout_ms: found nothing"},
+        {changed(R"("timeout_ms":1500)", R"("timeout_ms":"1500")"),
+         "routes.timeout_ms: found \"1500\""},
+        {changed(R"("timeout_ms":1500)", R"("timeout_ms":0)"), "routes.timeout_ms: found 0"},
+        {changed("non_idempotent", "odd"), "routes.kind: found \"odd\""},
+        {changed(R"("path_prefix":"/z/")", R"("path_prefix":"/z")"),
+         "routes.path_prefix: found \"/z\""},
+        {changed(R"("host":"b.example","path_prefix":"/z/")",
+                 R"("host":"a.example","path_prefix":"/x/y/")"),
+         "found \"a.example/x/y/\" twice"},
+        {changed(R"("sharded":true)", R"("sharded":1)"), "services.sharded: found 1"},
+        {changed(R"("max_header_bytes":16384)", R"("max_header_bytes":-1)"),
+         "limits.max_header_bytes: found -1"},
+        {changed(R"("limits")", R"("limit")"), "limits: found nothing"},
+    };
+    for (auto const& [text, message] : bad)
+    {
+        auto const parsed = parse_configuration(text);
+        ASSERT_TRUE(parsed.has_error()) << text;
+        EXPECT_NE(to_string(parsed.error().front()).find(message), std::string::npos)
+            << text << "\n"
+            << to_string(parsed.error().front());
+    }
+}
+
+// ---- the store ----
+
+member_record member()
+{
+    return {.id = {"n", 7},
+            .tenure = 5,
+            .inherited = true,
+            .endpoint = "tcp://10.0.0.1:7000",
+            .region = "r",
+            .domain = "d",
+            .state = member_state::evicting,
+            .watchers = {{"w", 3}},
+            .targets = {{.service = "s", .slots = 9, .life = "i@1", .draining = true}},
+            .draining = true};
+}
+
+chunk_record chunk()
+{
+    chunk_record c{.service = "s", .first_shard = 1'024, .assignments = {}};
+    assignment const a{.owner = {"n", 5},
+                       .epoch = 3,
+                       .successor = {"m", 6},
+                       .handover = "5c"};
+    c.assignments.assign(700, a);
+    c.assignments[300] = {.owner = {"m", 6}, .epoch = 4};
+    c.assignments[301] = {};
+    return c;
+}
+
+TEST(platform_store, calls_have_the_form_of_the_object_api)
+{
+    EXPECT_EQ(list_request({}, "").target, "/v1/objects/buckthornusher");
+    EXPECT_EQ(list_request({.kind = object_kind::configuration}, "a b").target,
+              "/v1/objects/config?after=a%20b");
+    EXPECT_EQ(watch_request({.kind = object_kind::configuration, .since = 530}, 2s).target,
+              "/v1/objects/config?watch=530&wait_ms=2000");
+    store_write write{.name = member_object("n"), .expected = 0, .value = member()};
+    auto const create = write_request(write);
+    EXPECT_EQ(create.method, "POST");
+    EXPECT_EQ(create.target, "/v1/objects/buckthornusher");
+    EXPECT_EQ(create.body.find("\"revision\""), std::string::npos);
+    write.expected = 12;
+    auto const replace = write_request(write);
+    EXPECT_EQ(replace.method, "PUT");
+    EXPECT_EQ(replace.target, "/v1/objects/buckthornusher/member.n");
+    EXPECT_NE(replace.body.find("\"revision\":12"), std::string::npos);
+    write.value.reset();
+    auto const remove = write_request(write);
+    EXPECT_EQ(remove.method, "DELETE");
+    EXPECT_EQ(remove.target, "/v1/objects/buckthornusher/member.n?revision=12");
+}
+
+// What is written comes back as it was, whatever the record.
+TEST(platform_store, records_are_read_as_they_were_written)
+{
+    for (record const& value : {record(member()), record(chunk())})
+    {
+        auto const name = std::holds_alternative<member_record>(value)
+                              ? member_object("n")
+                              : chunk_object("s", 1'024);
+        auto text = write_request({.name = name, .expected = 9, .value = value}).body;
+        auto const answer =
+            read_write({.name = name, .expected = 9, .value = value},
+                       {.status = 409, .reason = "", .headers = {}, .body = text});
+        ASSERT_TRUE(std::holds_alternative<store_conflict>(answer));
+        EXPECT_EQ(std::get<store_conflict>(answer).current,
+                  (object{.name = name, .version = 9, .value = value}));
+    }
+    EXPECT_LT(encode_record(chunk()).size(), 1'000U) << "neighbours are stored as one";
+}
+
+http_response json_answer(int status, std::string body)
+{
+    return {.status = status, .reason = "", .headers = {}, .body = std::move(body)};
+}
+
+TEST(platform_store, lists_pass_over_what_others_wrote)
+{
+    auto const spec = encode_record(member());
+    auto const part = read_list(
+        {},
+        json_answer(200, R"({"items":[{"metadata":{"name":"a","revision":3},"spec":{}},)"
+                         R"({"metadata":{"name":"b"},"spec":null},7,)"
+                         R"({"metadata":{"name":"member.n","revision":4},"spec":)" +
+                             spec + R"(}],"has_more":true,"store_revision":530})"));
+    ASSERT_TRUE(part);
+    EXPECT_EQ(part->objects.revision, 530U);
+    EXPECT_TRUE(part->more);
+    EXPECT_EQ(part->last_name, "member.n");
+    ASSERT_EQ(part->objects.objects.size(), 1U);
+    EXPECT_EQ(part->objects.objects.front().value, record(member()));
+    for (auto const* body : {"", "[]", "{}", R"({"items":[]})", R"({"items":{},"store_revision":1})"})
+        EXPECT_FALSE(read_list({}, json_answer(200, body))) << body;
+    EXPECT_FALSE(read_list({}, json_answer(503, R"({"items":[],"store_revision":1})")));
+}
+
+TEST(platform_store, the_operators_configuration_is_kept_as_text)
+{
+    auto const part = read_list(
+        {.kind = object_kind::configuration},
+        json_answer(200, R"({"items":[{"metadata":{"name":"main","revision":3},"spec":)" +
+                             whole_configuration + R"(}],"store_revision":4})"));
+    ASSERT_TRUE(part);
+    ASSERT_EQ(part->objects.objects.size(), 1U);
+    auto const& o = part->objects.objects.front();
+    EXPECT_EQ(o.name, config_object);
+    auto const& config = std::get<config_record>(*o.value);
+    EXPECT_EQ(config.number, 7U);
+    EXPECT_TRUE(parse_configuration(config.document));
+}
+
+TEST(platform_store, watches_tell_changes_deletions_and_lost_history)
+{
+    auto const changed = R"({"deleted":false,"object":{"metadata":{"name":"member.n",)"
+                         R"("revision":5},"spec":)" +
+                         encode_record(member()) + "}}";
+    auto const removed = R"({"deleted":true,"object":{"metadata":{"name":"member.n",)"
+                         R"("revision":5},"spec":)" +
+                         encode_record(member()) + "}}";
+    auto const answer = read_watch(
+        {}, json_answer(200, R"({"events":[)" + changed + "," + removed +
+                                 R"(,{"deleted":true}],"store_revision":8})"));
+    ASSERT_TRUE(std::holds_alternative<store_objects>(answer));
+    auto const& found = std::get<store_objects>(answer);
+    EXPECT_EQ(found.revision, 8U);
+    ASSERT_EQ(found.objects.size(), 2U);
+    EXPECT_EQ(found.objects[0].version, 5U);
+    EXPECT_EQ(found.objects[1],
+              (object{.name = "member.n", .version = 8, .value = std::nullopt}));
+    EXPECT_TRUE(
+        std::holds_alternative<store_history_lost>(read_watch({}, json_answer(410, ""))));
+}
+
+TEST(platform_store, only_a_clear_answer_is_one)
+{
+    store_write const write{.name = member_object("n"), .expected = 3, .value = member()};
+    auto const read = [&](int status, std::string body)
+    {
+        return read_write(write, json_answer(status, std::move(body)));
+    };
+    EXPECT_EQ(std::get<store_written>(read(200, R"({"metadata":{"revision":9}})")).version,
+              9U);
+    EXPECT_TRUE(std::holds_alternative<store_no_answer>(read(200, "")));
+    EXPECT_TRUE(std::holds_alternative<store_no_answer>(read(200, R"({"metadata":{}})")));
+    EXPECT_TRUE(std::holds_alternative<store_no_answer>(read(409, "{}")));
+    EXPECT_TRUE(std::holds_alternative<store_no_answer>(read(500, "")));
+    EXPECT_TRUE(std::holds_alternative<store_refused>(read(429, "")));
+    EXPECT_TRUE(std::holds_alternative<store_refused>(read(503, "")));
+    EXPECT_EQ(std::get<store_conflict>(read(404, "")).current,
+              (object{.name = write.name}));
+}
+
+} // namespace
+} // namespace buckthornusher::platform
--- /dev/null
+++ b/tests/request_policy_test.cpp
@@ -0,0 +1,515 @@
+// Decisions about requests under load: the queue, the placement, the budget of repeats.
+// Each is checked against what must always hold, and played against a load to see what
+// callers get.
+#include "buckthornusher/placement.hpp"
+#include "buckthornusher/retry_budget.hpp"
+#include "buckthornusher/upstream_queue.hpp"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <cmath>
+#include <map>
+#include <queue>
+#include <random>
+#include <set>
+
+namespace buckthornusher
+{
+namespace
+{
+
+instant at_ms(std::int64_t ms)
+{
+    return instant(std::chrono::milliseconds(ms));
+}
+
+duration ms(double count)
+{
+    return duration(static_cast<duration::rep>(count * 1'000));
+}
+
+queued_request request(std::uint64_t id, instant deadline, std::uint32_t rank = 1)
+{
+    return {.id = id,
+            .request_class = "c",
+            .rank = rank,
+            .due = deadline,
+            .deadline = deadline,
+            .start_until = deadline};
+}
+
+// ---- the queue ----
+
+// Random arrivals and ends: the slots are never exceeded, each request is named exactly
+// once, and none starts that could only end too late.
+RC_GTEST_PROP(upstream_queue, never_exceeds_its_slots_and_names_each_request_once, ())
+{
+    upstream_queue_options const opts{.slots = *rc::gen::inRange<std::uint32_t>(1, 8),
+                                      .max_queue = 10,
+                                      .first_guess = 5ms};
+    upstream_queue queue(opts);
+    std::map<std::uint64_t, instant> waiting; // id to deadline
+    std::vector<std::uint64_t> running;
+    std::uint64_t next_id = 1;
+    auto now = at_ms(1'000);
+    auto const start = [&]
+    {
+        while (auto const id = queue.start_next(now))
+        {
+            RC_ASSERT(waiting.contains(*id));
+            RC_ASSERT(now + queue.expected_service("c") <= waiting[*id] + 5ms);
+            waiting.erase(*id);
+            running.push_back(*id);
+        }
+    };
+    for (int i = 0; i < 200; ++i)
+    {
+        now += std::chrono::milliseconds(*rc::gen::inRange(0, 5));
+        if (*rc::gen::inRange(0, 2) == 0)
+        {
+            auto const r = request(
+                next_id++, now + std::chrono::milliseconds(*rc::gen::inRange(0, 50)),
+                *rc::gen::inRange<std::uint32_t>(0, 3));
+            auto const verdict = queue.arrive(r, now);
+            if (std::holds_alternative<starts_now>(verdict))
+                running.push_back(r.id);
+            if (std::holds_alternative<waits>(verdict))
+                waiting[r.id] = r.deadline;
+        }
+        else if (!running.empty())
+        {
+            auto const id = running.back();
+            running.pop_back();
+            queue.leave(id,
+                        *rc::gen::element(request_end::completed, request_end::shed,
+                                          request_end::not_sent, request_end::failed),
+                        5ms, now);
+        }
+        start();
+        for (auto const id : queue.expire(now))
+            RC_ASSERT(waiting.erase(id) == 1U);
+        RC_ASSERT(running.size() <= opts.slots);
+        RC_ASSERT(queue.running() == running.size());
+        RC_ASSERT(queue.queued() == waiting.size());
+    }
+    for (auto const id : queue.clear())
+        RC_ASSERT(waiting.erase(id) == 1U);
+    RC_ASSERT(waiting.empty());
+}
+
+// A request that has waited too long must not keep the slots idle until it is expired.
+TEST(upstream_queue, a_late_request_does_not_hold_up_those_behind_it)
+{
+    upstream_queue queue({.slots = 1, .first_guess = 5ms});
+    EXPECT_TRUE(std::holds_alternative<starts_now>(
+        queue.arrive(request(1, at_ms(100)), at_ms(0))));
+    EXPECT_TRUE(
+        std::holds_alternative<waits>(queue.arrive(request(2, at_ms(50)), at_ms(0))));
+    EXPECT_TRUE(
+        std::holds_alternative<waits>(queue.arrive(request(3, at_ms(200)), at_ms(0))));
+    queue.leave(1, request_end::completed, 1ms, at_ms(60));
+    EXPECT_EQ(queue.start_next(at_ms(60)), 3U);
+    queue.leave(3, request_end::completed, 1ms, at_ms(61));
+    EXPECT_EQ(queue.start_next(at_ms(61)), std::nullopt);
+    EXPECT_EQ(queue.expire(at_ms(62)), std::vector<std::uint64_t>{2});
+}
+
+TEST(upstream_queue, the_more_urgent_rank_goes_first_and_then_the_earlier_due)
+{
+    upstream_queue queue({.slots = 1, .first_guess = 1ms});
+    queue.arrive(request(1, at_ms(100)), at_ms(0));
+    queue.arrive(request(2, at_ms(50), 2), at_ms(0));
+    queue.arrive(request(3, at_ms(90), 1), at_ms(0));
+    queue.arrive(request(4, at_ms(80), 1), at_ms(0));
+    queue.leave(1, request_end::completed, 1ms, at_ms(1));
+    for (std::uint64_t const expected : {4, 3, 2})
+    {
+        EXPECT_EQ(queue.start_next(at_ms(1)), expected);
+        queue.leave(expected, request_end::completed, 1ms, at_ms(1));
+    }
+}
+
+TEST(upstream_queue, refuses_at_once_what_cannot_end_in_time_and_says_when_to_return)
+{
+    upstream_queue queue({.slots = 2, .first_guess = 100ms});
+    for (std::uint64_t id = 1; id <= 6; ++id)
+        queue.arrive(request(id, at_ms(10'000)), at_ms(0));
+    auto late = request(7, at_ms(300));
+    late.due = at_ms(10'001);
+    auto const verdict = queue.arrive(late, at_ms(0));
+    ASSERT_TRUE(std::holds_alternative<has_no_room>(verdict));
+    // One slot is free after 50 ms on average, and four wait for two slots.
+    EXPECT_EQ(std::get<has_no_room>(verdict).retry_after, 250ms);
+    auto patient = request(8, at_ms(10'001));
+    patient.start_until = at_ms(100);
+    EXPECT_TRUE(std::holds_alternative<has_no_room>(queue.arrive(patient, at_ms(0))))
+        << "its sender would rather ask another node";
+}
+
+TEST(upstream_queue, an_upstream_that_sheds_gets_fewer_but_never_less_than_half)
+{
+    upstream_queue queue({.slots = 10, .first_guess = 10ms});
+    std::uint64_t id = 0;
+    for (int i = 0; i < 100; ++i)
+    {
+        queue.arrive(request(++id, at_ms(10'000)), at_ms(0));
+        queue.leave(id, request_end::shed, 0us, at_ms(0));
+    }
+    EXPECT_EQ(queue.limit(), 5U);
+    for (int i = 0; i < 100; ++i)
+    {
+        queue.arrive(request(++id, at_ms(10'000)), at_ms(0));
+        queue.leave(id, request_end::completed, 10ms, at_ms(0));
+    }
+    EXPECT_EQ(queue.limit(), 10U);
+}
+
+// Plays a load on one upstream with a queue that takes all it has room for, first come
+// first served, or with ours. Returns the share of the requests that are answered within
+// the objective.
+struct load
+{
+    double per_second = 0;
+    duration aim{0};
+    duration deadline{0};
+};
+
+struct played
+{
+    double within = 0;     // share answered within the objective
+    double wasted = 0;     // share of the slots' time on answers that came too late
+    double told_late = 0;  // mean time until a refusal, ms
+};
+
+enum class policy
+{
+    first_come,
+    ours,
+};
+
+played play(load const& l, policy p)
+{
+    constexpr std::uint32_t slots = 18;
+    constexpr double mean_ms = 200;
+    constexpr double seconds = 60;
+    std::mt19937_64 random(11);
+    std::exponential_distribution<> gap(l.per_second / 1'000);
+    std::lognormal_distribution<> work(std::log(mean_ms) - 0.25 * 0.25 / 2, 0.25);
+    upstream_queue queue({.slots = slots});
+    std::queue<std::uint64_t> line; // of the first come
+    std::uint32_t busy = 0;
+    std::map<std::uint64_t, instant> arrived;
+    using end = std::pair<instant, std::uint64_t>;
+    std::priority_queue<end, std::vector<end>, std::greater<>> ends;
+    std::map<std::uint64_t, instant> started;
+    double within = 0;
+    double refused = 0;
+    double refused_after = 0;
+    double wasted = 0;
+    double used = 0;
+    auto const start = [&](std::uint64_t id, instant now)
+    {
+        started[id] = now;
+        ends.emplace(now + ms(work(random)), id);
+    };
+    auto const start_more = [&](instant now)
+    {
+        if (p == policy::ours)
+        {
+            while (auto const id = queue.start_next(now))
+                start(*id, now);
+            for (auto const id : queue.expire(now))
+            {
+                ++refused;
+                refused_after += std::chrono::duration<double>(now - arrived[id]).count();
+            }
+            return;
+        }
+        while (busy < slots && !line.empty())
+        {
+            ++busy;
+            start(line.front(), now);
+            line.pop();
+        }
+    };
+    auto now = at_ms(0);
+    auto const last = now + ms(seconds * 1'000);
+    std::uint64_t id = 0;
+    for (auto next = now + ms(gap(random)); now < last;)
+    {
+        if (!ends.empty() && ends.top().first <= next)
+        {
+            auto const [at, done] = ends.top();
+            ends.pop();
+            now = at;
+            auto const took = now - started[done];
+            auto const whole = now - arrived[done];
+            used += std::chrono::duration<double>(took).count();
+            if (whole <= l.aim)
+                ++within;
+            if (whole > l.deadline)
+                wasted += std::chrono::duration<double>(took).count();
+            if (p == policy::ours)
+                queue.leave(done, request_end::completed, took, now);
+            else
+                --busy;
+            start_more(now);
+            continue;
+        }
+        now = next;
+        next = now + ms(gap(random));
+        arrived[++id] = now;
+        if (p == policy::first_come)
+            line.push(id);
+        else
+        {
+            auto const verdict = queue.arrive({.id = id,
+                                               .request_class = "c",
+                                               .rank = 1,
+                                               .due = now + l.aim,
+                                               .deadline = now + l.deadline,
+                                               .start_until = now + l.deadline},
+                                              now);
+            if (std::holds_alternative<starts_now>(verdict))
+                start(id, now);
+            if (std::holds_alternative<has_no_room>(verdict))
+                ++refused;
+        }
+        start_more(now);
+    }
+    return {.within = within / static_cast<double>(id),
+            .wasted = used > 0 ? wasted / used : 0,
+            .told_late = refused > 0 ? refused_after / refused * 1'000 : 0};
+}
+
+TEST(upstream_queue, under_twice_its_capacity_slots_are_not_spent_on_late_answers)
+{
+    load const twice{.per_second = 180, .aim = 600ms, .deadline = 1'500ms};
+    auto const before = play(twice, policy::first_come);
+    auto const ours = play(twice, policy::ours);
+    EXPECT_LT(before.within, 0.1) << "all wait, and all are late";
+    // Half of the requests can be answered at all.
+    EXPECT_GT(ours.within, 0.4);
+    EXPECT_LT(ours.wasted, 0.01);
+    EXPECT_LT(ours.told_late, 150) << "refusals are told at once";
+}
+
+TEST(upstream_queue, below_its_capacity_nobody_is_refused)
+{
+    load const light{.per_second = 60, .aim = 600ms, .deadline = 1'500ms};
+    EXPECT_GT(play(light, policy::ours).within, 0.98);
+}
+
+// ---- placement ----
+
+placement_candidate near_one(std::string node, std::uint32_t slots = 10)
+{
+    return {.node = std::move(node), .away = distance::same_region, .slots = slots};
+}
+
+upstream_load busy(std::uint32_t running, std::uint32_t waiting, duration service)
+{
+    return {.slots = 10, .running = running, .waiting = waiting, .service = service};
+}
+
+TEST(placement, prefers_where_the_answer_is_expected_first)
+{
+    placement p({});
+    auto const now = at_ms(1'000);
+    p.on_load("slow", busy(0, 0, 400ms), now);
+    p.on_load("fast", busy(9, 0, 100ms), now);
+    p.on_load("full", busy(10, 40, 100ms), now);
+    std::vector<placement_candidate> const all{near_one("slow"), near_one("fast"),
+                                               near_one("full")};
+    EXPECT_EQ(p.choose(all, 0, now)->node, "fast");
+    for (int i = 0; i < 40; ++i) // our own, not told yet
+        p.on_sent("fast");
+    EXPECT_EQ(p.choose(all, 0, now)->node, "slow");
+    p.avoid("slow", now + 1s);
+    EXPECT_NE(p.choose(all, 0, now)->node, "slow");
+    p.on_load("fast",
+              {.slots = 10, .running = 0, .waiting = 0, .service = 1ms, .accepting = false},
+              now);
+    EXPECT_EQ(p.choose(all, 0, now)->node, "full");
+    EXPECT_EQ(p.choose({}, 0, now), std::nullopt);
+}
+
+TEST(placement, crosses_to_another_region_only_when_that_is_worth_it)
+{
+    placement p({});
+    auto const now = at_ms(1'000);
+    placement_candidate const far{
+        .node = "far", .away = distance::other_region, .slots = 10};
+    p.on_load("far", busy(0, 0, 200ms), now);
+    p.on_load("near", busy(10, 5, 200ms), now);
+    EXPECT_EQ(p.choose({near_one("near"), far}, 0, now)->node, "near");
+    p.on_load("near", busy(10, 30, 200ms), now);
+    EXPECT_EQ(p.choose({near_one("near"), far}, 0, now)->node, "far");
+}
+
+TEST(placement, leaves_an_upstream_that_fails_and_comes_back_to_it)
+{
+    placement p({});
+    auto now = at_ms(1'000);
+    std::vector<placement_candidate> const both{near_one("good"), near_one("bad")};
+    p.on_load("good", busy(9, 0, 200ms), now);
+    p.on_load("bad", busy(0, 0, 190ms), now);
+    EXPECT_EQ(p.choose(both, 0, now)->node, "bad");
+    for (int i = 0; i < 10; ++i)
+        p.on_done("bad", true, now);
+    EXPECT_EQ(p.choose(both, 0, now)->node, "good");
+    now += 10s;
+    p.on_load("good", busy(9, 0, 200ms), now);
+    p.on_load("bad", busy(0, 0, 150ms), now);
+    EXPECT_EQ(p.choose(both, 0, now)->node, "bad");
+}
+
+// Twelve nodes send requests to four upstreams of different speeds and hear of load only
+// with answers. Compared with a random choice, less time is spent waiting, and nobody is
+// flooded.
+double mean_wait_ms(bool by_load)
+{
+    constexpr std::size_t nodes = 12;
+    constexpr std::uint32_t slots = 18;
+    std::vector<double> const speeds{0.5, 1.0, 1.0, 1.5};
+    std::mt19937_64 random(5);
+    std::exponential_distribution<> gap(0.25); // 250 a second, of 288 that can be done
+    std::lognormal_distribution<> work(std::log(200.0) - 0.08, 0.4);
+    struct upstream
+    {
+        std::uint32_t running = 0;
+        std::queue<std::pair<std::size_t, instant>> line; // node and arrival
+        double mean_ms = 200;
+    };
+    struct event
+    {
+        instant at;
+        std::size_t from; // node
+        std::size_t to;   // upstream
+        bool operator<(event const& other) const { return at > other.at; }
+    };
+    std::vector<placement> views(nodes, placement({}));
+    std::vector<upstream> upstreams(speeds.size());
+    std::vector<placement_candidate> candidates;
+    for (std::size_t u = 0; u < speeds.size(); ++u)
+        candidates.push_back(near_one("u" + std::to_string(u), slots));
+    std::priority_queue<event> ends;
+    double waited = 0;
+    double count = 0;
+    auto now = at_ms(0);
+    auto const start = [&](std::size_t u)
+    {
+        auto& up = upstreams[u];
+        while (up.running < slots && !up.line.empty())
+        {
+            auto const [node, arrival] = up.line.front();
+            up.line.pop();
+            ++up.running;
+            waited += std::chrono::duration<double, std::milli>(now - arrival).count();
+            ++count;
+            auto const took = work(random) / speeds[u];
+            up.mean_ms += 0.1 * (took - up.mean_ms);
+            ends.push({.at = now + ms(took), .from = node, .to = u});
+        }
+    };
+    for (auto next = now; now < at_ms(30'000);)
+    {
+        if (!ends.empty() && ends.top().at <= next)
+        {
+            auto const e = ends.top();
+            ends.pop();
+            now = e.at;
+            auto& up = upstreams[e.to];
+            --up.running;
+            start(e.to);
+            views[e.from].on_done(candidates[e.to].node, false, now);
+            views[e.from].on_load(
+                candidates[e.to].node,
+                {.slots = slots,
+                 .running = up.running,
+                 .waiting = static_cast<std::uint32_t>(up.line.size()),
+                 .service = ms(up.mean_ms)},
+                now);
+            continue;
+        }
+        now = next;
+        next = now + ms(gap(random));
+        auto const node = random() % nodes;
+        std::size_t to = random() % speeds.size();
+        if (by_load)
+        {
+            auto const choice = views[node].choose(candidates, random(), now);
+            to = static_cast<std::size_t>(choice->node.back() - '0');
+        }
+        views[node].on_sent(candidates[to].node);
+        upstreams[to].line.emplace(node, now);
+        start(to);
+    }
+    return waited / count;
+}
+
+TEST(placement, spreads_load_over_upstreams_of_different_speeds)
+{
+    EXPECT_LT(mean_wait_ms(true), mean_wait_ms(false) / 10);
+}
+
+// ---- the budget of repeats ----
+
+// Nodes that never talk: over all of them, in any window, repeats are at most the ratio
+// times the requests of that window or of the one half a window before it, and the
+// reserve.
+RC_GTEST_PROP(retry_budget, nodes_together_keep_the_bound_in_every_window, ())
+{
+    constexpr std::uint32_t nodes = 5;
+    constexpr double ratio = 0.2;
+    constexpr double reserve = 20;
+    std::vector<retry_budget> budgets(
+        nodes, retry_budget({.ratio = ratio, .reserve = reserve, .window = 10s,
+                             .nodes = nodes, .used = 1}));
+    std::vector<instant> requests;
+    std::vector<instant> repeats;
+    auto now = at_ms(100'000);
+    for (int i = 0; i < 1'500; ++i)
+    {
+        now += std::chrono::milliseconds(*rc::gen::inRange(0, 40));
+        auto& budget = budgets[*rc::gen::inRange<std::size_t>(0, nodes)];
+        if (*rc::gen::inRange(0, 3) == 0)
+        {
+            budget.on_request("s", now);
+            requests.push_back(now);
+        }
+        else if (budget.try_repeat("s", now))
+            repeats.push_back(now);
+    }
+    auto const within = [](std::vector<instant> const& all, instant from)
+    {
+        auto const first = std::lower_bound(all.begin(), all.end(), from);
+        return static_cast<double>(std::lower_bound(first, all.end(), from + 10s) - first);
+    };
+    for (auto const from : repeats)
+    {
+        auto const base = std::max(within(requests, from), within(requests, from - 5s));
+        RC_ASSERT(within(repeats, from) <= ratio * base + reserve);
+    }
+}
+
+TEST(retry_budget, allows_a_share_of_the_traffic_and_keeps_some_for_others)
+{
+    retry_budget budget({.ratio = 0.1, .reserve = 5, .window = 10s, .used = 1});
+    int repeats = 0;
+    for (int i = 0; i < 1'000; ++i)
+    {
+        budget.on_request("s", at_ms(1'000));
+        while (budget.try_repeat("s", at_ms(1'000), 0.5))
+            ++repeats;
+    }
+    EXPECT_NEAR(repeats, 52, 1);
+    while (budget.try_repeat("s", at_ms(1'000)))
+        ++repeats;
+    EXPECT_NEAR(repeats, 105, 1);
+    EXPECT_TRUE(budget.try_repeat("other", at_ms(1'000))) << "services are apart";
+}
+
+} // namespace
+} // namespace buckthornusher
