Holds on the fake fleet; a tenure is for one run of the upstream; three faults

Change: servable() names the run of the upstream and gives nothing for another. The fake fleet gets upstreams that are told what they hold, with slow clocks and lost and late answers; its judge sees who holds what. It found: - a shard granted at an earlier epoch was never released after its owner had cancelled a move; - an evictor took a watcher without an ack as proof that no lease runs, though earlier watchers' acks may still cover what was granted; - changes were told with a range of versions from which those were left out that the teller knew already; the receiver missed them for good. Each shrunken case stays as a test.

--- a/include/buckthornusher/coordinator.hpp
+++ b/include/buckthornusher/coordinator.hpp
@@ -165,10 +165,10 @@
     // Of a shard with a successor: no further requests from now on. Only with
     // granted_upstreams.
     void begin_drain(shard_id const& shard);
-    // What this member owns and may serve, if it has learnt all that it must; nothing
-    // while it has not, or has no lease.
-    std::optional<std::vector<owned_shard>> servable(std::string const& service,
-                                                     instant now);
+    // What this member owns and that run of its upstream may serve; nothing while the
+    // member has no lease, has not learnt all that it must, or owns for another run.
+    std::optional<std::vector<owned_shard>>
+    servable(std::string const& service, std::string const& life, instant now);
     // The shard's state has been handed over, or given up on.
     void confirm_release(shard_release const& release, instant now);
 
--- a/include/buckthornusher/eviction.hpp
+++ b/include/buckthornusher/eviction.hpp
@@ -16,9 +16,11 @@
 // process, which is the only one at its endpoint. An earlier process can neither renew
 // nor ack any more, and a longest lease later it is over as a watcher.
 //
-// A restarted process takes over its predecessor's tenure, and what was granted under
-// the predecessor's lease goes on. Its own watchers know nothing of that lease. So the
-// end of an inherited tenure is waited for as if each watcher had acked just now.
+// What a member was granted by an earlier set of watchers, or an earlier process of its
+// node, may go on for the rest of that lease, and its present watchers know nothing of
+// it. A watcher that has acked did so after the change, so that its last ack covers it.
+// One that has not is taken to have acked just now. Two of three that were in the earlier
+// set as well cover it by the later of their last acks.
 //
 // The part keeps the times of step 2 for one member. They begin anew with each evictor.
 #ifndef BUCKTHORNUSHER_EVICTION_HPP
@@ -40,7 +42,7 @@
     eviction(member_record const& record, lease_options opts, guards g);
 
     // A watcher has promised to refuse the member; `elapsed` is the time since its last
-    // ack, nothing if it never acked.
+    // ack, nothing if it knows of none.
     void on_refused(member_id const& watcher, std::optional<duration> elapsed,
                     instant now);
 
--- a/include/buckthornusher/lease.hpp
+++ b/include/buckthornusher/lease.hpp
@@ -75,7 +75,9 @@
     bool release_before_move = true; // a successor waits for the owner's release
     bool check_before_send = true;   // the lease is checked again before bytes leave
     bool count_from_sending = true; // acks count from the request, not from their arrival
-    bool wait_for_inherited = true; // an inherited tenure ends a longest lease later
+    // What was granted under a lease from earlier watchers, or to an earlier process, is
+    // waited for.
+    bool wait_for_earlier_leases = true;
     bool sync_after_takeover = true; // a restarted owner first learns what it has missed
 };
 
--- a/include/buckthornusher/upstream_queue.hpp
+++ b/include/buckthornusher/upstream_queue.hpp
@@ -3,10 +3,10 @@
 //
 // The upstream runs `slots` requests at a time. Requests beyond that wait here, the more
 // urgent rank first and within a rank the earliest due first; one that would be late goes
-// after those that would not. A request is refused on arrival if, by what the upstream has
-// needed lately, it could not start within what its sender allows or not end when it is
-// due; so nobody waits for an answer that will not come. The refusal says when there is
-// likely to be room.
+// after those that would not. A request is refused on arrival if, by what the upstream
+// has needed lately, it could not start within what its sender allows or not end when it
+// is due; so nobody waits for an answer that will not come. The refusal says when there
+// is likely to be room.
 //
 //   load it answers: more work than slots, for seconds or for good; an upstream that
 //   has turned slow or starts cold; a mix of short and long requests.
--- a/src/coordination/coordinator.cpp
+++ b/src/coordination/coordinator.cpp
@@ -63,8 +63,13 @@
     if (news.empty())
         return;
     effects.emplace_back(replica_changed{});
+    // Whoever takes the range for complete must get all of it, also what was known here.
+    // A list is too long for that: with its news goes no range.
+    bool const listed = from == 0;
+    deltas const told{
+        .from = listed ? to : from, .to = to, .objects = listed ? news : objects};
     for (auto const& to_member : told_by(sender, object_kind::fleet))
-        send(to_member, deltas{.from = from, .to = to, .objects = news});
+        send(to_member, told);
 }
 
 void coordinator::impl::learn_config(std::vector<object> const& objects,
@@ -352,6 +357,16 @@
     return copy.revision() >= takeover_version || !opts.guard.sync_after_takeover;
 }
 
+bool coordinator::impl::owns_for(std::string const& service,
+                                 std::string const& life) const
+{
+    auto const* record = own_record();
+    return record != nullptr && record->owner() == served_as &&
+           std::any_of(record->targets.begin(), record->targets.end(),
+                       [&](target const& t)
+                       { return t.service == service && t.life == life; });
+}
+
 bool coordinator::impl::has_caught_up(shard_id const& shard)
 {
     if (!knows_its_tenure())
@@ -502,10 +517,11 @@
         m_impl->note_drained(shard);
 }
 
-std::optional<std::vector<owned_shard>> coordinator::servable(std::string const& service,
-                                                              instant now)
+std::optional<std::vector<owned_shard>>
+coordinator::servable(std::string const& service, std::string const& life, instant now)
 {
-    if (now >= lease_until() || !m_impl->knows_its_tenure())
+    if (now >= lease_until() || !m_impl->knows_its_tenure() ||
+        !m_impl->owns_for(service, life))
         return std::nullopt;
     auto owned = m_impl->shards.owned_shards(service);
     std::optional<std::uint32_t> checked; // chunk
--- a/src/coordination/coordinator_impl.hpp
+++ b/src/coordination/coordinator_impl.hpp
@@ -147,6 +147,9 @@
     // move for which it has released a shard.
     bool knows_its_tenure() const;
 
+    // The present tenure is that of this run of the upstream.
+    bool owns_for(std::string const& service, std::string const& life) const;
+
     // Whether nothing is missing that an earlier owner of the shard may have acted on.
     bool has_caught_up(shard_id const& shard);
 
--- a/src/coordination/coordinator_membership.cpp
+++ b/src/coordination/coordinator_membership.cpp
@@ -85,7 +85,7 @@
         at = phase::member;
         takeover_version = record.inherited ? version : 0;
         // The upstream may still run what the earlier process sent it, within its lease.
-        if (record.inherited && opts.guard.wait_for_inherited)
+        if (record.inherited && opts.guard.wait_for_earlier_leases)
             releases_from = now + opts.lease.longest_lease() + opts.unfenced_wait;
     }
     if (record.watchers != lease.watchers())
--- a/src/coordination/eviction.cpp
+++ b/src/coordination/eviction.cpp
@@ -8,7 +8,7 @@
 
 eviction::eviction(member_record const& record, lease_options opts, guards g)
     : m_options(opts), m_guards(g), m_watchers(record.watchers),
-      m_inherited(record.inherited && g.wait_for_inherited)
+      m_inherited(record.inherited && g.wait_for_earlier_leases)
 {
 }
 
@@ -20,7 +20,7 @@
     auto wait = duration{0};
     if (elapsed && m_guards.wait_after_refusal)
         wait = std::max(duration{0}, m_options.longest_lease() - *elapsed);
-    if (!elapsed && m_inherited)
+    if (!elapsed && m_guards.wait_for_earlier_leases)
         wait = m_options.longest_lease();
     m_refusals.try_emplace(watcher, now + wait);
 }
--- a/src/coordination/hold_ledger.cpp
+++ b/src/coordination/hold_ledger.cpp
@@ -124,15 +124,18 @@
 {
     constexpr int percent = 100;
     note_report(report, now);
+    auto const longest =
+        m_options.longest * (percent + m_options.drift_percent) / percent;
     for (auto const& l : leaving)
-        m_states.try_emplace(
-            l.index,
-            state{.epoch = l.epoch,
-                  .until = {},
-                  .over = now + m_options.longest * (percent + m_options.drift_percent) /
-                                    percent,
-                  .left_out = true,
-                  .handover = {}});
+    {
+        auto const [it, added] = m_states.try_emplace(l.index);
+        if (added)
+            it->second.over = now + longest;
+        // It may have been granted at an earlier epoch.
+        it->second.epoch = l.epoch;
+        it->second.left_out = true;
+        it->second.until = {};
+    }
     auto const left = lease_until <= now ? duration{0} : lease_until - now;
     auto const hold =
         std::min(m_options.longest,
--- a/src/process/agent.cpp
+++ b/src/process/agent.cpp
@@ -515,7 +515,8 @@
         return std::nullopt;
     if (!l.holds)
         l.holds.emplace(service->shards, hold_options{});
-    auto const owned = m_coordinator->servable(report.service, now);
+    auto const owned =
+        m_coordinator->servable(report.service, to_string(report.life), now);
     if (!owned)
         return std::nullopt;
     std::vector<wanted_shard> wanted;
--- a/src/process/ingress.hpp
+++ b/src/process/ingress.hpp
@@ -135,7 +135,7 @@
     burn_recorder m_burn;
     std::mt19937_64 m_random;
     flight_id m_next_id = 1;
-    std::optional<instant> m_closing; // when the last answers are given
+    std::optional<instant> m_closing;         // when the last answers are given
     std::map<std::string, double> m_class_us; // mean time to the answer, by class
 };
 
--- a/src/version/config.hpp
+++ b/src/version/config.hpp
@@ -171,9 +171,9 @@
     duration grace = 20s;          // between the request to stop and the end
     // After an upstream has said that it is leaving nothing new is sent to it for longer.
     duration drain_limit = 30s;
-    duration config_bound = 15s;   // a new document is to be in force within it
-    double retry_ratio = 0.2;  // repeats for each request, over all nodes
-    double retry_reserve = 50; // and besides, in a window
+    duration config_bound = 15s; // a new document is to be in force within it
+    double retry_ratio = 0.2;    // repeats for each request, over all nodes
+    double retry_reserve = 50;   // and besides, in a window
     duration retry_window = 10s;
     std::string log_level = "info";
     friend bool operator==(node_settings const&, node_settings const&) = default;
--- a/tests/coordinator_property_test.cpp
+++ b/tests/coordinator_property_test.cpp
@@ -58,6 +58,90 @@
             << "seed " << seed;
 }
 
+// As on a platform whose upstreams are told what they hold.
+fleet_options granted(std::uint32_t members, std::uint32_t domains)
+{
+    return {.members = members,
+            .domains = domains,
+            .lease = {.length = 2'840ms},
+            .granted = true};
+}
+
+action fault_at(fault kind, int at_ms, std::uint32_t member, int length_ms)
+{
+    return {.kind = kind,
+            .at = std::chrono::milliseconds(at_ms),
+            .member = member,
+            .length = std::chrono::milliseconds(length_ms)};
+}
+
+// Shrunken cases, each with what was wrong.
+struct found_case
+{
+    char const* fault;
+    fleet_options fleet;
+    std::vector<action> actions;
+};
+
+std::vector<found_case> found_cases()
+{
+    auto const granted_case = [](std::uint32_t members, std::uint64_t seed)
+    {
+        auto opts = granted(members, 4);
+        opts.seed = seed;
+        return opts;
+    };
+    using enum fault;
+    return {
+        {"a leave, a configuration and a cut while the store is away",
+         {.members = 4, .domains = 2, .seed = 1},
+         {fault_at(leave, 2'000, 0, 0), fault_at(store_down, 2'000, 0, 5'204),
+          fault_at(configure, 2'000, 0, 0), fault_at(cut_member, 7'491, 0, 1'840)}},
+        {"a region whose members all leave has no listener and no watchers",
+         {.members = 4, .domains = 2, .seed = 2'065'303'409'245'079'485U},
+         {fault_at(cut_domain, 17'984, 0, 3'424),
+          fault_at(network_slow, 14'838, 6, 4'982),
+          fault_at(cut_region, 3'201, 10, 6'598), fault_at(leave, 6'295, 2, 7'018),
+          fault_at(network_lossy, 14'263, 5, 7'233),
+          fault_at(upstream_lost, 4'483, 5, 6'754), fault_at(configure, 11'555, 7, 3'630),
+          fault_at(leave, 6'030, 8, 5'244), fault_at(cut_domain, 6'082, 8, 1'555)}},
+        {"a member learns its own record from a peer and keeps the old tenure",
+         {.members = 4, .domains = 2, .seed = 17'456'175'229U},
+         {fault_at(kill_two, 8'289, 10, 566), fault_at(cut_domain, 3'970, 8, 4'138),
+          fault_at(configure, 6'889, 3, 1'550), fault_at(store_delays, 12'242, 4, 5'891),
+          fault_at(pause, 7'991, 11, 4'077), fault_at(network_slow, 10'660, 0, 733),
+          fault_at(cut_member, 3'342, 5, 6'756), fault_at(cut_member, 2'868, 9, 4'321),
+          fault_at(upstream_lost, 12'961, 0, 7'536), fault_at(forget, 11'612, 9, 6'574)}},
+        {"a shard that was granted at an earlier epoch is never released",
+         granted_case(12, 8),
+         {fault_at(configure, 2'142, 9, 4'765), fault_at(cut_member, 10'439, 9, 5'152),
+          fault_at(upstream_lost, 14'924, 0, 6'818),
+          fault_at(network_slow, 9'952, 8, 2'482),
+          fault_at(upstream_lost, 3'201, 4, 5'557), fault_at(pause, 12'286, 3, 3'251)}},
+        {"what was held under earlier watchers' acks is not waited for",
+         granted_case(6, 1'935'041'877'556U),
+         {fault_at(kill, 4'142, 10, 5'280), fault_at(cut_member, 2'253, 6, 1'430)}},
+        {"changes are told with a range of which a part was left out",
+         {.members = 4, .domains = 2, .seed = 1'247},
+         {fault_at(store_loses, 12'592, 6, 4'141), fault_at(store_down, 16'313, 0, 6'093),
+          fault_at(configure, 9'184, 1, 4'688), fault_at(store_down, 5'430, 11, 2'859),
+          fault_at(pause, 9'844, 3, 7'483), fault_at(cut_member, 5'958, 7, 1'872),
+          fault_at(configure, 5'650, 0, 2'062), fault_at(network_lossy, 5'647, 9, 5'779),
+          fault_at(forget, 14'665, 9, 5'050), fault_at(cut_domain, 4'273, 3, 6'392),
+          fault_at(kill, 8'198, 5, 4'357), fault_at(leave, 14'071, 4, 3'469),
+          fault_at(pause, 8'769, 1, 4'384)}},
+    };
+}
+
+TEST(coordinator_property, shrunken_cases_that_found_faults)
+{
+    for (auto const& c : found_cases())
+    {
+        fake_fleet fleet(c.fleet);
+        EXPECT_EQ(fleet.run(c.actions), std::nullopt) << c.fault;
+    }
+}
+
 RC_GTEST_PROP(coordinator_property, six_members_in_four_domains, ())
 {
     check_case({.members = 6, .domains = 4});
@@ -68,6 +152,16 @@
     check_case({.members = 12, .domains = 4});
 }
 
+RC_GTEST_PROP(coordinator_property, six_granted_upstreams_in_four_domains, ())
+{
+    check_case(granted(6, 4));
+}
+
+RC_GTEST_PROP(coordinator_property, twelve_granted_upstreams_in_four_domains, ())
+{
+    check_case(granted(12, 4));
+}
+
 RC_GTEST_PROP(coordinator_property, four_members_in_two_domains, ())
 {
     check_case({.members = 4, .domains = 2});
--- a/tests/fake_fleet.hpp
+++ b/tests/fake_fleet.hpp
@@ -15,6 +15,7 @@
 #define BUCKTHORNUSHER_TESTS_FAKE_FLEET_HPP
 
 #include "buckthornusher/coordinator.hpp"
+#include "fake_upstream.hpp"
 
 #include <functional>
 #include <map>
@@ -88,6 +89,8 @@
     // Upstreams check nothing: they run on for up to 200 ms after their node's lease.
     bool unfenced = false;
     duration unfenced_wait = 0ms;
+    // Upstreams serve only what they are granted in answers to their reports.
+    bool granted = false;
 };
 
 class fake_fleet
@@ -104,6 +107,11 @@
             m.offset = duration(pick(0, 1'000'000'000)) + 1s;
             m.drift_ppm = opts.steady_clocks ? 0 : pick(-450, 450);
             at(duration(pick(0, 300'000)), [this, i] { boot(i); });
+            if (!opts.granted)
+                continue;
+            m.upstream.emplace(opts.shards, static_cast<int>(pick(-2, 2)));
+            m.upstream->restart(life_of(m), m_now, m_holds);
+            at(duration(pick(0, 900'000)), [this, i] { report_step(i); });
         }
         if (opts.load)
             at(1s, [this] { load_step(); });
@@ -170,6 +178,12 @@
         std::uint64_t config_floor = 0; // accepted before this process began
         bool leaving = false;
         std::uint64_t life = 1; // of the upstream
+        // With granted upstreams. The ledger is the process's, the upstream is not.
+        std::optional<fake_upstream> upstream;
+        std::optional<hold_ledger> ledger;
+        std::uint64_t known_life = 0; // by the ledger
+        std::map<std::uint32_t, shard_release> drained;
+        std::map<std::uint32_t, released_shard> released;
     };
 
     struct execution
@@ -231,7 +245,11 @@
         {
             m.config_seen = 0;
             m.config_floor = store_config_number();
+            m.ledger.reset();
+            m.known_life = 0;
         }
+        m.drained.clear();
+        m.released.clear();
         ++m.run;
         m.leaving = false;
         m.coord = std::make_unique<coordinator>(coordinator_options{
@@ -239,19 +257,32 @@
             .endpoint = "fake" + std::to_string(i),
             .region = "r" + std::to_string(m.region),
             .domain = "d" + std::to_string(m.domain),
-            .targets = {upstream_of(m)},
+            .targets = known_targets(m),
             .services = {{.name = "s", .shards = m_options.shards}},
             .unfenced_wait = m_options.unfenced_wait,
+            .granted_upstreams = m_options.granted,
             .lease = m_options.lease,
             .planning = {},
             .guard = m_options.guard,
             .seed = m_random(),
             .known = std::move(known)});
+        if (m_options.granted && m.known_life > 0)
+            m.coord->set_targets(known_targets(m));
         m.coord->start(local_time(m));
         carry_out(m);
         tick(i);
     }
 
+    // A process whose upstream reports knows of it only what it was told.
+    std::vector<target> known_targets(member const& m) const
+    {
+        if (!m_options.granted)
+            return {upstream_of(m)};
+        if (m.known_life == 0)
+            return {};
+        return {{.service = "s", .slots = 10, .life = std::to_string(m.known_life)}};
+    }
+
     static target upstream_of(member const& m)
     {
         return {.service = "s", .slots = 10, .life = std::to_string(m.life)};
@@ -328,6 +359,11 @@
     // The state is handed over at once, or a little later.
     void apply(member& m, shard_drained const& e)
     {
+        if (m_options.granted)
+        {
+            m.drained[e.release.shard.index] = e.release;
+            return confirm_released(m, e.release.shard.index);
+        }
         when_awake(m.index, m_now + duration(pick(0, 20'000)),
                    [this, r = e.release](member& x)
                    { x.coord->confirm_release(r, local_time(x)); });
@@ -345,6 +381,85 @@
             at(m_now + 10ms, [this, i, known] { boot(i, std::move(*known)); });
     }
 
+    // ---- granted upstreams ----
+
+    void report_step(std::uint32_t i)
+    {
+        auto& m = m_members[i];
+        auto const report = m.upstream->report(m_now);
+        auto const sent = m_now;
+        when_awake(i, m_now + trip(),
+                   [this, report, sent](member& x) { on_report(x, report, sent); });
+        at(m_now + duration(pick(700'000, 900'000)), [this, i] { report_step(i); });
+    }
+
+    duration trip()
+    {
+        bool const slow = m_slow_until > m_now && chance(0.3);
+        return duration(pick(0, slow ? 1'500'000 : 5'000));
+    }
+
+    void on_report(member& m, upstream_report const& report, true_time sent)
+    {
+        if (report.life.started < m.known_life)
+            return;
+        if (report.life.started > m.known_life)
+        {
+            m.known_life = report.life.started;
+            m.ledger.emplace(m_options.shards, hold_options{});
+            m.coord->set_targets(known_targets(m));
+        }
+        auto const now = local_time(m);
+        auto const owned =
+            m.coord->servable("s", std::to_string(report.life.started), now);
+        if (!owned)
+            return;
+        std::vector<wanted_shard> wanted;
+        std::vector<wanted_shard> leaving;
+        for (auto const& s : *owned)
+        {
+            (s.moving ? leaving : wanted)
+                .push_back({.index = s.index, .epoch = s.epoch, .handover = s.handover});
+            if (s.moving)
+                m.coord->begin_drain({"s", s.index});
+        }
+        auto const grant =
+            m.ledger->on_report(report, wanted, leaving, m.coord->lease_until(), now);
+        for (auto& r : m.ledger->take_released(now))
+        {
+            auto const index = r.index;
+            m.released[index] = std::move(r);
+            confirm_released(m, index);
+        }
+        bool const lost = m_lossy_until > m_now && chance(0.3);
+        if (!grant || lost)
+            return;
+        at(m_now + trip(),
+           [this, i = m.index, grant = *grant, life = report.life, sent]
+           {
+               constexpr true_time patience = 1s; // of the upstream
+               if (m_now - sent > patience)
+                   return;
+               auto& x = m_members[i];
+               if (auto const wrong = x.upstream->take(grant, life, sent, m_now, m_holds))
+                   fail(*wrong);
+           });
+    }
+
+    void confirm_released(member& m, std::uint32_t shard)
+    {
+        auto const drained = m.drained.find(shard);
+        auto const released = m.released.find(shard);
+        if (drained == m.drained.end() || released == m.released.end() ||
+            drained->second.epoch != released->second.epoch)
+            return;
+        auto release = drained->second;
+        release.handover = released->second.handover;
+        m.drained.erase(drained);
+        m.released.erase(released);
+        m.coord->confirm_release(release, local_time(m));
+    }
+
     // ---- the store ----
 
     bool store_reachable(member const& m) const
@@ -536,9 +651,12 @@
         // The upstream gets what is left of the lease as its deadline.
         auto const left = std::max(duration{0}, m.coord->lease_until() - now);
         bool const bounded = m_options.guard.check_before_send && !m_options.unfenced;
-        auto const length = bounded ? std::min(duration(pick(0, 50'000)), left)
-                                    : duration(pick(0, 200'000));
+        auto const length = m_options.granted ? std::min(duration(pick(0, 50'000)), left)
+                            : bounded         ? std::min(duration(pick(0, 50'000)), left)
+                                              : duration(pick(0, 200'000));
         auto const by = life_of(m);
+        if (m.upstream && !m.upstream->holds(id.index, m_now))
+            return m.coord->end(id); // it says so
         begin_execution(by, id.index, run.epoch);
         // The upstream goes on while the node beside it is paused.
         at(m_now + length, [this, shard = id.index, by, epoch = run.epoch]
@@ -613,11 +731,14 @@
     {
         auto const lost = life_of(m);
         ++m.life;
+        if (m.upstream)
+            m.upstream->restart(life_of(m), m_now, m_holds);
         for (auto& entry : m_shards)
             std::erase_if(entry.second.running,
                           [&](execution const& e) { return e.by == lost; });
-        when_awake(m.index, m_now + duration(pick(0, 1'000'000)),
-                   [](member& x) { x.coord->set_targets({upstream_of(x)}); });
+        if (!m.upstream)
+            when_awake(m.index, m_now + duration(pick(0, 1'000'000)),
+                       [](member& x) { x.coord->set_targets({upstream_of(x)}); });
     }
 
     bool is_cut(std::uint32_t a, std::uint32_t b) const
@@ -657,6 +778,7 @@
     std::map<std::string, object> m_store;
     std::uint64_t m_store_calls = 0;
 
+    hold_judge m_holds;
     std::map<std::uint32_t, shard_state> m_shards;
     std::uint64_t m_executions = 0;
 
--- a/tests/hold_ledger_test.cpp
+++ b/tests/hold_ledger_test.cpp
@@ -41,7 +41,8 @@
         std::erase_if(m_holds, [&](auto const& h) { return now >= h.second.until; });
         std::erase_if(m_working, [&](auto const& w) { return now >= w.second; });
         for (auto const& [shard, h] : m_holds)
-            r.holds.push_back({.keys = numbers_of_shard(shard, shards), .epoch = h.epoch});
+            r.holds.push_back(
+                {.keys = numbers_of_shard(shard, shards), .epoch = h.epoch});
         for (auto const& entry : m_working)
             if (!m_holds.contains(entry.first))
                 r.holds.push_back({.keys = numbers_of_shard(entry.first, shards)});
@@ -118,7 +119,8 @@
         auto const sent = now;
         auto const report = upstream.report(now);
         now += std::chrono::milliseconds(*rc::gen::inRange(0, 300)); // its way here
-        auto const lease = now + std::chrono::milliseconds(*rc::gen::inRange(-500, 3'000));
+        auto const lease =
+            now + std::chrono::milliseconds(*rc::gen::inRange(-500, 3'000));
         std::vector<wanted_shard> wanted;
         std::vector<wanted_shard> left;
         for (std::uint32_t s = 0; s < shards; ++s)
@@ -151,7 +153,8 @@
         // What the ledger lets be asked is held, if the answer arrived.
         for (std::uint32_t s = 0; grant && !lost && s < shards; ++s)
             if (auto const until = ledger.held_until(s, 1); until > now)
-                RC_ASSERT(upstream.holds(s, std::min(until, sent + grant->hold * 97 / 100)));
+                RC_ASSERT(
+                    upstream.holds(s, std::min(until, sent + grant->hold * 97 / 100)));
     }
 }
 
@@ -182,15 +185,13 @@
 
     model_upstream second(0);
     hold_ledger next(shards, {});
-    auto const fresh = next.on_report(second.report(now),
-                                      {{.index = 0, .epoch = 4, .handover = "h0"}}, {},
-                                      lease, now);
+    auto const fresh = next.on_report(
+        second.report(now), {{.index = 0, .epoch = 4, .handover = "h0"}}, {}, lease, now);
     ASSERT_TRUE(fresh);
     EXPECT_EQ(fresh->ranges.front().handover, "h0");
     second.take(*fresh, now, now, now);
-    auto const again = next.on_report(second.report(now),
-                                      {{.index = 0, .epoch = 4, .handover = "h0"}}, {},
-                                      lease, now);
+    auto const again = next.on_report(
+        second.report(now), {{.index = 0, .epoch = 4, .handover = "h0"}}, {}, lease, now);
     EXPECT_EQ(again->ranges.front().handover, "") << "it is needed once";
 }
 
@@ -203,17 +204,18 @@
     auto const lease = now + 10s;
     {
         hold_ledger before(shards, {});
-        upstream.take(*before.on_report(upstream.report(now), all_shards(1), {}, lease, now),
-                      now, now, now);
+        upstream.take(
+            *before.on_report(upstream.report(now), all_shards(1), {}, lease, now), now,
+            now, now);
     }
     hold_ledger ledger(shards, {});
     EXPECT_EQ(ledger.on_report(upstream.report(now), {}, {}, now, now), std::nullopt)
         << "without a lease nothing is told";
     auto wanted = all_shards(1);
     wanted.pop_back();
-    auto const grant = ledger.on_report(upstream.report(now), wanted,
-                                        {{.index = 7, .epoch = 1, .handover = ""}},
-                                        lease, now);
+    auto const grant =
+        ledger.on_report(upstream.report(now), wanted,
+                         {{.index = 7, .epoch = 1, .handover = ""}}, lease, now);
     EXPECT_TRUE(ledger.take_released(now).empty());
     upstream.take(*grant, now, now, now);
     now += 100ms;
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -52,8 +52,8 @@
     EXPECT_EQ(status(reason::no_owner, false), 503);
     EXPECT_EQ(status(reason::no_configuration, false), 503);
     EXPECT_EQ(status(reason::no_route, false), 404);
-    for (auto const why : {reason::answer_lost, reason::owner_lost, reason::deadline,
-                           reason::stopping})
+    for (auto const why :
+         {reason::answer_lost, reason::owner_lost, reason::deadline, reason::stopping})
         EXPECT_TRUE(status(why, true) == 502 || status(why, true) == 504);
     auto const refused =
         form.refused({.why = reason::overloaded, .retry_after = 1'250ms});
@@ -68,9 +68,9 @@
     request.headers = {{"Host", "h"},
                        {"X-Buckthornusher-Request-Id", "9c"},
                        {"X-Buckthornusher-Deadline-Ms", "1500"}};
-    auto const sent = upstream_form{}.order(
-        request,
-        {.life = {.id = "i-1", .started = 5}, .origin = "desk", .time_left = 1'234'567us});
+    auto const sent = upstream_form{}.order(request, {.life = {.id = "i-1", .started = 5},
+                                                      .origin = "desk",
+                                                      .time_left = 1'234'567us});
     EXPECT_EQ(find_header(sent.headers, "x-buckthornusher-deadline-ms"), "1234");
     EXPECT_EQ(find_header(sent.headers, "x-buckthornusher-expect-instance"), "i-1");
     EXPECT_EQ(find_header(sent.headers, "x-buckthornusher-caller-service"), "desk");
@@ -118,7 +118,10 @@
 
 http_request beat(std::string body, std::string target = "/v1/instances/i-7")
 {
-    return {.method = "PUT", .target = std::move(target), .headers = {}, .body = std::move(body)};
+    return {.method = "PUT",
+            .target = std::move(target),
+            .headers = {},
+            .body = std::move(body)};
 }
 
 std::string const whole_beat =
@@ -139,10 +142,9 @@
     EXPECT_EQ(report.sequence, 4U);
     EXPECT_EQ(report.state, upstream_state::draining);
     EXPECT_EQ(report.cold_for, 1'500ms);
-    EXPECT_EQ(report.holds,
-              (std::vector<held_range>{
-                  {.keys = {.first = 0, .last = 4'095}, .epoch = 7},
-                  {.keys = {.first = 9'000, .last = 9'999}, .epoch = 8}}));
+    EXPECT_EQ(report.holds, (std::vector<held_range>{
+                                {.keys = {.first = 0, .last = 4'095}, .epoch = 7},
+                                {.keys = {.first = 9'000, .last = 9'999}, .epoch = 8}}));
     EXPECT_EQ(report.freed,
               (std::vector<freed_range>{
                   {.keys = {.first = 4'096, .last = 8'191}, .handover = "5c"}}));
@@ -253,11 +255,10 @@
               (std::vector<weighted_service>{{.service = "s", .weight = 90},
                                              {.service = "t", .weight = 10}}));
     EXPECT_EQ(doc.routes[1].repeats, repeat_rule::idempotent);
-    EXPECT_EQ(doc.limits,
-              (caller_limits{.header_bytes = 16'384,
-                             .body_bytes = 67'108'864,
-                             .header_timeout = 3s,
-                             .idle_timeout = 15s}));
+    EXPECT_EQ(doc.limits, (caller_limits{.header_bytes = 16'384,
+                                         .body_bytes = 67'108'864,
+                                         .header_timeout = 3s,
+                                         .idle_timeout = 15s}));
 }
 
 TEST(platform_configuration, is_refused_whole_if_anything_is_wrong)
@@ -281,7 +282,8 @@
         {changed(R"("timeout_ms":1500,)", ""), "routes.timeout_ms: found nothing"},
         {changed(R"("timeout_ms":1500)", R"("timeout_ms":"1500")"),
          "routes.timeout_ms: found \"1500\""},
-        {changed(R"("timeout_ms":1500)", R"("timeout_ms":0)"), "routes.timeout_ms: found 0"},
+        {changed(R"("timeout_ms":1500)", R"("timeout_ms":0)"),
+         "routes.timeout_ms: found 0"},
         {changed("non_idempotent", "odd"), "routes.kind: found \"odd\""},
         {changed(R"("path_prefix":"/z/")", R"("path_prefix":"/z")"),
          "routes.path_prefix: found \"/z\""},
@@ -322,10 +324,8 @@
 chunk_record chunk()
 {
     chunk_record c{.service = "s", .first_shard = 1'024, .assignments = {}};
-    assignment const a{.owner = {"n", 5},
-                       .epoch = 3,
-                       .successor = {"m", 6},
-                       .handover = "5c"};
+    assignment const a{
+        .owner = {"n", 5}, .epoch = 3, .successor = {"m", 6}, .handover = "5c"};
     c.assignments.assign(700, a);
     c.assignments[300] = {.owner = {"m", 6}, .epoch = 4};
     c.assignments[301] = {};
@@ -337,8 +337,9 @@
     EXPECT_EQ(list_request({}, "").target, "/v1/objects/buckthornusher");
     EXPECT_EQ(list_request({.kind = object_kind::configuration}, "a b").target,
               "/v1/objects/config?after=a%20b");
-    EXPECT_EQ(watch_request({.kind = object_kind::configuration, .since = 530}, 2s).target,
-              "/v1/objects/config?watch=530&wait_ms=2000");
+    EXPECT_EQ(
+        watch_request({.kind = object_kind::configuration, .since = 530}, 2s).target,
+        "/v1/objects/config?watch=530&wait_ms=2000");
     store_write write{.name = member_object("n"), .expected = 0, .value = member()};
     auto const create = write_request(write);
     EXPECT_EQ(create.method, "POST");
@@ -394,7 +395,8 @@
     EXPECT_EQ(part->last_name, "member.n");
     ASSERT_EQ(part->objects.objects.size(), 1U);
     EXPECT_EQ(part->objects.objects.front().value, record(member()));
-    for (auto const* body : {"", "[]", "{}", R"({"items":[]})", R"({"items":{},"store_revision":1})"})
+    for (auto const* body :
+         {"", "[]", "{}", R"({"items":[]})", R"({"items":{},"store_revision":1})"})
         EXPECT_FALSE(read_list({}, json_answer(200, body))) << body;
     EXPECT_FALSE(read_list({}, json_answer(503, R"({"items":[],"store_revision":1})")));
 }
@@ -422,9 +424,9 @@
     auto const removed = R"({"deleted":true,"object":{"metadata":{"name":"member.n",)"
                          R"("revision":5},"spec":)" +
                          encode_record(member()) + "}}";
-    auto const answer = read_watch(
-        {}, json_answer(200, R"({"events":[)" + changed + "," + removed +
-                                 R"(,{"deleted":true}],"store_revision":8})"));
+    auto const answer =
+        read_watch({}, json_answer(200, R"({"events":[)" + changed + "," + removed +
+                                            R"(,{"deleted":true}],"store_revision":8})"));
     ASSERT_TRUE(std::holds_alternative<store_objects>(answer));
     auto const& found = std::get<store_objects>(answer);
     EXPECT_EQ(found.revision, 8U);
@@ -443,8 +445,8 @@
     {
         return read_write(write, json_answer(status, std::move(body)));
     };
-    EXPECT_EQ(std::get<store_written>(read(200, R"({"metadata":{"revision":9}})")).version,
-              9U);
+    EXPECT_EQ(
+        std::get<store_written>(read(200, R"({"metadata":{"revision":9}})")).version, 9U);
     EXPECT_TRUE(std::holds_alternative<store_no_answer>(read(200, "")));
     EXPECT_TRUE(std::holds_alternative<store_no_answer>(read(200, R"({"metadata":{}})")));
     EXPECT_TRUE(std::holds_alternative<store_no_answer>(read(409, "{}")));
--- a/tests/request_policy_test.cpp
+++ b/tests/request_policy_test.cpp
@@ -177,9 +177,9 @@
 
 struct played
 {
-    double within = 0;     // share answered within the objective
-    double wasted = 0;     // share of the slots' time on answers that came too late
-    double told_late = 0;  // mean time until a refusal, ms
+    double within = 0;    // share answered within the objective
+    double wasted = 0;    // share of the slots' time on answers that came too late
+    double told_late = 0; // mean time until a refusal, ms
 };
 
 enum class policy
@@ -328,9 +328,10 @@
     EXPECT_EQ(p.choose(all, 0, now)->node, "slow");
     p.avoid("slow", now + 1s);
     EXPECT_NE(p.choose(all, 0, now)->node, "slow");
-    p.on_load("fast",
-              {.slots = 10, .running = 0, .waiting = 0, .service = 1ms, .accepting = false},
-              now);
+    p.on_load(
+        "fast",
+        {.slots = 10, .running = 0, .waiting = 0, .service = 1ms, .accepting = false},
+        now);
     EXPECT_EQ(p.choose(all, 0, now)->node, "full");
     EXPECT_EQ(p.choose({}, 0, now), std::nullopt);
 }
@@ -424,13 +425,12 @@
             --up.running;
             start(e.to);
             views[e.from].on_done(candidates[e.to].node, false, now);
-            views[e.from].on_load(
-                candidates[e.to].node,
-                {.slots = slots,
-                 .running = up.running,
-                 .waiting = static_cast<std::uint32_t>(up.line.size()),
-                 .service = ms(up.mean_ms)},
-                now);
+            views[e.from].on_load(candidates[e.to].node,
+                                  {.slots = slots,
+                                   .running = up.running,
+                                   .waiting = static_cast<std::uint32_t>(up.line.size()),
+                                   .service = ms(up.mean_ms)},
+                                  now);
             continue;
         }
         now = next;
@@ -464,9 +464,11 @@
     constexpr std::uint32_t nodes = 5;
     constexpr double ratio = 0.2;
     constexpr double reserve = 20;
-    std::vector<retry_budget> budgets(
-        nodes, retry_budget({.ratio = ratio, .reserve = reserve, .window = 10s,
-                             .nodes = nodes, .used = 1}));
+    std::vector<retry_budget> budgets(nodes, retry_budget({.ratio = ratio,
+                                                           .reserve = reserve,
+                                                           .window = 10s,
+                                                           .nodes = nodes,
+                                                           .used = 1}));
     std::vector<instant> requests;
     std::vector<instant> repeats;
     auto now = at_ms(100'000);
@@ -485,7 +487,8 @@
     auto const within = [](std::vector<instant> const& all, instant from)
     {
         auto const first = std::lower_bound(all.begin(), all.end(), from);
-        return static_cast<double>(std::lower_bound(first, all.end(), from + 10s) - first);
+        return static_cast<double>(std::lower_bound(first, all.end(), from + 10s) -
+                                   first);
     };
     for (auto const from : repeats)
     {
