A watch of the configuration counts once it is answered

Its two listeners were cut off from the store but not from their neighbours; each counted a watch that had just been begun as proof that somebody watches, began another whenever one failed, and told the others so with its renewals. Nobody asked the store.

Ruled out: reads that lag (no read asks for them), the outage of the store's history (the other region had the version 0.6 s after its acknowledgement).

Change: only an answer counts. A watch of the configuration is held for a quarter of the bound, so that answers come often enough. New lines: watches begun and ended, store calls that failed, lease, shards, members, dependencies lost and regained; these showed the cause. Metrics have a listener of their own.

Test: counts_a_watch_of_the_configuration_only_once_it_is_answered.

--- a/include/buckthornusher/coordinator.hpp
+++ b/include/buckthornusher/coordinator.hpp
@@ -127,6 +127,16 @@
                            coordinator_counts const&) = default;
 };
 
+// Which objects of the store this member watches, and for how long at most nobody may
+// have watched the configuration.
+struct store_listening
+{
+    bool fleet = false;
+    bool configuration = false;
+    duration config_age{0};
+    friend bool operator==(store_listening const&, store_listening const&) = default;
+};
+
 class coordinator
 {
 public:
@@ -173,6 +183,7 @@
     void confirm_release(shard_release const& release, instant now);
 
     instant lease_until() const;
+    store_listening listening(instant now) const;
     replica const& copy() const;
     // For `known` of the next incarnation, once this one has ended.
     replica take_copy();
--- a/src/connection/http_client.cpp
+++ b/src/connection/http_client.cpp
@@ -382,4 +382,22 @@
     return m_impl->opened;
 }
 
+char const* to_string(http_failure::step at)
+{
+    switch (at)
+    {
+    case http_failure::step::busy:
+        return "busy";
+    case http_failure::step::connect:
+        return "connect";
+    case http_failure::step::answer:
+        return "answer";
+    case http_failure::step::timeout:
+        return "timeout";
+    case http_failure::step::cancelled:
+        return "cancelled";
+    }
+    return "unknown";
+}
+
 } // namespace buckthornusher
--- a/src/connection/http_client.hpp
+++ b/src/connection/http_client.hpp
@@ -50,6 +50,8 @@
     friend bool operator==(http_failure const&, http_failure const&) = default;
 };
 
+char const* to_string(http_failure::step at);
+
 using http_result =
     boost::outcome_v2::basic_result<http_response, http_failure,
                                     boost::outcome_v2::policy::all_narrow>;
--- a/src/connection/store_client.cpp
+++ b/src/connection/store_client.cpp
@@ -40,7 +40,8 @@
     m_http.call(std::move(request), timeout, std::move(done));
 }
 
-store_answer store_client::note(store_answer answer)
+store_answer store_client::note(std::string_view call, http_result const& result,
+                                store_answer answer)
 {
     bool const refused = std::holds_alternative<store_refused>(answer);
     bool const lost = std::holds_alternative<store_no_answer>(answer);
@@ -48,6 +49,14 @@
     m_counts.no_answer += lost ? 1 : 0;
     m_counts.conflicts += std::holds_alternative<store_conflict>(answer) ? 1 : 0;
     m_reachable = !refused && !lost;
+    bool const history_lost = std::holds_alternative<store_history_lost>(answer);
+    if (m_options.failed && (!m_reachable || history_lost))
+        m_options.failed(
+            {.call = call,
+             .what = result.has_value()
+                         ? "status " + std::to_string(result.value().status)
+                         : std::string(to_string(result.error().at)) +
+                               (result.error().sent ? ", sent" : ", not sent")});
     return answer;
 }
 
@@ -63,7 +72,7 @@
                              ? platform::read_list(operation, result.value())
                              : std::nullopt;
              if (!part)
-                 return done(note(store_no_answer{}));
+                 return done(note("list", result, store_no_answer{}));
              if (so_far.revision == 0)
                  so_far.revision = part->objects.revision;
              for (auto& o : part->objects.objects)
@@ -71,7 +80,7 @@
              if (part->more && !part->last_name.empty())
                  return list(operation, std::move(so_far), part->last_name,
                              std::move(done));
-             done(note(std::move(so_far)));
+             done(note("list", result, std::move(so_far)));
          });
 }
 
@@ -84,7 +93,8 @@
     send(platform::watch_request(operation, wait), wait + watch_slack,
          [this, operation, done = std::move(done)](http_result result)
          {
-             done(note(result.has_value()
+             done(note("watch", result,
+                       result.has_value()
                            ? platform::read_watch(operation, result.value())
                            : store_answer(store_no_answer{})));
          });
@@ -97,9 +107,11 @@
          [this, operation, done = std::move(done)](http_result result)
          {
              if (result.has_value())
-                 return done(note(platform::read_write(operation, result.value())));
+                 return done(note("write", result,
+                                  platform::read_write(operation, result.value())));
              bool const sent = result.error().sent;
-             done(note(sent ? store_answer(store_no_answer{})
+             done(note("write", result,
+                       sent ? store_answer(store_no_answer{})
                             : store_answer(store_refused{})));
          });
 }
--- a/src/connection/store_client.hpp
+++ b/src/connection/store_client.hpp
@@ -28,6 +28,14 @@
     std::uint64_t no_answer = 0;
 };
 
+// A call without a usable answer, for logs.
+struct store_failure
+{
+    std::string_view call; // "list", "watch" or "write"
+    std::string what;      // the step or the status
+    friend bool operator==(store_failure const&, store_failure const&) = default;
+};
+
 class store_client
 {
 public:
@@ -39,9 +47,11 @@
         std::string agent; // names the caller to the store's operators
         duration call_timeout = 1s;
         // How long the store holds a watch without changes. A connection that has gone
-        // silent is noticed after it; what operators write is to be in force soon.
+        // silent is noticed after it; what operators write is to be in force soon, so
+        // that of the configuration is a part of the time that this may take.
         duration fleet_watch = 8s;
         duration config_watch = 2s;
+        std::function<void(store_failure const&)> failed = {};
     };
 
     store_client(event_loop& loop, options const& opts);
@@ -58,7 +68,8 @@
     void watch(store_watch const& operation, callback done);
     void write(store_write const& operation, callback done);
     void send(http_request request, duration timeout, http_client::callback done);
-    store_answer note(store_answer answer);
+    store_answer note(std::string_view call, http_result const& result,
+                      store_answer answer);
 
     options m_options;
     http_client m_http;
--- a/src/coordination/coordinator.cpp
+++ b/src/coordination/coordinator.cpp
@@ -14,7 +14,6 @@
 constexpr duration pause_threshold = 600ms; // between ticks
 constexpr duration pull_patience = 300ms;
 // A watch that was begun longer ago may have been cut off.
-constexpr duration longest_config_watch = 3s;
 } // namespace
 
 void coordinator::impl::send(member_id const& to, control_message message)
@@ -263,8 +262,6 @@
     bool const is_member = at == phase::member;
     if (is_member && copy.revision() < takeover_version)
         fleet_reader.want_list();
-    if (config_reader.watching(now, longest_config_watch))
-        config_confirmed = now;
     bool const nobody_watches = now - config_confirmed > opts.config_silence;
     fleet_reader.set_listening(is_member && (listens || is_alone(now)));
     config_reader.set_listening(is_member && (config_listens || nobody_watches));
@@ -308,6 +305,9 @@
         ++counts.store_no_answers;
         return;
     }
+    // Only an answer shows that the watch was heard: one that hangs may have been cut
+    // off.
+    config_confirmed = now;
     auto const& found = std::get<store_objects>(answer);
     copy.note_config_revision(found.revision);
     learn_config(found.objects, std::nullopt, now);
@@ -551,6 +551,13 @@
     return m_impl->lease.valid_until();
 }
 
+store_listening coordinator::listening(instant now) const
+{
+    return {.fleet = m_impl->fleet_reader.listening(),
+            .configuration = m_impl->config_reader.listening(),
+            .config_age = now - m_impl->config_confirmed};
+}
+
 replica const& coordinator::copy() const
 {
     return m_impl->copy;
--- a/src/coordination/store_reader.cpp
+++ b/src/coordination/store_reader.cpp
@@ -25,7 +25,6 @@
     if (!m_listens || m_watch)
         return std::nullopt;
     m_watch = call_id;
-    m_watch_begun = now;
     return store_watch{.kind = m_options.kind, .since = revision};
 }
 
--- a/src/coordination/store_reader.hpp
+++ b/src/coordination/store_reader.hpp
@@ -40,18 +40,13 @@
     void want_list() { m_list_wanted = true; }
     bool list_wanted() const { return m_list_wanted; }
     void set_listening(bool listens) { m_listens = listens; }
+    bool listening() const { return m_listens; }
 
     // The call that is due, if any; `revision` is what the copy has. It counts as under
     // way from now on.
     std::optional<store_operation> next(std::uint64_t call_id, std::uint64_t revision,
                                         instant now);
 
-    // A watch is under way that was begun no longer ago than that.
-    bool watching(instant now, duration longest) const
-    {
-        return m_watch.has_value() && now - m_watch_begun <= longest;
-    }
-
     bool waits_for(std::uint64_t call_id) const
     {
         return m_list == call_id || m_watch == call_id;
@@ -71,7 +66,6 @@
     std::mt19937_64 m_random;
     std::optional<std::uint64_t> m_list;  // the call under way
     std::optional<std::uint64_t> m_watch; // the same
-    instant m_watch_begun;
     bool m_list_wanted = true;
     bool m_listens = false;
     instant m_next_call;
--- a/src/process/agent.cpp
+++ b/src/process/agent.cpp
@@ -4,6 +4,7 @@
 #include "process/boot_clock.hpp"
 #include "process/event_loop.hpp"
 #include "process/log.hpp"
+#include "process/state_log.hpp"
 
 namespace buckthornusher
 {
@@ -25,24 +26,6 @@
 constexpr double least_rate = 0.02; // requests a second that are still told
 constexpr char const* old_setup_link = "old setup"; // no service can have this name
 
-char const* step_name(http_failure::step at)
-{
-    switch (at)
-    {
-    case http_failure::step::busy:
-        return "busy";
-    case http_failure::step::connect:
-        return "connect";
-    case http_failure::step::answer:
-        return "answer";
-    case http_failure::step::timeout:
-        return "timeout";
-    case http_failure::step::cancelled:
-        return "cancelled";
-    }
-    return "unknown";
-}
-
 char const* meaning_name(answer_meaning meaning)
 {
     switch (meaning)
@@ -82,6 +65,8 @@
     http_client http;
     upstream_queue queue;
     std::optional<hold_ledger> holds; // of an upstream that serves granted keys only
+    std::size_t granted_shards = 0;   // in the last answer to a report
+    dependency state;
 
     bool draining() const
     {
@@ -402,7 +387,7 @@
         bool const cancelled = failure.at == http_failure::step::cancelled;
         l.refused = failure.at == http_failure::step::connect;
         w.trail.add("upstream", {{"outcome", "no-answer"},
-                                 {"step", step_name(failure.at)},
+                                 {"step", to_string(failure.at)},
                                  {"peer", failure.peer},
                                  {"sent", failure.sent ? "yes" : "no"},
                                  {"reused", failure.reused ? "yes" : "no"},
@@ -473,30 +458,41 @@
 void agent::end_trail(work& w, order_result const& result)
 {
     auto const now = boot_now();
-    auto const text = [](reason why)
-    {
-        return std::string(to_string(why));
-    };
-    bool usual = false;
-    if (auto const* a = std::get_if<order_answered>(&result))
-    {
-        usual = !a->failed && now <= w.o.due;
-        w.trail.add("order-ended", {{"outcome", a->failed ? "failed" : "answered"},
-                                    {"took_ms", in_ms(now - w.arrived)}});
-    }
-    else if (auto const* r = std::get_if<order_refused>(&result))
-        w.trail.add("order-ended", {{"outcome", "refused"},
-                                    {"reason", text(r->why)},
-                                    {"took_ms", in_ms(now - w.arrived)}});
-    else if (auto const* u = std::get_if<order_unknown>(&result))
-        w.trail.add("order-ended", {{"outcome", "unknown"},
-                                    {"reason", text(u->why)},
-                                    {"took_ms", in_ms(now - w.arrived)}});
-    else if (auto const* m = std::get_if<order_moved>(&result))
-        w.trail.add("order-ended", {{"outcome", "moved"},
-                                    {"owner", m->owner ? m->owner.node : "-"},
-                                    {"epoch", std::to_string(m->epoch)}});
-    w.trail.end(w.o.id, usual, m_sampler, now);
+    auto const took = in_ms(now - w.arrived);
+    std::string_view how = usual_end;
+    std::visit(overloaded{[&](order_answered const& a)
+                          {
+                              if (a.failed || now > w.o.due)
+                                  how = a.failed ? "order-failed" : "order-late";
+                              w.trail.add("order-ended",
+                                          {{"outcome", a.failed ? "failed" : "answered"},
+                                           {"took_ms", took}});
+                          },
+                          [&](order_refused const& r)
+                          {
+                              how = to_string(r.why);
+                              w.trail.add("order-ended", {{"outcome", "refused"},
+                                                          {"reason", std::string(how)},
+                                                          {"took_ms", took}});
+                          },
+                          [&](order_unknown const& u)
+                          {
+                              how = to_string(u.why);
+                              w.trail.add("order-ended", {{"outcome", "unknown"},
+                                                          {"reason", std::string(how)},
+                                                          {"took_ms", took}});
+                          },
+                          [&](order_moved const& m)
+                          {
+                              how = "order-moved";
+                              w.trail.add("order-ended",
+                                          {{"outcome", "moved"},
+                                           {"owner", m.owner ? m.owner.node : "-"},
+                                           {"epoch", std::to_string(m.epoch)},
+                                           {"took_ms", took}});
+                          }},
+               result);
+    w.trail.end(w.o.id, how, m_sampler, now);
 }
 
 void agent::finish(work& w, order_result result)
@@ -568,7 +564,8 @@
                                         form);
                   }}},
         .queue = upstream_queue({.slots = std::min(report.slots, connections)}),
-        .holds = {}});
+        .holds = {},
+        .state = dependency("upstream", report.service + " " + report.life.id)});
     if (report.granted && service != nullptr && service->keyed)
         l->holds.emplace(service->shards, hold_options{});
     return l;
@@ -640,7 +637,16 @@
         if (s.moving)
             m_coordinator->begin_drain({report.service, s.index});
     }
-    return l.holds->on_report(report, wanted, leaving, m_coordinator->lease_until(), now);
+    auto grant =
+        l.holds->on_report(report, wanted, leaving, m_coordinator->lease_until(), now);
+    if (grant && std::exchange(l.granted_shards, wanted.size()) != wanted.size())
+        log_event(log_level::info, "shards-granted",
+                  {{"service", report.service},
+                   {"life", to_string(report.life)},
+                   {"count", std::to_string(wanted.size())},
+                   {"leaving", std::to_string(leaving.size())},
+                   {"lease_ms", in_ms(m_coordinator->lease_until() - now)}});
+    return grant;
 }
 
 void agent::on_departure(std::string const& life_id, instant now)
@@ -714,9 +720,7 @@
     if (it == m_links.end())
         return std::nullopt;
     auto const& l = *it->second;
-    auto const quiet = now - l.last_report;
-    bool const silent = quiet > reports_missed * m_options.report_interval &&
-                        now - l.last_answer > answer_proves_life;
+    bool const silent = is_silent(l, now);
     return upstream_load{.slots = l.queue.limit(),
                          .running = l.queue.running(),
                          .waiting = static_cast<std::uint32_t>(l.queue.queued()),
@@ -725,6 +729,12 @@
                              !l.draining() && !silent && !l.refused && !m_closing};
 }
 
+bool agent::is_silent(link const& l, instant now) const
+{
+    return now - l.last_report > reports_missed * m_options.report_interval &&
+           now - l.last_answer > answer_proves_life;
+}
+
 void agent::begin_closing()
 {
     m_closing = true;
@@ -800,6 +810,11 @@
         auto& queue = entry.second->queue;
         refuse_all(queue.expire(now), reason::overloaded, queue.mean_service());
         start_queued(*entry.second, now);
+        auto& l = *entry.second;
+        if (entry.first != old_setup_link && !l.departed)
+            l.state.set(!l.refused && !is_silent(l, now),
+                        l.refused ? "connection refused" : "no report and no answer",
+                        now);
     }
 }
 
--- a/src/process/agent.hpp
+++ b/src/process/agent.hpp
@@ -161,6 +161,7 @@
     bool keyed(std::string const& service) const;
     void try_begin(work& w, instant now);
     void wait(work& w);
+    bool is_silent(link const& l, instant now) const;
     bool takes_orders(link const& l, bool keyed_order, instant now) const;
     void admit(work& w, instant now);
     bool choose_backend(work& w);
--- a/src/process/ingress.cpp
+++ b/src/process/ingress.cpp
@@ -132,7 +132,7 @@
                           {"host", host_of(request)},
                           {"path", std::string(request.path())},
                           {"config", std::to_string(m_config_number)}});
-    trail.end(facts.id, false, m_sampler, now);
+    trail.end(facts.id, to_string(why), m_sampler, now);
     m_metrics.count_outcome(service, outcome_kind::refused, why, 0us);
     reply.send(std::visit([&](auto const& form)
                           { return form.refused({.why = why, .retry_after = after}); },
@@ -210,7 +210,7 @@
     m_metrics.count_outcome(f->o.service, outcome_kind::left, reason::none, 0us);
     f->trail.add("left", {{"took_ms", in_ms(boot_now() - f->arrived)},
                           {"at", f->local ? "here" : f->sent_to}});
-    f->trail.end(f->o.id, false, m_sampler, boot_now());
+    f->trail.end(f->o.id, "left", m_sampler, boot_now());
     m_loop.timers().cancel(f->timer);
     if (f->local)
         m_agent.cancel(*f->local);
@@ -618,8 +618,10 @@
 // may be repeated go elsewhere; the others are given up once that is certain.
 void ingress::on_lost(std::string const& node, bool certainly, instant now)
 {
-    log_event(log_level::warning, "peer-lost",
-              {{"peer", node}, {"certain", certainly ? "restarted" : "silent"}});
+    log_event(log_level::warning, "dependency-lost",
+              {{"kind", "peer"},
+               {"peer", node},
+               {"why", certainly ? "its process was replaced" : "silent"}});
     std::vector<flight_id> lost;
     for (auto const& [id, f] : m_flights)
         if (f->sent_to == node)
@@ -682,10 +684,12 @@
                           {"late", late ? "yes" : "no"},
                           {"arrivals", std::to_string(f.arrivals)}});
     constexpr int first_failure = 500;
-    f.trail.end(f.o.id,
-                kind == outcome_kind::answered && !late && f.arrivals == 1 &&
-                    response.status < first_failure,
-                m_sampler, now);
+    auto const how = kind != outcome_kind::answered     ? to_string(why)
+                     : response.status >= first_failure ? "failed"
+                     : late                             ? "late"
+                     : f.arrivals > 1                   ? "repeated"
+                                                        : usual_end;
+    f.trail.end(f.o.id, how, m_sampler, now);
     m_loop.timers().cancel(f.timer);
     end_sending(f, kind != outcome_kind::answered, now);
     m_waiting.erase(f.id);
--- a/src/process/log.cpp
+++ b/src/process/log.cpp
@@ -223,13 +223,13 @@
     write_line(level, wall_clock_us(), event, text);
 }
 
-void log_decisions(std::string const& request, std::vector<log_decision> const& decisions)
+void log_decisions(std::string const& request, std::string_view kind,
+                   std::vector<log_decision> const& decisions)
 {
-    auto const now = boot_now();
+    if (!state().limiter.allow(kind, boot_now()))
+        return;
     for (auto const& d : decisions)
     {
-        if (!state().limiter.allow(d.event, now))
-            continue;
         std::string text;
         append_field(text, {"request", request});
         write_line(log_level::info, d.at_us, d.event, text + d.fields);
--- a/src/process/log.hpp
+++ b/src/process/log.hpp
@@ -62,7 +62,8 @@
     std::string fields; // " name=value name=value"
 };
 void append_field(std::string& fields, log_field const& field);
-void log_decisions(std::string const& request,
+// All of them or, beyond the rate of their `kind`, none.
+void log_decisions(std::string const& request, std::string_view kind,
                    std::vector<log_decision> const& decisions);
 
 // Writes what the descriptor takes now, and the counts of lines left out from time to
--- a/src/process/node.cpp
+++ b/src/process/node.cpp
@@ -19,6 +19,7 @@
 #include "process/order_server.hpp"
 #include "process/peer_table.hpp"
 #include "process/shard_handover.hpp"
+#include "process/state_log.hpp"
 
 #include "wire.pb.h"
 
@@ -38,6 +39,9 @@
 constexpr duration request_period = 20ms;
 constexpr duration peer_review_period = 30s;
 constexpr duration longest_config_silence = 5s;
+constexpr duration longest_config_watch = 2s;
+// A watch that hangs is noticed so many times within the bound of the configuration.
+constexpr int watches_in_bound = 4;
 // Of the bound on a new document, for reading it and passing it on.
 constexpr duration config_reserve = 600ms;
 constexpr duration reload_period = 5s; // looks for settings that changed without a signal
@@ -134,8 +138,17 @@
                 [this](peer_route const& route, wire::Envelope const& m)
                 { on_peer(route, m); }),
           table(peers, settings.name, std::random_device{}(), {}),
-          store(loop, {.address = to_address(settings.store), .agent = settings.name}),
-          coord(make_coordinator({}, {})),
+          store(loop,
+                {.address = to_address(settings.store),
+                 .agent = settings.name,
+                 .config_watch = std::min<duration>(
+                     longest_config_watch, settings.config_bound / watches_in_bound),
+                 .failed =
+                     [this](store_failure const& f)
+                 {
+                     on_store_failure(f);
+                 }}),
+          store_state("store", settings.store), coord(make_coordinator({}, {})),
           local(loop, *coord,
                 {.form = make_upstream_form(settings.form),
                  .report_interval = settings.report_interval,
@@ -174,6 +187,11 @@
                 loop, http_server::options{.address = to_address(settings.readiness)},
                 [this](http_request const&, http_reply const& reply)
                 { reply.send({.status = ready() ? 200 : 503}); });
+        if (!settings.metrics.empty())
+            metrics_server.emplace(
+                loop, http_server::options{.address = to_address(settings.metrics)},
+                [this](http_request const&, http_reply const& reply)
+                { reply.send({.body = operators.metrics_text()}); });
     }
 
     node_settings settings;
@@ -183,6 +201,8 @@
     peer_socket peers;
     peer_table table;
     store_client store;
+    dependency store_state;
+    state_log beliefs;
     std::vector<keyed_service> services;
     duration unfenced_wait{0};
     bool ordered_configuration = false;
@@ -197,6 +217,7 @@
     http_server operator_server;
     std::optional<http_server> upstream_server;
     std::optional<http_server> readiness_server;
+    std::optional<http_server> metrics_server;
     std::uint64_t config_number = 0;
     std::uint64_t config_refused = 0; // the version of a document that was refused
     std::atomic<int> stops{0};
@@ -277,6 +298,8 @@
         store.call(effect.operation,
                    [this, id = effect.id, member](store_answer const& answer)
                    {
+                       if (store.reachable())
+                           store_state.set(true, {}, boot_now());
                        if (coord->self() != member)
                            return; // asked by an earlier incarnation
                        coord->on_store_answer(id, answer, boot_now());
@@ -284,6 +307,15 @@
                    });
     }
 
+    void on_store_failure(store_failure const& failure)
+    {
+        log_event(log_level::info, "store-call-failed",
+                  {{"call", std::string(failure.call)}, {"what", failure.what}});
+        if (!store.reachable())
+            store_state.set(false, std::string(failure.call) + ": " + failure.what,
+                            boot_now());
+    }
+
     void apply(shard_drained& effect) { handover.on_drained(effect, boot_now()); }
 
     void apply(replica_changed& /*effect*/)
@@ -418,7 +450,9 @@
     {
         auto const now = boot_now();
         auto const& node = message.sender().node();
-        table.heard(node, now);
+        if (auto const silent = table.heard(node, now); silent > 0us)
+            log_event(log_level::info, "dependency-regained",
+                      {{"kind", "peer"}, {"peer", node}, {"lost_ms", in_ms(silent)}});
         switch (message.body_case())
         {
         case wire::Envelope::kForward:
@@ -491,6 +525,7 @@
         }
         coord->tick(now);
         carry_out();
+        beliefs.follow(*coord, now);
         if (reload_asked.exchange(false) || now >= next_reload)
             reload(now);
         follow_stop(now);
--- a/src/process/operator_api.hpp
+++ b/src/process/operator_api.hpp
@@ -41,13 +41,13 @@
     explicit operator_api(parts p) : m_parts(p) {}
 
     void handle(http_request request, http_reply reply);
+    std::string metrics_text() const;
 
 private:
     void announce(http_request const& request, http_reply const& reply);
     void put_config(http_request const& request, http_reply const& reply);
     std::string status() const;
     std::string burn() const;
-    std::string metrics_text() const;
     std::string own_ip() const;
 
     parts m_parts;
--- a/src/process/peer_table.cpp
+++ b/src/process/peer_table.cpp
@@ -52,13 +52,15 @@
         --it->second.awaited;
 }
 
-void peer_table::heard(std::string const& node, instant now)
+duration peer_table::heard(std::string const& node, instant now)
 {
     auto const it = m_peers.find(node);
     if (it == m_peers.end())
-        return;
-    it->second.last_heard = now;
-    it->second.silent = false;
+        return duration{0};
+    auto& p = it->second;
+    bool const was_silent = std::exchange(p.silent, false);
+    auto const before = std::exchange(p.last_heard, now);
+    return was_silent ? now - before : duration{0};
 }
 
 void peer_table::on_hello(peer_route const& route) const
--- a/src/process/peer_table.hpp
+++ b/src/process/peer_table.hpp
@@ -50,8 +50,8 @@
     void await(std::string const& node, std::string const& endpoint, instant now);
     void end_await(std::string const& node);
 
-    // Some message came from the peer.
-    void heard(std::string const& node, instant now);
+    // Some message came from the peer. Returns for how long it had been silent.
+    duration heard(std::string const& node, instant now);
     void on_hello(peer_route const& route) const;
     // Returns whether the peer's process is another than the one known before.
     bool on_hello_ack(wire::Envelope const& message, instant now);
--- a/src/process/request_trail.hpp
+++ b/src/process/request_trail.hpp
@@ -10,6 +10,7 @@
 
 #include <initializer_list>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace buckthornusher
@@ -17,6 +18,8 @@
 
 // The limit of a trail; further decisions are not kept.
 inline constexpr std::size_t longest_trail = 40;
+// What a request that went as usual counts as.
+inline constexpr std::string_view usual_end = "usual";
 
 class request_trail
 {
@@ -32,11 +35,13 @@
             append_field(d.fields, field);
     }
 
-    // The request has ended here. `usual`: its caller got what it came for.
-    void end(std::string const& id, bool usual, request_sampler& sampler, instant now)
+    // The request has ended here. `kind`: how; lines are limited for each kind by itself,
+    // so a flood of one hides no other.
+    void end(std::string const& id, std::string_view kind, request_sampler& sampler,
+             instant now)
     {
-        if (!usual || sampler.sampled(id, now))
-            log_decisions(id, m_decisions);
+        if (kind != usual_end || sampler.sampled(id, now))
+            log_decisions(id, kind, m_decisions);
         m_decisions.clear();
     }
 
--- /dev/null
+++ b/src/process/state_log.cpp
@@ -0,0 +1,134 @@
+// Writes a line when what this process believes changes: see the header.
+#include "process/state_log.hpp"
+
+#include "process/log.hpp"
+#include "process/request_trail.hpp"
+
+#include <utility>
+
+namespace buckthornusher
+{
+
+namespace
+{
+
+char const* name_of(member_state state)
+{
+    switch (state)
+    {
+    case member_state::live:
+        return "live";
+    case member_state::evicting:
+        return "evicting";
+    case member_state::gone:
+        return "gone";
+    }
+    return "unknown";
+}
+
+std::string yes_no(bool value)
+{
+    return value ? "yes" : "no";
+}
+
+std::string revision_of(coordinator const& coord)
+{
+    return std::to_string(coord.copy().revision());
+}
+
+} // namespace
+
+void dependency::set(bool answers, std::string_view why, instant now)
+{
+    if (answers == m_answers)
+        return;
+    m_answers = answers;
+    if (!answers)
+    {
+        m_lost_at = now;
+        return log_event(
+            log_level::warning, "dependency-lost",
+            {{"kind", std::string(m_kind)}, {"peer", m_name}, {"why", std::string(why)}});
+    }
+    log_event(log_level::info, "dependency-regained",
+              {{"kind", std::string(m_kind)},
+               {"peer", m_name},
+               {"lost_ms", in_ms(now - m_lost_at)}});
+}
+
+void state_log::follow(coordinator const& coord, instant now)
+{
+    if (m_member_generation != coord.copy().member_generation())
+        follow_members(coord);
+    follow_lease(coord, now);
+    follow_work(coord, now);
+}
+
+void state_log::follow_members(coordinator const& coord)
+{
+    m_member_generation = coord.copy().member_generation();
+    for (auto const& [id, m] : coord.copy().members())
+    {
+        seen_member const now{
+            .id = id, .tenure = m.tenure, .state = m.state, .draining = m.draining};
+        auto& before = m_members[id.node];
+        if (before == now)
+            continue;
+        before = now;
+        log_event(log_level::info, "member",
+                  {{"member", id.node},
+                   {"incarnation", std::to_string(id.incarnation)},
+                   {"tenure", std::to_string(m.tenure)},
+                   {"state", name_of(m.state)},
+                   {"draining", yes_no(m.draining)},
+                   {"revision", revision_of(coord)}});
+    }
+    std::erase_if(m_members, [&](auto const& entry)
+                  { return coord.copy().node(entry.first) == nullptr; });
+}
+
+void state_log::follow_lease(coordinator const& coord, instant now)
+{
+    bool const leased = coord.lease_until() > now;
+    if (leased != m_leased)
+    {
+        m_leased = leased;
+        auto const before = std::exchange(m_leased_since, now);
+        if (leased)
+            log_event(log_level::info, "lease-held",
+                      {{"for_ms", in_ms(coord.lease_until() - now)},
+                       {"shards", std::to_string(coord.shards().owned())},
+                       {"revision", revision_of(coord)}});
+        else
+            log_event(log_level::warning, "lease-over",
+                      {{"held_ms", in_ms(now - before)},
+                       {"shards", std::to_string(coord.shards().owned())},
+                       {"revision", revision_of(coord)}});
+    }
+    auto const owned = coord.shards().owned();
+    if (owned == m_owned)
+        return;
+    log_event(log_level::info, "shards-owned",
+              {{"count", std::to_string(owned)},
+               {"before", std::to_string(m_owned)},
+               {"tenure", std::to_string(coord.owner().tenure)},
+               {"revision", revision_of(coord)}});
+    m_owned = owned;
+}
+
+void state_log::follow_work(coordinator const& coord, instant now)
+{
+    auto const listening = coord.listening(now);
+    auto const follow = [&](char const* what, bool& before, bool present)
+    {
+        if (std::exchange(before, present) != present)
+            log_event(log_level::info, present ? "watch-begun" : "watch-ended",
+                      {{"objects", what},
+                       {"config_age_ms", in_ms(listening.config_age)},
+                       {"revision", revision_of(coord)}});
+    };
+    follow("fleet", m_listens, listening.fleet);
+    follow("configuration", m_config_listens, listening.configuration);
+}
+
+} // namespace buckthornusher
--- a/src/version/config.cpp
+++ b/src/version/config.cpp
@@ -540,6 +540,7 @@
     settings.peers = r.address("peers");
     settings.upstreams = r.address("upstreams", "");
     settings.readiness = r.address("readiness", "");
+    settings.metrics = r.address("metrics", "");
     r.finish();
 }
 
--- a/src/version/config.hpp
+++ b/src/version/config.hpp
@@ -163,6 +163,7 @@
     std::string operators; // HTTP from operators, and in our form from upstreams
     std::string upstreams; // the same for upstreams in the platform's form; may be empty
     std::string readiness; // the same for who asks whether to send callers here
+    std::string metrics;   // the same for collectors of metrics; may be empty
     std::string peers;     // ZeroMQ
     std::string store;
     std::vector<std::string>
--- a/tests/coordinator_test.cpp
+++ b/tests/coordinator_test.cpp
@@ -57,5 +57,46 @@
     EXPECT_NE(late.take_copy().member(predecessor.id), nullptr);
 }
 
+std::uint64_t watch_call(std::vector<effect> const& effects, object_kind kind)
+{
+    for (auto const& e : effects)
+        if (auto const* c = std::get_if<call_store>(&e))
+            if (auto const* w = std::get_if<store_watch>(&c->operation);
+                w != nullptr && w->kind == kind)
+                return c->id;
+    return 0;
+}
+
+// A member cut off from the store begins a watch and hears nothing. It must not tell its
+// peers that somebody watches the configuration: they would not ask the store themselves.
+TEST(coordinator, counts_a_watch_of_the_configuration_only_once_it_is_answered)
+{
+    coordinator alone(
+        {.self = {"n", 5}, .endpoint = "tcp://a:1", .region = "r", .domain = "d"});
+    alone.start(at_ms(0));
+    auto effects = alone.take_effects();
+    alone.on_store_answer(list_call(effects, object_kind::configuration),
+                          store_objects{.revision = 3, .objects = {}}, at_ms(5));
+    alone.on_store_answer(list_call(effects, object_kind::fleet),
+                          store_objects{.revision = 3, .objects = {}}, at_ms(5));
+    std::uint64_t watch = 0;
+    for (int ms = 10; ms <= 3'000; ms += 10)
+    {
+        effects = alone.take_effects();
+        for (auto const& e : effects)
+            if (auto const* c = std::get_if<call_store>(&e))
+                if (std::holds_alternative<store_write>(c->operation))
+                    alone.on_store_answer(c->id, store_written{.version = 4}, at_ms(ms));
+        if (auto const begun = watch_call(effects, object_kind::configuration))
+            watch = begun;
+        alone.tick(at_ms(ms));
+    }
+    ASSERT_NE(watch, 0U) << "nobody else watches";
+    EXPECT_GE(alone.listening(at_ms(3'000)).config_age, 2'900ms);
+    alone.on_store_answer(watch, store_objects{.revision = 3, .objects = {}},
+                          at_ms(3'010));
+    EXPECT_EQ(alone.listening(at_ms(3'010)).config_age, 0ms);
+}
+
 } // namespace
 } // namespace buckthornusher
