A request finds the owner of its shard by epochs; explain names the cause of an end

Cause: a request that two nodes sent to each other was refused after four hops, also when the owner was known a moment later. The search for an owner is now a part of its own: the higher epoch counts, and who has said no at an epoch is not asked again at it for 100 ms, so that the request waits for news instead. A wait is counted from the first one on.

Ruled out: more hops, which only spend the same questions faster.

The number of hops has left the wire.

--- a/include/buckthornusher/outcome.hpp
+++ b/include/buckthornusher/outcome.hpp
@@ -27,7 +27,6 @@
     deadline,          // the deadline passed before the request was sent on
     not_reached,       // the owner could not be reached
     stale,             // the message had waited too long on its way
-    too_many_hops,     // owners kept pointing at each other
     upstream_refused,  // the upstream says that it did not run the request
     lease_over,        // the owner's lease ended before the request was sent on
     operation_unknown, // the operation id is from an owner that has been lost
--- a/src/process/ingress.cpp
+++ b/src/process/ingress.cpp
@@ -14,7 +14,6 @@
 namespace
 {
 
-constexpr std::uint32_t most_hops = 4;
 constexpr duration longest_deadline = 60s; // of a request that names its own
 constexpr duration retry_pause = 20ms;
 // How long an upstream may let a request wait while there are others to ask.
@@ -88,8 +87,7 @@
     duration latency_bound{0}; // of the objective
     std::uint32_t max_attempts = 1;
     std::uint32_t arrivals = 0; // at upstreams, as far as is known
-    std::uint32_t hops = 0;
-    owner_id hint;       // where a node said that the owner is
+    owner_search search; // of the shard's owner
     std::string sent_to; // an answer is awaited from this node
     std::string endpoint;
     std::uint64_t sending = 0; // of the answer that is awaited
@@ -238,24 +236,18 @@
 
 void ingress::dispatch_keyed(flight& f, instant now)
 {
-    auto owner = f.hint;
-    if (!owner)
-    {
-        auto const* a = m_coordinator->copy().find_assignment({f.o.service, *f.o.shard});
-        if (a != nullptr)
-            owner = a->owner;
-    }
-    auto const* m = owner ? m_coordinator->copy().serving(owner) : nullptr;
+    auto const& copy = m_coordinator->copy();
+    auto const* a = copy.find_assignment({f.o.service, *f.o.shard});
+    auto const by_replica =
+        a == nullptr ? named_owner{} : named_owner{.owner = a->owner, .epoch = a->epoch};
+    auto const asked = f.search.next(by_replica, now);
+    auto const* m = asked ? copy.serving(asked->owner) : nullptr;
     if (m == nullptr)
-    {
-        f.hint = {};
         return wait(f, now);
-    }
-    auto const* a = m_coordinator->copy().find_assignment({f.o.service, *f.o.shard});
     f.trail.add("owner", {{"to", m->id.node},
-                          {"epoch", a == nullptr ? "-" : std::to_string(a->epoch)},
-                          {"told", f.hint ? "by-node" : "by-replica"},
-                          {"replica", std::to_string(m_coordinator->copy().revision())}});
+                          {"epoch", std::to_string(asked->epoch)},
+                          {"told", *asked == by_replica ? "by-replica" : "by-node"},
+                          {"replica", std::to_string(copy.revision())}});
     send_to(f, {.node = m->id.node, .endpoint = m->endpoint}, now);
 }
 
@@ -348,7 +340,6 @@
     if (!stamp)
         return wait(f, now);
     m_waiting.erase(f.id);
-    f.waiting_since.reset();
     f.sending = m_next_id++;
     wire::Envelope message;
     message.mutable_sender()->set_node(m_options.self);
@@ -359,7 +350,6 @@
         return static_cast<std::uint64_t>(std::max(until - now, duration{0}).count());
     };
     out.set_attempt(f.sending);
-    out.set_hops(f.hops);
     out.mutable_token()->set_session(stamp->session);
     out.mutable_token()->set_sent_at(to_micros(stamp->at));
     out.set_budget(left(f.o.deadline));
@@ -383,7 +373,6 @@
 void ingress::run_here(flight& f)
 {
     m_waiting.erase(f.id);
-    f.waiting_since.reset();
     auto const id = f.id;
     m_placement.on_sent(m_options.self);
     f.sent_to.clear();
@@ -548,7 +537,7 @@
     if (result.reached_upstream &&
         !(f.arrivals < f.max_attempts && m_retries.try_repeat(f.o.service, now)))
         return refuse(f, result.why, result.retry_after);
-    f.hint = {};
+    f.search.forget();
     bool const elsewhere = !f.o.shard && result.why != reason::stale;
     if (elsewhere)
         return dispatch(f, now);
@@ -560,19 +549,16 @@
     ++f.arrivals;
     if (!take_repeat(f, 0, now))
         return give_up(f, result.why);
-    f.hint = {};
+    f.search.forget();
     dispatch(f, now);
 }
 
-// The request did not run where it was sent; goes on to the owner that was named.
+// The request did not run where it was sent; goes on to the owner that was named, or
+// waits for news.
 void ingress::on_moved(flight& f, order_moved const& moved, instant now)
 {
-    if (++f.hops > most_hops)
-        return refuse(f, reason::too_many_hops, owner_retry);
-    f.hint = moved.owner;
-    if (moved.owner)
-        return dispatch(f, now);
-    wait(f, now);
+    f.search.on_moved({.owner = moved.owner, .epoch = moved.epoch}, now);
+    dispatch(f, now);
 }
 
 // Whether the request may be sent once more though it may have run. Takes it from the
@@ -756,7 +742,7 @@
         if (!take_repeat(*f, 0, now))
             continue;
         end_sending(*f, true, now);
-        f->hint = {};
+        f->search.forget();
         ready.push_back(id);
     }
     for (auto const id : ready)
--- a/src/process/ingress.hpp
+++ b/src/process/ingress.hpp
@@ -3,7 +3,7 @@
 //
 // Any node takes any request. A request with a key goes to the owner of its shard, as
 // this node's replica knows it; a stale table does no harm, as a node that does not own
-// the shard says so and names the owner, and the request follows, up to a number of hops.
+// the shard says so and names the owner, and the request follows (owner_search.hpp).
 // A request without a key goes where its answer is expected first (placement.hpp); a node
 // that has no room says so without asking its upstream, and the request is offered to the
 // next: first to each with little patience, then to the best with all that there is.
@@ -16,6 +16,7 @@
 
 #include "buckthornusher/burn.hpp"
 #include "buckthornusher/coordinator.hpp"
+#include "buckthornusher/owner_search.hpp"
 #include "buckthornusher/placement.hpp"
 #include "buckthornusher/retry_budget.hpp"
 #include "buckthornusher/timer_service.hpp"
--- a/src/process/main.cpp
+++ b/src/process/main.cpp
@@ -1,4 +1,5 @@
 // The command line of the one binary.
+#include "process/explain.hpp"
 #include "process/log.hpp"
 #include "process/node.hpp"
 #include "process/operator_client.hpp"
@@ -37,6 +38,10 @@
 
 int run_node(std::string const& path)
 {
+    // Until the node runs, a change of its settings needs no notice; a reader of the log
+    // that has gone is none of the node's business.
+    std::signal(SIGHUP, SIG_IGN);
+    std::signal(SIGPIPE, SIG_IGN);
     auto const text = read_file(path);
     if (!text)
         return std::cerr << path << ": cannot be read\n", exit_bad_input;
@@ -108,6 +113,9 @@
     CLI::App* report = app.add_subcommand("report", "reports over the fleet");
     CLI::App* burn =
         report->add_subcommand("burn", "service-level burn, all nodes together");
+    std::string request;
+    std::vector<std::string> logs;
+    CLI::App* explain = app.add_subcommand("explain", "a request's way, from the logs");
     CLI::App* version = app.add_subcommand("version", "print the version");
 
     command_line()
@@ -133,6 +141,8 @@
             ->delimiter(',')
             ->required();
         burn->add_flag("--html", html, "a page in place of a table");
+        explain->add_option("--request", request, "the request's id")->required();
+        explain->add_option("logs", logs, "the nodes' logs")->required();
         status->add_flag("--json", json, "for programs");
     }
 };
@@ -150,12 +160,29 @@
     return report_burn(nodes, line.html);
 }
 
+int explain_request(std::string const& request, std::vector<std::string> const& logs)
+{
+    std::vector<log_record> records;
+    for (auto const& path : logs)
+    {
+        std::ifstream file(path);
+        if (!file)
+            return std::cerr << path << ": cannot be read\n", exit_bad_input;
+        read_records(file, request, records);
+    }
+    sort_records(records);
+    std::cout << path_text(records) << "cause: " << cause_of(records) << "\n";
+    return records.empty() ? exit_failed : exit_ok;
+}
+
 int run_command(command_line const& line)
 {
     if (line.run->parsed())
         return run_node(line.settings);
     if (line.check->parsed())
         return check_config(line.document_path);
+    if (line.explain->parsed())
+        return explain_request(line.request, line.logs);
     if (line.version->parsed())
         return std::cout << "buckthornusher 0.1.0\n", exit_ok;
     if (line.burn->parsed())
--- a/src/request/outcome.cpp
+++ b/src/request/outcome.cpp
@@ -24,8 +24,6 @@
         return "not-reached";
     case reason::stale:
         return "stale";
-    case reason::too_many_hops:
-        return "too-many-hops";
     case reason::upstream_refused:
         return "upstream-refused";
     case reason::lease_over:
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -297,6 +297,7 @@
 {
     std::string const hidden = "GET /hidden HTTP/1.1\r\nHost: h\r\n\r\n";
     std::string const post = "POST / HTTP/1.1\r\nHost: h\r\n";
+    std::string const end = "0\r\n\r\n";
     std::vector<std::string> const cases{
         post + "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
         post + "Transfer-Encoding: chunked\r\nContent-Length: 5\r\n\r\n0\r\n\r\n",
@@ -308,8 +309,7 @@
         "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
         "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked, gzip\r\n\r\n0\r\n\r\n",
         "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: identity\r\n\r\n",
-        "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: "
-        "chunked\r\n\r\n0\r\n\r\n",
+        post + "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n" + end,
         "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n\r\n",
         "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding : chunked\r\n\r\n0\r\n\r\n",
         "GET / HTTP/1.1\r\nHost: h\r\nHost: i\r\n\r\n",
