An upstream that joins is tried soon

Placement took one of which nothing is known to need 100 ms, more than all known ones need, so that it was never asked while they had room, and its speed was never learnt.

Ruled out: letting learnt times grow old, which would send a share of requests to upstreams that are known to be slow.

Change: one of which nothing is known counts as a little faster than the fastest that is known; the first answer tells its speed. One that fails is left after three tries at most.

Tests: tries_an_upstream_that_joins_and_then_goes_by_its_answer (failed first), an_unknown_upstream_that_fails_is_left_after_a_few_tries.

--- a/include/buckthornusher/placement.hpp
+++ b/include/buckthornusher/placement.hpp
@@ -7,8 +7,12 @@
 // counts less and less, so that nobody is avoided for ever, nor flooded by all nodes that
 // saw it free at the same moment, as near-best choices are drawn at random.
 //
+// An upstream of which nothing is known is taken for a little faster than the fastest
+// that is known, so that one that has just joined is tried soon and its speed learnt.
+//
 //   load it answers: upstreams of different speeds; one that turns slow, sheds or fails
-//   part of its requests; a region whose slots are full while the other has room.
+//   part of its requests; one that joins; a region whose slots are full while the other
+//   has room.
 //
 // Another region costs `region_penalty` besides its delay, as the bytes on the link
 // between regions are few and paid for; a request crosses only when that is worth it.
@@ -62,7 +66,8 @@
     duration domain_penalty = 2ms;
     duration region_penalty = 150ms;
     duration fresh_for = 500ms;   // a word on load counts in full
-    duration first_guess = 100ms; // of a service time that is not known
+    duration first_guess = 100ms; // of a service time while none at all is known
+    double optimism = 0.8;        // of the fastest known, where nothing is known
     double tie = 0.05;            // choices this close to the best are drawn
     friend bool operator==(placement_options const&, placement_options const&) = default;
 };
@@ -112,7 +117,9 @@
         instant avoid_until;
     };
 
-    std::optional<duration> expected(placement_candidate const& c, instant now) const;
+    duration guess(std::vector<placement_candidate> const& from) const;
+    std::optional<duration> expected(placement_candidate const& c, duration guess,
+                                     instant now) const;
 
     placement_options m_options;
     std::map<std::string, entry> m_entries; // by node
--- a/src/request/placement.cpp
+++ b/src/request/placement.cpp
@@ -57,7 +57,24 @@
     m_entries[node].avoid_until = until;
 }
 
-std::optional<duration> placement::expected(placement_candidate const& c,
+// The time that an upstream is taken to need of which nothing is known.
+duration placement::guess(std::vector<placement_candidate> const& from) const
+{
+    std::optional<duration> fastest;
+    for (auto const& c : from)
+    {
+        auto const it = m_entries.find(c.node);
+        if (it == m_entries.end() || !it->second.load || it->second.load->service <= 0us)
+            continue;
+        auto const service = it->second.load->service;
+        fastest = fastest ? std::min(*fastest, service) : service;
+    }
+    if (!fastest)
+        return m_options.first_guess;
+    return from_seconds(m_options.optimism * seconds(*fastest));
+}
+
+std::optional<duration> placement::expected(placement_candidate const& c, duration guess,
                                             instant now) const
 {
     auto trip = m_options.near_trip;
@@ -67,13 +84,12 @@
         trip = m_options.far_trip + m_options.region_penalty;
     auto const it = m_entries.find(c.node);
     if (it == m_entries.end())
-        return trip + m_options.first_guess;
+        return trip + guess;
     auto const& e = it->second;
     if (now < e.avoid_until)
         return std::nullopt;
     auto const slots = std::max(1U, e.load ? e.load->slots : c.slots);
-    auto const service =
-        e.load && e.load->service > 0us ? e.load->service : m_options.first_guess;
+    auto const service = e.load && e.load->service > 0us ? e.load->service : guess;
     double busy = e.sent_since;
     if (e.load)
     {
@@ -97,8 +113,9 @@
                   instant now) const
 {
     std::vector<placement_choice> choices;
+    auto const unknown = guess(from);
     for (auto const& c : from)
-        if (auto const e = expected(c, now))
+        if (auto const e = expected(c, unknown, now))
             choices.push_back({.node = c.node, .expected = *e});
     if (choices.empty())
         return std::nullopt;
--- a/tests/request_policy_test.cpp
+++ b/tests/request_policy_test.cpp
@@ -336,6 +336,48 @@
     EXPECT_EQ(p.choose({}, 0, now), std::nullopt);
 }
 
+// A quiet day: all have room, so that nothing but its speed speaks for one of them. One
+// that joins is tried once, and then stands by what its answer told.
+TEST(placement, tries_an_upstream_that_joins_and_then_goes_by_its_answer)
+{
+    placement p({});
+    auto const now = at_ms(1'000);
+    std::vector<placement_candidate> all{near_one("fast"), near_one("slow")};
+    p.on_load("fast", busy(2, 0, 40ms), now);
+    p.on_load("slow", busy(2, 0, 120ms), now);
+    EXPECT_EQ(p.choose(all, 0, now)->node, "fast");
+    auto joined = near_one("joined");
+    joined.away = distance::same_region;
+    all.push_back(joined);
+    for (std::uint64_t draw = 0; draw < 3; ++draw)
+        EXPECT_EQ(p.choose(all, draw, now)->node, "joined");
+    p.on_sent("joined");
+    p.on_load("joined", busy(0, 0, 90ms), now);
+    p.on_done("joined", false, now);
+    for (std::uint64_t draw = 0; draw < 3; ++draw)
+        EXPECT_EQ(p.choose(all, draw, now)->node, "fast");
+}
+
+// Nothing heard of a failing one but its failures: it is not tried over and over.
+TEST(placement, an_unknown_upstream_that_fails_is_left_after_a_few_tries)
+{
+    placement p({});
+    auto const now = at_ms(1'000);
+    std::vector<placement_candidate> const all{near_one("good"), near_one("failing")};
+    p.on_load("good", busy(2, 0, 40ms), now);
+    int tries = 0;
+    for (int i = 0; i < 50; ++i)
+    {
+        if (p.choose(all, 0, now)->node != "failing")
+            continue;
+        ++tries;
+        p.on_sent("failing");
+        p.on_done("failing", true, now);
+    }
+    EXPECT_GE(tries, 1);
+    EXPECT_LE(tries, 3);
+}
+
 TEST(placement, crosses_to_another_region_only_when_that_is_worth_it)
 {
     placement p({});
