--- a/src/process/ingress.hpp
+++ b/src/process/ingress.hpp
@@ -85,6 +85,7 @@
     std::size_t unfinished() const { return m_flights.size(); }
     burn_recorder const& burn() const { return m_burn; }
     route_table const* routes() const { return m_routes.get(); }
+    std::uint64_t config_number() const { return m_config_number; }
 
 private:
     struct flight; // a caller's request and how far it has come
--- a/src/process/operator_api.cpp
+++ b/src/process/operator_api.cpp
@@ -3,7 +3,9 @@
 
 #include "connection/wire.hpp"
 #include "process/boot_clock.hpp"
+#include "process/log.hpp"
 
+#include <algorithm>
 #include <charconv>
 #include <sstream>
 
@@ -257,6 +259,25 @@
     m.set("shards_owned", coord.shards().owned());
     m.set("members", coord.copy().members().size());
     m.set("revision", coord.copy().revision());
+    auto const now = boot_now();
+    auto const* routes = m_parts.requests.routes();
+    m.set("configuration_version", m_parts.requests.config_number());
+    auto const lease_left = std::max(coord.lease_until() - now, duration{0});
+    m.set("lease_left_ms", static_cast<std::uint64_t>(lease_left / 1ms));
+    if (routes != nullptr)
+        for (auto const& service : routes->source().services)
+            if (auto const load = m_parts.local.load(service.name, now))
+            {
+                m.set("upstream_slots{service=\"" + service.name + "\"}", load->slots);
+                m.set("upstream_running{service=\"" + service.name + "\"}",
+                      load->running);
+                m.set("upstream_waiting{service=\"" + service.name + "\"}",
+                      load->waiting);
+            }
+    auto const log = current_log_counts();
+    m.set("log_lines_total", log.lines);
+    m.set("log_lines_limited_total", log.limited);
+    m.set("log_lines_dropped_total", log.dropped);
     return m.exposition();
 }
 
--- a/tests/process_test.sh
+++ b/tests/process_test.sh
@@ -89,6 +89,11 @@
 check "a command that loses a race exits with 3" [ $? = 3 ]
 check "the status command prints the fleet" \
   grep -q "lj-moste" <("$build_dir/buckthornusher" status --node 127.0.0.1:29011)
+for metric in requests_total latency_seconds_count configuration_version lease_left_ms \
+  upstream_slots upstream_waiting log_lines_total log_lines_limited_total; do
+  check "the metrics tell $metric" grep -q "^buckthornusher_$metric" \
+    <(curl -s -m 5 127.0.0.1:29011/metrics)
+done
 check "the burn report adds up the nodes" grep -q "stand-status" \
   <("$build_dir/buckthornusher" report burn --nodes 127.0.0.1:29011,127.0.0.1:29021)
 
