A large exchange crosses to the other region only where that is worth its bytes

Ruled out, as the cause of those bytes: control.

Change: placement's penalty for another region is 100 ms and 60 ms a KiB of what the class's requests and answers weigh lately, in place of 150 ms for all.

Test: a_large_exchange_stays_in_its_region_for_longer (failed first).

Most bytes are requests with keys, which must cross.

--- a/include/buckthornusher/placement.hpp
+++ b/include/buckthornusher/placement.hpp
@@ -14,8 +14,9 @@
 //   part of its requests; one that joins; a region whose slots are full while the other
 //   has room.
 //
-// Another region costs `region_penalty` besides its delay, as the bytes on the link
-// between regions are few and paid for; a request crosses only when that is worth it.
+// Another region costs more than its delay, as the link between regions is narrow and
+// its bytes are paid for: the penalty grows with what the request and its answer weigh,
+// so that a large exchange crosses only where the near region has no room in time.
 //
 // Cost: O(candidates) for a choice; memory is one entry for each upstream heard of.
 #ifndef BUCKTHORNUSHER_PLACEMENT_HPP
@@ -64,8 +65,9 @@
     duration near_trip = 1ms; // there and back within a region
     duration far_trip = 42ms; // to another region
     duration domain_penalty = 2ms;
-    duration region_penalty = 150ms;
-    duration fresh_for = 500ms;   // a word on load counts in full
+    duration region_penalty = 100ms;
+    duration region_penalty_per_kib = 60ms; // of an exchange
+    duration fresh_for = 500ms;             // a word on load counts in full
     duration first_guess = 100ms; // of a service time while none at all is known
     double optimism = 0.8;        // of the fastest known, where nothing is known
     double tie = 0.05;            // choices this close to the best are drawn
@@ -95,9 +97,11 @@
     void avoid(std::string const& node, instant until);
 
     // The best of the candidates, none if all are out. `draw` decides between those that
-    // are about as good: any number.
+    // are about as good: any number. `exchange_bytes`: the likely size of the request
+    // and its answer together.
     std::optional<placement_choice> choose(std::vector<placement_candidate> const& from,
-                                           std::uint64_t draw, instant now) const;
+                                           double exchange_bytes, std::uint64_t draw,
+                                           instant now) const;
 
     // What is known of the node, for logs: "running/slots+waiting~service ms, age ms".
     std::string describe(std::string const& node, instant now) const;
@@ -118,8 +122,10 @@
     };
 
     duration guess(std::vector<placement_candidate> const& from) const;
-    std::optional<duration> expected(placement_candidate const& c, duration guess,
-                                     instant now) const;
+    // The way there and back, and what its bytes count as.
+    duration way(distance away, double exchange_bytes) const;
+    std::optional<duration> expected(placement_candidate const& c, duration way,
+                                     duration guess, instant now) const;
 
     placement_options m_options;
     std::map<std::string, entry> m_entries; // by node
--- a/src/process/ingress.cpp
+++ b/src/process/ingress.cpp
@@ -52,6 +52,14 @@
     return route.host + route.prefix;
 }
 
+std::size_t size_of(std::vector<http_header> const& headers, std::string const& body)
+{
+    std::size_t size = body.size();
+    for (auto const& h : headers)
+        size += h.name.size() + h.value.size();
+    return size;
+}
+
 bool repeatable(route_config const& route, http_request const& request)
 {
     switch (route.repeats)
@@ -87,8 +95,8 @@
     duration latency_bound{0}; // of the objective
     std::uint32_t max_attempts = 1;
     std::uint32_t arrivals = 0; // at upstreams, as far as is known
-    owner_search search; // of the shard's owner
-    std::string sent_to; // an answer is awaited from this node
+    owner_search search;        // of the shard's owner
+    std::string sent_to;        // an answer is awaited from this node
     std::string endpoint;
     std::uint64_t sending = 0; // of the answer that is awaited
     std::optional<agent::order_id> local;
@@ -263,7 +271,7 @@
         f.tried.clear();
         from = candidates(f);
     }
-    auto const choice = m_placement.choose(from, m_random(), now);
+    auto const choice = m_placement.choose(from, exchange_bytes(f), m_random(), now);
     if (!choice && !f.tried.empty())
         return refuse(f, reason::overloaded, f.retry_after);
     if (!choice)
@@ -655,11 +663,7 @@
     auto const now = boot_now();
     m_metrics.count_outcome(f.o.service, kind, why, now - f.arrived);
     if (kind == outcome_kind::answered)
-    {
-        auto const sample = static_cast<double>((now - f.arrived).count());
-        auto& mean = m_class_us[f.o.request_class];
-        mean = mean <= 0 ? sample : mean + class_weight * (sample - mean);
-    }
+        note_answer(f, response, now);
     m_burn.count(f.o.service, kind == outcome_kind::answered,
                  now - f.arrived > f.latency_bound, now);
     bool const late = now - f.arrived > f.latency_bound;
@@ -700,12 +704,34 @@
         });
 }
 
+void ingress::note_answer(flight const& f, http_response const& response, instant now)
+{
+    auto const learn = [](double& mean, double sample)
+    {
+        mean = mean <= 0 ? sample : mean + class_weight * (sample - mean);
+    };
+    auto& means = m_classes[f.o.request_class];
+    learn(means.us, static_cast<double>((now - f.arrived).count()));
+    learn(means.bytes,
+          static_cast<double>(size_of(f.o.request.headers, f.o.request.body) +
+                              size_of(response.headers, response.body)));
+}
+
+// What is known at the least is the size of the request itself.
+double ingress::exchange_bytes(flight const& f) const
+{
+    auto const it = m_classes.find(f.o.request_class);
+    auto const mean = it == m_classes.end() ? 0.0 : it->second.bytes;
+    return std::max(mean,
+                    static_cast<double>(size_of(f.o.request.headers, f.o.request.body)));
+}
+
 bool ingress::ends_in_time(std::string const& request_class, instant now) const
 {
-    auto const it = m_class_us.find(request_class);
-    if (it == m_class_us.end())
+    auto const it = m_classes.find(request_class);
+    if (it == m_classes.end())
         return false;
-    auto const mean = duration(static_cast<duration::rep>(it->second));
+    auto const mean = duration(static_cast<duration::rep>(it->second.us));
     return now + longest_over_mean * mean < *m_closing;
 }
 
--- a/src/process/ingress.hpp
+++ b/src/process/ingress.hpp
@@ -115,6 +115,8 @@
     void on_silent(std::string const& node, instant now);
     void on_lost(std::string const& node, bool certainly, instant now);
     bool ends_in_time(std::string const& request_class, instant now) const;
+    void note_answer(flight const& f, http_response const& response, instant now);
+    double exchange_bytes(flight const& f) const;
     void refuse_early(http_request const& request, http_reply const& reply,
                       std::string const& service, reason why, duration after,
                       instant now);
@@ -147,8 +149,14 @@
     burn_recorder m_burn;
     std::mt19937_64 m_random;
     flight_id m_next_id = 1;
-    std::optional<instant> m_closing;         // when the last answers are given
-    std::map<std::string, double> m_class_us; // mean time to the answer, by class
+    std::optional<instant> m_closing; // when the last answers are given
+    // Means over the latest answers, by class.
+    struct class_means
+    {
+        double us = 0;    // to the answer
+        double bytes = 0; // of the request and its answer
+    };
+    std::map<std::string, class_means> m_classes;
 };
 
 } // namespace buckthornusher
--- a/src/request/placement.cpp
+++ b/src/request/placement.cpp
@@ -13,6 +13,7 @@
 constexpr double failure_weight = 0.15;   // of the newest end
 constexpr double failure_half_life = 2.0; // seconds without an end
 constexpr double worst_failure = 0.9;
+constexpr double bytes_per_kib = 1'024;
 
 double seconds(duration d)
 {
@@ -74,17 +75,28 @@
     return from_seconds(m_options.optimism * seconds(*fastest));
 }
 
-std::optional<duration> placement::expected(placement_candidate const& c, duration guess,
-                                            instant now) const
+duration placement::way(distance away, double exchange_bytes) const
+{
+    switch (away)
+    {
+    case distance::same_domain:
+        break;
+    case distance::same_region:
+        return m_options.near_trip + m_options.domain_penalty;
+    case distance::other_region:
+        return m_options.far_trip + m_options.region_penalty +
+               from_seconds(seconds(m_options.region_penalty_per_kib) * exchange_bytes /
+                            bytes_per_kib);
+    }
+    return m_options.near_trip;
+}
+
+std::optional<duration> placement::expected(placement_candidate const& c, duration way,
+                                            duration guess, instant now) const
 {
-    auto trip = m_options.near_trip;
-    if (c.away == distance::same_region)
-        trip += m_options.domain_penalty;
-    if (c.away == distance::other_region)
-        trip = m_options.far_trip + m_options.region_penalty;
     auto const it = m_entries.find(c.node);
     if (it == m_entries.end())
-        return trip + guess;
+        return way + guess;
     auto const& e = it->second;
     if (now < e.avoid_until)
         return std::nullopt;
@@ -105,17 +117,17 @@
     auto const failing =
         std::min(worst_failure, e.failure * std::exp2(-seconds(now - e.failure_seen) /
                                                       failure_half_life));
-    return trip + from_seconds((s + beyond * s / slots) / (1 - failing));
+    return way + from_seconds((s + beyond * s / slots) / (1 - failing));
 }
 
 std::optional<placement_choice>
-placement::choose(std::vector<placement_candidate> const& from, std::uint64_t draw,
-                  instant now) const
+placement::choose(std::vector<placement_candidate> const& from, double exchange_bytes,
+                  std::uint64_t draw, instant now) const
 {
     std::vector<placement_choice> choices;
     auto const unknown = guess(from);
     for (auto const& c : from)
-        if (auto const e = expected(c, unknown, now))
+        if (auto const e = expected(c, way(c.away, exchange_bytes), unknown, now))
             choices.push_back({.node = c.node, .expected = *e});
     if (choices.empty())
         return std::nullopt;
--- a/tests/request_policy_test.cpp
+++ b/tests/request_policy_test.cpp
@@ -322,18 +322,18 @@
     p.on_load("full", busy(10, 40, 100ms), now);
     std::vector<placement_candidate> const all{near_one("slow"), near_one("fast"),
                                                near_one("full")};
-    EXPECT_EQ(p.choose(all, 0, now)->node, "fast");
+    EXPECT_EQ(p.choose(all, 0, 0, now)->node, "fast");
     for (int i = 0; i < 40; ++i) // our own, not told yet
         p.on_sent("fast");
-    EXPECT_EQ(p.choose(all, 0, now)->node, "slow");
+    EXPECT_EQ(p.choose(all, 0, 0, now)->node, "slow");
     p.avoid("slow", now + 1s);
-    EXPECT_NE(p.choose(all, 0, now)->node, "slow");
+    EXPECT_NE(p.choose(all, 0, 0, now)->node, "slow");
     p.on_load(
         "fast",
         {.slots = 10, .running = 0, .waiting = 0, .service = 1ms, .accepting = false},
         now);
-    EXPECT_EQ(p.choose(all, 0, now)->node, "full");
-    EXPECT_EQ(p.choose({}, 0, now), std::nullopt);
+    EXPECT_EQ(p.choose(all, 0, 0, now)->node, "full");
+    EXPECT_EQ(p.choose({}, 0, 0, now), std::nullopt);
 }
 
 // A quiet day: all have room, so that nothing but its speed speaks for one of them. One
@@ -345,17 +345,17 @@
     std::vector<placement_candidate> all{near_one("fast"), near_one("slow")};
     p.on_load("fast", busy(2, 0, 40ms), now);
     p.on_load("slow", busy(2, 0, 120ms), now);
-    EXPECT_EQ(p.choose(all, 0, now)->node, "fast");
+    EXPECT_EQ(p.choose(all, 0, 0, now)->node, "fast");
     auto joined = near_one("joined");
     joined.away = distance::same_region;
     all.push_back(joined);
     for (std::uint64_t draw = 0; draw < 3; ++draw)
-        EXPECT_EQ(p.choose(all, draw, now)->node, "joined");
+        EXPECT_EQ(p.choose(all, 0, draw, now)->node, "joined");
     p.on_sent("joined");
     p.on_load("joined", busy(0, 0, 90ms), now);
     p.on_done("joined", false, now);
     for (std::uint64_t draw = 0; draw < 3; ++draw)
-        EXPECT_EQ(p.choose(all, draw, now)->node, "fast");
+        EXPECT_EQ(p.choose(all, 0, draw, now)->node, "fast");
 }
 
 // Nothing heard of a failing one but its failures: it is not tried over and over.
@@ -368,7 +368,7 @@
     int tries = 0;
     for (int i = 0; i < 50; ++i)
     {
-        if (p.choose(all, 0, now)->node != "failing")
+        if (p.choose(all, 0, 0, now)->node != "failing")
             continue;
         ++tries;
         p.on_sent("failing");
@@ -386,9 +386,25 @@
         .node = "far", .away = distance::other_region, .slots = 10};
     p.on_load("far", busy(0, 0, 200ms), now);
     p.on_load("near", busy(10, 5, 200ms), now);
-    EXPECT_EQ(p.choose({near_one("near"), far}, 0, now)->node, "near");
+    EXPECT_EQ(p.choose({near_one("near"), far}, 0, 0, now)->node, "near");
     p.on_load("near", busy(10, 30, 200ms), now);
-    EXPECT_EQ(p.choose({near_one("near"), far}, 0, now)->node, "far");
+    EXPECT_EQ(p.choose({near_one("near"), far}, 0, 0, now)->node, "far");
+}
+
+// The near region is behind by 200 ms: that is worth the way to the other one for a
+// short exchange, not for one of six kilobytes.
+TEST(placement, a_large_exchange_stays_in_its_region_for_longer)
+{
+    placement p({});
+    auto const now = at_ms(1'000);
+    placement_candidate const far{
+        .node = "far", .away = distance::other_region, .slots = 10};
+    p.on_load("far", busy(0, 0, 200ms), now);
+    p.on_load("near", busy(10, 9, 200ms), now);
+    EXPECT_EQ(p.choose({near_one("near"), far}, 500, 0, now)->node, "far");
+    EXPECT_EQ(p.choose({near_one("near"), far}, 6'000, 0, now)->node, "near");
+    p.on_load("near", busy(10, 60, 200ms), now);
+    EXPECT_EQ(p.choose({near_one("near"), far}, 6'000, 0, now)->node, "far");
 }
 
 TEST(placement, leaves_an_upstream_that_fails_and_comes_back_to_it)
@@ -398,14 +414,14 @@
     std::vector<placement_candidate> const both{near_one("good"), near_one("bad")};
     p.on_load("good", busy(9, 0, 200ms), now);
     p.on_load("bad", busy(0, 0, 190ms), now);
-    EXPECT_EQ(p.choose(both, 0, now)->node, "bad");
+    EXPECT_EQ(p.choose(both, 0, 0, now)->node, "bad");
     for (int i = 0; i < 10; ++i)
         p.on_done("bad", true, now);
-    EXPECT_EQ(p.choose(both, 0, now)->node, "good");
+    EXPECT_EQ(p.choose(both, 0, 0, now)->node, "good");
     now += 10s;
     p.on_load("good", busy(9, 0, 200ms), now);
     p.on_load("bad", busy(0, 0, 150ms), now);
-    EXPECT_EQ(p.choose(both, 0, now)->node, "bad");
+    EXPECT_EQ(p.choose(both, 0, 0, now)->node, "bad");
 }
 
 // Twelve nodes send requests to four upstreams of different speeds and hear of load only
@@ -481,7 +497,7 @@
         std::size_t to = random() % speeds.size();
         if (by_load)
         {
-            auto const choice = views[node].choose(candidates, random(), now);
+            auto const choice = views[node].choose(candidates, 0, random(), now);
             to = static_cast<std::size_t>(choice->node.back() - '0');
         }
         views[node].on_sent(candidates[to].node);
