A range that moves no longer waits for its new owner's next heartbeat

While shards are on their way to it, each answer leaves out one that nobody asks for and the next answer grants it again with its own handover. At most 3 s for a move, only idle shards, no change of owner or epoch.

--- a/include/buckthornusher/hold_ledger.hpp
+++ b/include/buckthornusher/hold_ledger.hpp
@@ -6,7 +6,10 @@
 //     than the node's lease allows, on a clock that the upstream may run slow;
 //   - a shard that is left out of an answer is released once a later report no longer
 //     names its keys, or once everything that was granted before has run out;
-//   - what the upstream gives at a release (a handover) goes to the next holder's grant.
+//   - what the upstream gives at a release (a handover) goes to the next holder's grant;
+//   - while shards are about to come, one that nobody asks for is left out of each answer
+//     and granted again in the next one. An upstream that has something to release
+//     reports again at once, so that the new shards need not wait for its next turn.
 //
 // Why it is safe: every hold ends before the lease under which it was given, so whoever
 // may take the shards after the lease finds them free. An answer that was lost leaves the
@@ -53,6 +56,7 @@
     std::uint32_t index = 0;
     std::uint64_t epoch = 0;
     std::string handover;
+    bool idle = false; // nobody asks for it at present
     friend bool operator==(wanted_shard const&, wanted_shard const&) = default;
 };
 
@@ -76,11 +80,13 @@
     // A report has come. Returns what to answer: nothing if neither a grant nor a release
     // may be told now, so that the upstream goes on with what it has until that runs out.
     // `wanted` are in rising order. `leaving` are to be released from now on; an earlier
-    // process may have granted them. Requires that late reports have been sorted out.
+    // process may have granted them. `again_soon`: further shards are about to come.
+    // Requires that late reports have been sorted out.
     std::optional<upstream_grant> on_report(upstream_report const& report,
-                                            std::vector<wanted_shard> const& wanted,
+                                            std::vector<wanted_shard> wanted,
                                             std::vector<wanted_shard> const& leaving,
-                                            instant lease_until, instant now);
+                                            bool again_soon, instant lease_until,
+                                            instant now);
 
     // Shards that were left out and that the upstream certainly holds no longer, since
     // the last call.
@@ -106,6 +112,8 @@
         std::string handover; // given at its release
     };
 
+    void pause_one(upstream_report const& report, std::vector<wanted_shard>& wanted,
+                   instant now);
     bool take_room(granted_range const& range, std::size_t& room) const;
     void note_report(upstream_report const& report, instant now);
     upstream_grant make_grant(upstream_report const& report,
@@ -115,6 +123,7 @@
     hold_options m_options;
     std::map<std::uint32_t, state> m_states; // of shards granted and not yet released
     std::vector<released_shard> m_released;
+    std::optional<std::uint32_t> m_paused; // by the last answer, though it stays wanted
     instant m_over_at;
 };
 
--- a/include/buckthornusher/ownership.hpp
+++ b/include/buckthornusher/ownership.hpp
@@ -100,6 +100,9 @@
     // In the order of their indices.
     std::vector<owned_shard> owned_shards(std::string const& service) const;
 
+    // Shards of the service that another owner is to release to this one.
+    std::size_t incoming(std::string const& service) const;
+
     // Shards that have drained and whose release has not been seen in the map.
     std::vector<shard_release> releases() const;
 
--- a/src/coordination/hold_ledger.cpp
+++ b/src/coordination/hold_ledger.cpp
@@ -71,6 +71,8 @@
         bool const held =
             std::any_of(report.holds.begin(), report.holds.end(),
                         [&](held_range const& h) { return overlap(h.keys, keys); });
+        if (held && !s.left_out && s.until > now)
+            s.handover.clear(); // it has arrived
         if (!held || now >= s.over)
         {
             s.until = std::min(s.until, now);
@@ -105,9 +107,17 @@
     {
         auto const keys = numbers_of_shard(w.index, m_shards);
         if (reports(holds, keys, w.epoch))
+        {
             append(known, {.keys = keys, .epoch = w.epoch, .handover = {}});
-        else
-            append(fresh, {.keys = keys, .epoch = w.epoch, .handover = w.handover});
+            continue;
+        }
+        // Released here before it comes back here, or elsewhere.
+        auto const s = m_states.find(w.index);
+        bool const own = s != m_states.end() && s->second.epoch == w.epoch &&
+                         !s->second.handover.empty();
+        append(fresh, {.keys = keys,
+                       .epoch = w.epoch,
+                       .handover = own ? s->second.handover : w.handover});
     }
     auto room = m_options.answer_bytes;
     std::erase_if(known,
@@ -118,9 +128,34 @@
     return {.ranges = std::move(known), .hold = {}};
 }
 
-std::optional<upstream_grant> hold_ledger::on_report(
-    upstream_report const& report, std::vector<wanted_shard> const& wanted,
-    std::vector<wanted_shard> const& leaving, instant lease_until, instant now)
+// Takes a shard that is idle and held out of `wanted`, for this answer only.
+void hold_ledger::pause_one(upstream_report const& report,
+                            std::vector<wanted_shard>& wanted, instant now)
+{
+    // Each shard that is paused splits a range; there must be room for that.
+    if (2 * report.holds.size() * m_options.range_bytes > m_options.answer_bytes)
+        return;
+    auto const holds = sorted(report.holds);
+    auto const chosen = std::find_if(
+        wanted.begin(), wanted.end(),
+        [&](wanted_shard const& w)
+        {
+            auto const s = m_states.find(w.index);
+            return w.idle && s != m_states.end() && !s->second.left_out &&
+                   s->second.epoch == w.epoch &&
+                   reports(holds, numbers_of_shard(w.index, m_shards), w.epoch);
+        });
+    if (chosen == wanted.end())
+        return;
+    m_states[chosen->index].until = now;
+    m_paused = chosen->index;
+    wanted.erase(chosen);
+}
+
+std::optional<upstream_grant>
+hold_ledger::on_report(upstream_report const& report, std::vector<wanted_shard> wanted,
+                       std::vector<wanted_shard> const& leaving, bool again_soon,
+                       instant lease_until, instant now)
 {
     constexpr int percent = 100;
     note_report(report, now);
@@ -142,6 +177,9 @@
                  left * percent / (percent + m_options.drift_percent) - m_options.margin);
     if (hold < m_options.shortest)
         return std::nullopt;
+    m_paused.reset();
+    if (again_soon)
+        pause_one(report, wanted, now);
     auto grant = make_grant(report, wanted);
     grant.hold = hold;
     auto const until = now + hold * (percent - m_options.drift_percent) / percent;
@@ -162,10 +200,14 @@
         granted.insert(w.index);
         auto& s = m_states[w.index];
         // The answer may be lost; then an earlier and longer one goes on.
-        s = {.epoch = w.epoch, .until = until, .over = std::max(s.over, over)};
+        s = {.epoch = w.epoch,
+             .until = until,
+             .over = std::max(s.over, over),
+             .left_out = false,
+             .handover = std::move(s.handover)};
     }
     for (auto& [index, s] : m_states)
-        if (!granted.contains(index))
+        if (!granted.contains(index) && index != m_paused)
         {
             s.left_out = true;
             s.until = std::min(s.until, now);
--- a/src/coordination/ownership.cpp
+++ b/src/coordination/ownership.cpp
@@ -114,6 +114,18 @@
     return found;
 }
 
+std::size_t shard_ownership::incoming(std::string const& service) const
+{
+    std::size_t count = 0;
+    for (auto it = m_shards.lower_bound({.service = service, .index = 0});
+         it != m_shards.end() && it->first.service == service; ++it)
+    {
+        auto const& a = it->second.current;
+        count += m_self && a.successor == m_self && a.owner != m_self ? 1 : 0;
+    }
+    return count;
+}
+
 std::vector<shard_release> shard_ownership::releases() const
 {
     std::vector<shard_release> found;
--- a/src/process/agent.cpp
+++ b/src/process/agent.cpp
@@ -21,9 +21,9 @@
 constexpr duration drain_margin = 200ms;
 // An upstream that answers lives, also if its reports do not arrive.
 constexpr duration answer_proves_life = 2s;
-// The largest pause between a report and the first answer to it that holds can begin.
-constexpr double rate_weight = 0.5; // of the newest second
-constexpr double least_rate = 0.02; // requests a second that are still told
+constexpr double rate_weight = 0.5;        // of the newest second
+constexpr double least_rate = 0.02;        // requests a second that are still told
+constexpr duration longest_expecting = 3s; // a move mostly takes a second or two
 constexpr char const* old_setup_link = "old setup"; // no service can have this name
 
 char const* meaning_name(answer_meaning meaning)
@@ -66,6 +66,7 @@
     upstream_queue queue;
     std::optional<hold_ledger> holds; // of an upstream that serves granted keys only
     std::size_t granted_shards = 0;   // in the last answer to a report
+    std::optional<instant> expecting; // shards on their way here, since
     dependency state;
 
     bool draining() const
@@ -614,6 +615,37 @@
     return {.fate = report_fate::taken, .grant = std::move(grant)};
 }
 
+// Whether another owner is about to release shards to the upstream. One that takes very
+// long, as it is cut off, is not waited for in this way.
+bool agent::expects_shards(link& l, std::string const& service, instant now) const
+{
+    if (m_coordinator->shards().incoming(service) == 0)
+    {
+        l.expecting.reset();
+        return false;
+    }
+    if (!l.expecting)
+        l.expecting = now;
+    return now - *l.expecting < longest_expecting;
+}
+
+// The shards that requests have asked for lately, or that are in work.
+std::set<std::uint32_t> agent::busy_shards(std::string const& service) const
+{
+    std::set<std::uint32_t> busy;
+    shard_id const first{.service = service, .index = 0};
+    for (auto it = m_rates.lower_bound(first);
+         it != m_rates.end() && it->first.service == service; ++it)
+        busy.insert(it->first.index);
+    for (auto it = m_asked.lower_bound(first);
+         it != m_asked.end() && it->first.service == service; ++it)
+        busy.insert(it->first.index);
+    for (auto const& entry : m_works)
+        if (entry.second->o.service == service && entry.second->o.shard)
+            busy.insert(*entry.second->o.shard);
+    return busy;
+}
+
 std::optional<upstream_grant> agent::renew_holds(link& l, upstream_report const& report,
                                                  instant now)
 {
@@ -627,17 +659,23 @@
         m_coordinator->servable(report.service, to_string(report.life), now);
     if (!owned)
         return std::nullopt;
+    bool const again_soon = expects_shards(l, report.service, now);
+    auto const busy =
+        again_soon ? busy_shards(report.service) : std::set<std::uint32_t>{};
     std::vector<wanted_shard> wanted;
     std::vector<wanted_shard> leaving;
     for (auto const& s : *owned)
     {
         (s.moving ? leaving : wanted)
-            .push_back({.index = s.index, .epoch = s.epoch, .handover = s.handover});
+            .push_back({.index = s.index,
+                        .epoch = s.epoch,
+                        .handover = s.handover,
+                        .idle = !busy.contains(s.index)});
         if (s.moving)
             m_coordinator->begin_drain({report.service, s.index});
     }
-    auto grant =
-        l.holds->on_report(report, wanted, leaving, m_coordinator->lease_until(), now);
+    auto grant = l.holds->on_report(report, wanted, leaving, again_soon,
+                                    m_coordinator->lease_until(), now);
     if (grant && std::exchange(l.granted_shards, wanted.size()) != wanted.size())
         log_event(log_level::info, "shards-granted",
                   {{"service", report.service},
--- a/src/process/agent.hpp
+++ b/src/process/agent.hpp
@@ -158,6 +158,8 @@
     link_ptr make_link(upstream_report const& report) const;
     std::optional<upstream_grant> renew_holds(link& l, upstream_report const& report,
                                               instant now);
+    bool expects_shards(link& l, std::string const& service, instant now) const;
+    std::set<std::uint32_t> busy_shards(std::string const& service) const;
     bool keyed(std::string const& service) const;
     void try_begin(work& w, instant now);
     void wait(work& w);
--- a/tests/fake_upstream.hpp
+++ b/tests/fake_upstream.hpp
@@ -135,6 +135,8 @@
         auto const it = m_holds.find(shard);
         return it != m_holds.end() && now < it->second.until;
     }
+    // By the last answer.
+    bool has_released() const { return !m_freed.empty(); }
     owner_id const& life() const { return m_life; }
 
 private:
