A silent owner gets no further keys

Change: keepers note when each owner told its load last; one that is silent for 2.5 s keeps what it has and gets nothing while another can. A keeper that hears fewer than half is rather cut off itself and moves nothing by measured load.

--- a/include/buckthornusher/planner.hpp
+++ b/include/buckthornusher/planner.hpp
@@ -11,8 +11,11 @@
 // Load is the shards' weight over the target's capacity: measured requests over what the
 // upstream can do, or, without a measurement, the number of shards over its slots.
 //
+// A target that is silent may be cut off from callers; it gets nothing new while there
+// are others.
+//
 //   load it answers: keys of which few get most requests, and change; upstreams of
-//   different speeds; one that is lost, leaves, joins or turns slow.
+//   different speeds; one that is lost, cut off, leaves, joins or turns slow.
 //
 // Cost: O(shards * moves + shards * targets) in the worst case.
 #ifndef BUCKTHORNUSHER_PLANNER_HPP
@@ -32,6 +35,7 @@
     std::string domain;
     double capacity = 1; // in the unit of the shards' weights; above 0
     bool draining = false;
+    bool silent = false; // nothing is heard of it: it keeps what it has and gets no more
     friend bool operator==(plan_target const&, plan_target const&) = default;
 };
 
--- a/src/coordination/coordinator_chunks.cpp
+++ b/src/coordination/coordinator_chunks.cpp
@@ -74,8 +74,8 @@
             if (rank == keeper_ranks.end() || writer.busy(name))
                 continue;
             if (!changes)
-                changes = plan(service_input(copy, service, load),
-                               planning_for(load != nullptr, now));
+                changes = plan(service_input(copy, service, load, now),
+                               planning_for(load, now));
             auto next = next_chunk(copy, service, first, *changes, announced, held,
                                    place_new, opts.guard);
             if (!next)
@@ -106,9 +106,12 @@
     return &it->second.load;
 }
 
-plan_options coordinator::impl::planning_for(bool measured, instant now) const
+plan_options coordinator::impl::planning_for(service_load const* load, instant now) const
 {
     auto planning = opts.planning;
+    bool const measured = load != nullptr;
+    if (measured && load->hears_few(now))
+        planning.max_moves = 0;
     auto const quiet = measured ? quiet_before_balancing : quiet_before_rebalance;
     if (now - last_membership_change < quiet || now - last_planned_move < quiet)
         planning.max_moves = 0;
@@ -124,6 +127,13 @@
         return;
     auto& known = loads[m.service];
     known.told = now;
+    known.load.heard[from.node] = now;
+    std::erase_if(known.load.heard,
+                  [&](auto const& entry)
+                  {
+                      auto const* heard_of = copy.node(entry.first);
+                      return heard_of == nullptr || heard_of->state != member_state::live;
+                  });
     auto& rates = known.load.rates;
     std::erase_if(rates,
                   [&](auto const& entry)
--- a/src/coordination/coordinator_impl.hpp
+++ b/src/coordination/coordinator_impl.hpp
@@ -245,7 +245,7 @@
     // What owners have reported of the service, null if that is too old.
     service_load const* known_load(std::string const& service, instant now);
 
-    plan_options planning_for(bool measured, instant now) const;
+    plan_options planning_for(service_load const* load, instant now) const;
 
     void tell_load(load_report const& report, instant now);
 
--- a/src/coordination/planner.cpp
+++ b/src/coordination/planner.cpp
@@ -23,8 +23,10 @@
         for (auto const& target : input.targets)
         {
             m_targets[target.id] = &target;
-            if (!target.draining)
-                m_capacity += target.capacity;
+            if (target.draining)
+                continue;
+            m_capacity += target.capacity;
+            m_all_silent = m_all_silent && target.silent;
         }
         for (std::uint32_t shard = 0; shard < input.assignments.size(); ++shard)
         {
@@ -66,12 +68,12 @@
         m_load[to] += w;
     }
 
-    // The target with the lowest load; none if all drain.
+    // The target with the lowest load of those that may get more; none if there are none.
     owner_id lowest() const
     {
         owner_id best;
         for (auto const& target : m_input.targets)
-            if (!target.draining && (!best || relative(target.id) < relative(best)))
+            if (may_get(target) && (!best || relative(target.id) < relative(best)))
                 best = target.id;
         return best;
     }
@@ -91,12 +93,12 @@
         return mean() * target.capacity - load(target.id);
     }
 
-    // Among the targets that do not drain the one with most room; none if all drain.
+    // The target with most room of those that may get more; none if there are none.
     owner_id roomiest() const
     {
         plan_target const* best = nullptr;
         for (auto const& target : m_input.targets)
-            if (!target.draining && (best == nullptr || room(target) > room(*best)))
+            if (may_get(target) && (best == nullptr || room(target) > room(*best)))
                 best = &target;
         return best == nullptr ? owner_id{} : best->id;
     }
@@ -104,11 +106,17 @@
     bool has_room(owner_id const& id, double w) const
     {
         auto const it = m_targets.find(id);
-        return it != m_targets.end() && !it->second->draining &&
+        return it != m_targets.end() && may_get(*it->second) &&
                room(*it->second) >= w / 2;
     }
 
 private:
+    // A silent target gets more only if no other can.
+    bool may_get(plan_target const& target) const
+    {
+        return !target.draining && (!target.silent || m_all_silent);
+    }
+
     double load(owner_id const& id) const
     {
         auto const it = m_load.find(id);
@@ -120,6 +128,7 @@
     std::map<owner_id, double> m_load;
     double m_capacity = 0;
     double m_total = 0;
+    bool m_all_silent = true; // those that do not drain
 };
 
 // Places the shards that `placed` names, neighbours together: each goes where the one
--- a/src/coordination/steward.cpp
+++ b/src/coordination/steward.cpp
@@ -41,7 +41,8 @@
 {
 
 // Shards that nobody asks for count a little, so that they are spread as well.
-constexpr double idle_share = 0.05; // of all weight, for all shards together
+constexpr double idle_share = 0.05;   // of all weight, for all shards together
+constexpr duration silence = 2'500ms; // of a node that reports each second
 
 // Measured requests in place of numbers of shards.
 void apply_load(plan_input& input, service_load const& load)
@@ -75,8 +76,22 @@
 
 } // namespace
 
+bool service_load::is_silent(std::string const& node, instant now) const
+{
+    auto const it = heard.find(node);
+    return it != heard.end() && now - it->second > silence;
+}
+
+bool service_load::hears_few(instant now) const
+{
+    auto const silent =
+        std::count_if(heard.begin(), heard.end(),
+                      [&](auto const& entry) { return is_silent(entry.first, now); });
+    return static_cast<std::size_t>(silent) * 2 > heard.size();
+}
+
 plan_input service_input(replica const& copy, keyed_service const& service,
-                         service_load const* load)
+                         service_load const* load, instant now)
 {
     plan_input input;
     input.service = service.name;
@@ -89,7 +104,9 @@
         input.targets.push_back({.id = m.owner(),
                                  .domain = m.domain,
                                  .capacity = std::max(1.0, static_cast<double>(t->slots)),
-                                 .draining = m.draining || t->draining});
+                                 .draining = m.draining || t->draining,
+                                 .silent = load != nullptr && !load->hears_few(now) &&
+                                           load->is_silent(m.id.node, now)});
     }
     for (std::uint32_t shard = 0; shard < service.shards; ++shard)
     {
--- a/src/coordination/steward.hpp
+++ b/src/coordination/steward.hpp
@@ -34,12 +34,18 @@
 {
     std::map<std::uint32_t, double> rates;    // requests a second, by shard
     std::map<std::string, double> capacities; // the same that upstreams can do, by node
+    std::map<std::string, instant> heard;     // when each node reported last
+
+    // It has reported before, and no more.
+    bool is_silent(std::string const& node, instant now) const;
+    // Most are silent: it is rather this node that is cut off.
+    bool hears_few(instant now) const;
     friend bool operator==(service_load const&, service_load const&) = default;
 };
 
 // The targets and present assignments of a service. `load`: null if nothing is known.
 plan_input service_input(replica const& copy, keyed_service const& service,
-                         service_load const* load);
+                         service_load const* load, instant now);
 
 // The chunk as it should be, or nothing if it is right as it is. `changes` are the
 // plan for the whole service. Shards of `held` owners wait, though the owners are gone;
--- a/tests/planner_test.cpp
+++ b/tests/planner_test.cpp
@@ -61,6 +61,37 @@
     EXPECT_NEAR(shards["t3"], 1'024.0 / 2, 2);
 }
 
+// One that is cut off keeps what it has; neither lost shards nor those of a busy target
+// go to it while there is another.
+TEST(planner, a_silent_target_gets_nothing_new)
+{
+    auto input = even_input(4, 1'024);
+    carry_out(input, plan(input, {}));
+    input.targets[1].silent = true;
+    input.targets[2].draining = true;
+    auto const before = input.assignments;
+    auto const changes = plan(input, {});
+    EXPECT_FALSE(changes.empty());
+    for (auto const& change : changes)
+        EXPECT_NE(change.to, input.targets[1].id);
+    carry_out(input, changes);
+    for (std::size_t i = 0; i < before.size(); ++i)
+    {
+        if (before[i].owner == input.targets[1].id)
+        {
+            EXPECT_EQ(input.assignments[i].owner, before[i].owner);
+        }
+    }
+}
+
+TEST(planner, silent_targets_get_shards_if_all_others_are_gone)
+{
+    auto input = even_input(3, 96);
+    for (auto& target : input.targets)
+        target.silent = true;
+    EXPECT_EQ(plan(input, {}).size(), 96U);
+}
+
 TEST(planner, the_shards_of_a_lost_target_go_to_the_others_in_few_ranges)
 {
     auto input = even_input(4, 1'024);
