--- a/include/buckthornusher/member.hpp
+++ b/include/buckthornusher/member.hpp
@@ -40,6 +40,20 @@
     gone,     // the lease is over; the shards may be given to others
 };
 
+constexpr char const* to_string(member_state state)
+{
+    switch (state)
+    {
+    case member_state::live:
+        return "live";
+    case member_state::evicting:
+        return "evicting";
+    case member_state::gone:
+        return "gone";
+    }
+    return "unknown";
+}
+
 // An upstream beside the node, and how many requests it runs at once.
 struct target
 {
--- a/src/process/agent.cpp
+++ b/src/process/agent.cpp
@@ -1,10 +1,9 @@
 // The only way to the upstreams beside a node: see the header.
-#include "process/agent.hpp"
+#include "process/agent_impl.hpp"
 
 #include "process/boot_clock.hpp"
 #include "process/event_loop.hpp"
 #include "process/log.hpp"
-#include "process/state_log.hpp"
 
 namespace buckthornusher
 {
@@ -12,19 +11,11 @@
 namespace
 {
 
-constexpr int reports_missed = 3;            // after so many an upstream counts as silent
 constexpr std::size_t most_waiting = 10'000; // orders that wait for their shards
 constexpr std::size_t largest_kept_answer = 4'096;
 constexpr double sampled_per_second = 5; // orders as usual that leave log lines
-constexpr duration wait_retry = 100ms;
 // What has been sent before the limit of a drain arrives before it.
 constexpr duration drain_margin = 200ms;
-// An upstream that answers lives, also if its reports do not arrive.
-constexpr duration answer_proves_life = 2s;
-constexpr double rate_weight = 0.5;        // of the newest second
-constexpr double least_rate = 0.02;        // requests a second that are still told
-constexpr duration longest_expecting = 3s; // a move mostly takes a second or two
-constexpr char const* old_setup_link = "old setup"; // no service can have this name
 
 char const* meaning_name(answer_meaning meaning)
 {
@@ -54,51 +45,6 @@
 
 } // namespace
 
-struct agent::link
-{
-    upstream_report described;
-    instant last_report;
-    instant last_answer;   // of an order
-    bool departed = false; // it has said that it ends and reports no more
-    bool refused = false;  // the last connection to it was refused
-    instant draining_since;
-    http_client http;
-    upstream_queue queue;
-    std::optional<hold_ledger> holds; // of an upstream that serves granted keys only
-    std::size_t granted_shards = 0;   // in the last answer to a report
-    std::optional<instant> expecting; // shards on their way here, since
-    dependency state;
-
-    bool draining() const
-    {
-        return departed || described.state == upstream_state::draining;
-    }
-};
-
-struct agent::work
-{
-    enum class state
-    {
-        waiting, // for the shard
-        queued,  // for a slot
-        running,
-    };
-
-    order_id id = 0;
-    order o;
-    callback done;
-    state at = state::waiting;
-    std::uint64_t epoch = 0;
-    link_ptr backend; // that it goes to
-    bool old_setup = false;
-    bool counted = false; // in m_backends
-    bool begun = false;   // counted by the coordinator
-    std::optional<operation_id> operation;
-    std::optional<http_client::call_id> call;
-    instant arrived;
-    request_trail trail;
-};
-
 agent::agent(event_loop& loop, coordinator& coord, agent_options opts)
     : m_loop(loop), m_coordinator(&coord), m_options(opts), m_started(boot_now()),
       m_operations({}), m_sampler(sampled_per_second), m_random(std::random_device{}())
@@ -126,8 +72,8 @@
                           {"shard", w.o.shard ? std::to_string(*w.o.shard) : "-"},
                           {"left_ms", in_ms(w.o.deadline - w.arrived)}});
     if (m_closing)
-        return finish(w,
-                      order_refused{.why = reason::stopping, .retry_after = wait_retry}),
+        return finish(w, order_refused{.why = reason::stopping,
+                                       .retry_after = agent_wait_retry}),
                id;
     if (w.o.shard)
         ++m_asked[{w.o.service, *w.o.shard}];
@@ -170,7 +116,8 @@
     if (m_waiting.size() < most_waiting)
         m_waiting.insert(w.id);
     else
-        finish(w, order_refused{.why = reason::no_owner, .retry_after = wait_retry});
+        finish(w,
+               order_refused{.why = reason::no_owner, .retry_after = agent_wait_retry});
 }
 
 // False: the order has been answered from the table of operations.
@@ -213,7 +160,7 @@
             [&](operation_in_progress const&)
             {
                 finish(w, order_refused{.why = reason::operation_running,
-                                        .retry_after = wait_retry});
+                                        .retry_after = agent_wait_retry});
                 return false;
             },
             [&](operation_lost const&)
@@ -258,8 +205,8 @@
     auto* l = w.backend.get();
     bool const gone = l == nullptr || !takes_orders(*l, w.o.shard.has_value(), now);
     if (gone)
-        return finish(
-            w, order_refused{.why = reason::not_reached, .retry_after = wait_retry});
+        return finish(w, order_refused{.why = reason::not_reached,
+                                       .retry_after = agent_wait_retry});
     if (w.o.shard && l->holds && l->holds->held_until(*w.o.shard, w.epoch) <= now)
         return wait(w);
     m_waiting.erase(w.id);
@@ -337,7 +284,7 @@
     if (why != reason::none)
     {
         l->queue.leave(w.id, request_end::not_sent, 0us, now);
-        finish(w, order_refused{.why = why, .retry_after = wait_retry});
+        finish(w, order_refused{.why = why, .retry_after = agent_wait_retry});
         return start_queued(*l, now);
     }
     w.trail.add(
@@ -397,7 +344,7 @@
                       took, now);
         if (!failure.sent)
             return finish(w, order_refused{.why = reason::upstream_refused,
-                                           .retry_after = wait_retry});
+                                           .retry_after = agent_wait_retry});
         return finish(
             w, order_unknown{.why = cancelled ? reason::deadline : reason::answer_lost});
     }
@@ -418,14 +365,14 @@
     case answer_meaning::no_room:
         l.queue.leave(w.id, request_end::shed, took, now);
         return finish(w, order_refused{.why = reason::upstream_refused,
-                                       .retry_after = wait_retry,
+                                       .retry_after = agent_wait_retry,
                                        .reached_upstream = true});
     case answer_meaning::not_held:
         l.queue.leave(w.id, request_end::not_sent, took, now);
         if (l.holds && w.o.shard)
             l.holds->deny(*w.o.shard);
         return finish(w, order_refused{.why = reason::lease_over,
-                                       .retry_after = wait_retry,
+                                       .retry_after = agent_wait_retry,
                                        .reached_upstream = true});
     case answer_meaning::spoilt:
         l.queue.leave(w.id, request_end::failed, took, now);
@@ -537,278 +484,6 @@
     finish(*w, order_refused{.why = reason::deadline});
 }
 
-// ---- the upstreams' lives ----
-
-agent::link_ptr agent::make_link(upstream_report const& report) const
-{
-    auto const* service =
-        m_routes == nullptr ? nullptr : m_routes->service(report.service);
-    auto connections = report.connections;
-    if (connections == 0 && service != nullptr)
-        connections = service->connections;
-    if (connections == 0)
-        connections = m_options.connections;
-    auto const form = m_options.form;
-    auto l = link_ptr(new link{
-        .described = report,
-        .last_report = {},
-        .last_answer = {},
-        .http = {m_loop,
-                 {.peer = {.ip = report.ip, .port = report.port},
-                  .max_connections = connections,
-                  .belongs =
-                      [form](http_request const& request, http_response const& response)
-                  {
-                      return std::visit([&](auto const& f)
-                                        { return f.belongs(request, response); },
-                                        form);
-                  }}},
-        .queue = upstream_queue({.slots = std::min(report.slots, connections)}),
-        .holds = {},
-        .state = dependency("upstream", report.service + " " + report.life.id)});
-    if (report.granted && service != nullptr && service->keyed)
-        l->holds.emplace(service->shards, hold_options{});
-    return l;
-}
-
-bool agent::keyed(std::string const& service) const
-{
-    auto const* s = m_routes == nullptr ? nullptr : m_routes->service(service);
-    return s != nullptr && s->keyed;
-}
-
-agent::report_answer agent::on_report(upstream_report const& report, instant now)
-{
-    auto& l = m_links[report.service];
-    if (l != nullptr && report.life.id == l->described.life.id &&
-        report.life.started == l->described.life.started)
-    {
-        bool const late =
-            report.sequence != 0 && report.sequence <= l->described.sequence;
-        if (late)
-            return {.fate = report_fate::late, .grant = {}};
-    }
-    else if (l != nullptr && report.life.started < l->described.life.started)
-        return {.fate = report_fate::outlived, .grant = {}};
-    else
-    {
-        log_event(log_level::info, "upstream-life",
-                  {{"service", report.service}, {"life", to_string(report.life)}});
-        auto const before = std::exchange(l, make_link(report));
-        if (before != nullptr)
-            refuse_all(before->queue.clear(), reason::upstream_refused, wait_retry);
-    }
-    bool const began_to_drain =
-        report.state == upstream_state::draining && !l->draining();
-    l->described = report;
-    l->last_report = now;
-    l->refused = false;
-    if (began_to_drain)
-    {
-        l->draining_since = now;
-        log_event(log_level::info, "upstream-draining", {{"service", report.service}});
-        if (!keyed(report.service))
-            refuse_all(l->queue.clear(), reason::not_reached, wait_retry);
-    }
-    auto grant = renew_holds(*l, report, now);
-    on_replica_changed(now); // some shards may be held from now on
-    return {.fate = report_fate::taken, .grant = std::move(grant)};
-}
-
-// Whether another owner is about to release shards to the upstream. One that takes very
-// long, as it is cut off, is not waited for in this way.
-bool agent::expects_shards(link& l, std::string const& service, instant now) const
-{
-    if (m_coordinator->shards().incoming(service) == 0)
-    {
-        l.expecting.reset();
-        return false;
-    }
-    if (!l.expecting)
-        l.expecting = now;
-    return now - *l.expecting < longest_expecting;
-}
-
-// The shards that requests have asked for lately, or that are in work.
-std::set<std::uint32_t> agent::busy_shards(std::string const& service) const
-{
-    std::set<std::uint32_t> busy;
-    shard_id const first{.service = service, .index = 0};
-    for (auto it = m_rates.lower_bound(first);
-         it != m_rates.end() && it->first.service == service; ++it)
-        busy.insert(it->first.index);
-    for (auto it = m_asked.lower_bound(first);
-         it != m_asked.end() && it->first.service == service; ++it)
-        busy.insert(it->first.index);
-    for (auto const& entry : m_works)
-        if (entry.second->o.service == service && entry.second->o.shard)
-            busy.insert(*entry.second->o.shard);
-    return busy;
-}
-
-std::optional<upstream_grant> agent::renew_holds(link& l, upstream_report const& report,
-                                                 instant now)
-{
-    auto const* service =
-        m_routes == nullptr ? nullptr : m_routes->service(report.service);
-    if (!report.granted || service == nullptr || !service->keyed)
-        return std::nullopt;
-    if (!l.holds)
-        l.holds.emplace(service->shards, hold_options{});
-    auto const owned =
-        m_coordinator->servable(report.service, to_string(report.life), now);
-    if (!owned)
-        return std::nullopt;
-    bool const again_soon = expects_shards(l, report.service, now);
-    auto const busy =
-        again_soon ? busy_shards(report.service) : std::set<std::uint32_t>{};
-    std::vector<wanted_shard> wanted;
-    std::vector<wanted_shard> leaving;
-    for (auto const& s : *owned)
-    {
-        (s.moving ? leaving : wanted)
-            .push_back({.index = s.index,
-                        .epoch = s.epoch,
-                        .handover = s.handover,
-                        .idle = !busy.contains(s.index)});
-        if (s.moving)
-            m_coordinator->begin_drain({report.service, s.index});
-    }
-    auto grant = l.holds->on_report(report, wanted, leaving, again_soon,
-                                    m_coordinator->lease_until(), now);
-    if (grant && std::exchange(l.granted_shards, wanted.size()) != wanted.size())
-        log_event(log_level::info, "shards-granted",
-                  {{"service", report.service},
-                   {"life", to_string(report.life)},
-                   {"count", std::to_string(wanted.size())},
-                   {"leaving", std::to_string(leaving.size())},
-                   {"lease_ms", in_ms(m_coordinator->lease_until() - now)}});
-    return grant;
-}
-
-void agent::on_departure(std::string const& life_id, instant now)
-{
-    for (auto const& [service, l] : m_links)
-    {
-        if (service == old_setup_link || l->described.life.id != life_id)
-            continue;
-        log_event(log_level::info, "upstream-departs", {{"service", service}});
-        if (!l->draining())
-            l->draining_since = now;
-        l->departed = true;
-        if (!keyed(service))
-            refuse_all(l->queue.clear(), reason::not_reached, wait_retry);
-    }
-    tick(now);
-}
-
-std::optional<std::vector<target>> agent::targets(instant now)
-{
-    auto const silence = reports_missed * m_options.report_interval;
-    if (m_links.empty() && now - m_started < 2 * silence)
-        return std::nullopt;
-    std::vector<target> found;
-    for (auto const& [service, l] : m_links)
-    {
-        if (service == old_setup_link)
-            continue;
-        auto const quiet = now - l->last_report;
-        bool const reports = quiet < silence && !l->departed;
-        bool const dead = l->refused && quiet > m_options.report_interval * 3 / 2;
-        bool const holds = l->holds && now < l->holds->over_at();
-        // What may still hold keys stays until they have run out, unless it is dead.
-        if ((!reports && !holds) || dead)
-            continue;
-        found.push_back({.service = service,
-                         .slots = l->described.slots,
-                         .life = to_string(l->described.life),
-                         .draining = l->draining() || !reports});
-    }
-    return found;
-}
-
-std::vector<std::pair<std::string, released_shard>> agent::take_released(instant now)
-{
-    std::vector<std::pair<std::string, released_shard>> all;
-    for (auto const& [service, l] : m_links)
-        if (l->holds)
-            for (auto& r : l->holds->take_released(now))
-                all.emplace_back(service, std::move(r));
-    return all;
-}
-
-bool agent::releases_by_report(std::string const& service) const
-{
-    auto const it = m_links.find(service);
-    return it != m_links.end() && it->second->holds.has_value();
-}
-
-bool agent::upstreams_ended() const
-{
-    for (auto const& [service, l] : m_links)
-        if (service != old_setup_link && !l->draining())
-            return false;
-    return true;
-}
-
-std::optional<upstream_load> agent::load(std::string const& service, instant now) const
-{
-    auto const it = m_links.find(service);
-    if (it == m_links.end())
-        return std::nullopt;
-    auto const& l = *it->second;
-    bool const silent = is_silent(l, now);
-    return upstream_load{.slots = l.queue.limit(),
-                         .running = l.queue.running(),
-                         .waiting = static_cast<std::uint32_t>(l.queue.queued()),
-                         .service = l.queue.mean_service(),
-                         .accepting =
-                             !l.draining() && !silent && !l.refused && !m_closing};
-}
-
-bool agent::is_silent(link const& l, instant now) const
-{
-    return now - l.last_report > reports_missed * m_options.report_interval &&
-           now - l.last_answer > answer_proves_life;
-}
-
-void agent::begin_closing()
-{
-    m_closing = true;
-    std::vector<order_id> waiting(m_waiting.begin(), m_waiting.end());
-    for (auto const& entry : m_links)
-        for (auto const id : entry.second->queue.clear())
-            waiting.push_back(id);
-    refuse_all(waiting, reason::stopping, wait_retry);
-}
-
-std::vector<load_report> agent::take_load_reports(instant now)
-{
-    auto const span = std::chrono::duration<double>(now - m_rates_told).count();
-    m_rates_told = now;
-    for (auto& entry : m_rates)
-        entry.second *= 1 - rate_weight;
-    for (auto const& [shard, count] : std::exchange(m_asked, {}))
-        m_rates[shard] += rate_weight * count / span;
-    std::erase_if(m_rates, [](auto const& entry) { return entry.second < least_rate; });
-    std::vector<load_report> reports;
-    for (auto const& [service, l] : m_links)
-    {
-        if (!keyed(service))
-            continue;
-        load_report report{.service = service, .capacity = 0, .rates = {}};
-        auto const service_time =
-            std::chrono::duration<double>(l->queue.mean_service()).count();
-        if (l->last_answer != instant{})
-            report.capacity = l->queue.slots() / service_time;
-        for (auto it = m_rates.lower_bound({.service = service, .index = 0});
-             it != m_rates.end() && it->first.service == service; ++it)
-            report.rates.push_back({.shard = it->first.index, .rate = it->second});
-        reports.push_back(std::move(report));
-    }
-    return reports;
-}
-
 // ---- versions and time ----
 
 void agent::set_routes(std::shared_ptr<route_table const> routes)
@@ -840,7 +515,8 @@
     auto const waiting = m_waiting;
     for (auto const id : waiting)
         if (auto* w = find(id); w != nullptr && w->o.deadline <= now)
-            finish(*w, order_refused{.why = reason::no_owner, .retry_after = wait_retry});
+            finish(*w, order_refused{.why = reason::no_owner,
+                                     .retry_after = agent_wait_retry});
     auto const links = m_links; // callbacks may change it
     for (auto const& entry : links)
     {
--- a/src/process/operator_api.cpp
+++ b/src/process/operator_api.cpp
@@ -32,20 +32,6 @@
     return {.status = status, .body = what + "\n"};
 }
 
-char const* name_of(member_state state)
-{
-    switch (state)
-    {
-    case member_state::live:
-        return "live";
-    case member_state::evicting:
-        return "evicting";
-    case member_state::gone:
-        return "gone";
-    }
-    return "live";
-}
-
 std::string to_json(member_id const& id)
 {
     return "\"" + id.node + "@" + std::to_string(id.incarnation) + "\"";
@@ -57,7 +43,7 @@
     for (auto const& [id, m] : copy.members())
     {
         out << separator << "{\"id\":" << to_json(id) << ",\"region\":\"" << m.region
-            << "\",\"domain\":\"" << m.domain << "\",\"state\":\"" << name_of(m.state)
+            << "\",\"domain\":\"" << m.domain << "\",\"state\":\"" << to_string(m.state)
             << "\",\"draining\":" << (m.draining ? "true" : "false")
             << ",\"watchers\":" << m.watchers.size() << "}";
         separator = ",";
--- a/src/process/state_log.cpp
+++ b/src/process/state_log.cpp
@@ -12,20 +12,6 @@
 namespace
 {
 
-char const* name_of(member_state state)
-{
-    switch (state)
-    {
-    case member_state::live:
-        return "live";
-    case member_state::evicting:
-        return "evicting";
-    case member_state::gone:
-        return "gone";
-    }
-    return "unknown";
-}
-
 std::string yes_no(bool value)
 {
     return value ? "yes" : "no";
@@ -79,7 +65,7 @@
                   {{"member", id.node},
                    {"incarnation", std::to_string(id.incarnation)},
                    {"tenure", std::to_string(m.tenure)},
-                   {"state", name_of(m.state)},
+                   {"state", to_string(m.state)},
                    {"draining", yes_no(m.draining)},
                    {"revision", revision_of(coord)}});
     }
