A refused request no longer reads its error after the reader has ended

Cause: http_server's reject() ends the connection's reader and then read the text of the error, which belonged to that reader: a use after free for each request refused for its header, framing or size.

Change: the error is copied before the reader ends.

--- a/src/connection/http_server.cpp
+++ b/src/connection/http_server.cpp
@@ -181,7 +181,8 @@
     used += reader->put(bytes.substr(used));
     if (reader->failed())
     {
-        reject(reader->error().status, reader->error().what);
+        auto const error = reader->error(); // reject() ends the reader
+        reject(error.status, error.what);
         return false;
     }
     if (!reader->complete())
