--- a/src/coordination/steward.cpp
+++ b/src/coordination/steward.cpp
@@ -95,18 +95,19 @@
 {
     plan_input input;
     input.service = service.name;
+    bool const hears_most = load != nullptr && !load->hears_few(now);
     for (auto const& entry : copy.members())
     {
         auto const& m = entry.second;
         if (!can_own(m, service.name))
             continue;
         auto const* t = target_of(m, service.name);
-        input.targets.push_back({.id = m.owner(),
-                                 .domain = m.domain,
-                                 .capacity = std::max(1.0, static_cast<double>(t->slots)),
-                                 .draining = m.draining || t->draining,
-                                 .silent = load != nullptr && !load->hears_few(now) &&
-                                           load->is_silent(m.id.node, now)});
+        input.targets.push_back(
+            {.id = m.owner(),
+             .domain = m.domain,
+             .capacity = std::max(1.0, static_cast<double>(t->slots)),
+             .draining = m.draining || t->draining,
+             .silent = hears_most && load->is_silent(m.id.node, now)});
     }
     for (std::uint32_t shard = 0; shard < service.shards; ++shard)
     {
