--- a/src/process/agent.cpp
+++ b/src/process/agent.cpp
@@ -4,6 +4,7 @@
 #include "process/boot_clock.hpp"
 #include "process/event_loop.hpp"
 #include "process/log.hpp"
+#include "process/overloaded.hpp"
 
 namespace buckthornusher
 {
@@ -35,14 +36,6 @@
     return "unknown";
 }
 
-template <class... Ts>
-struct overloaded : Ts...
-{
-    using Ts::operator()...;
-};
-template <class... Ts>
-overloaded(Ts...) -> overloaded<Ts...>;
-
 } // namespace
 
 agent::agent(event_loop& loop, coordinator& coord, agent_options opts)
--- a/src/process/node.cpp
+++ b/src/process/node.cpp
@@ -17,6 +17,7 @@
 #include "process/metrics.hpp"
 #include "process/operator_api.hpp"
 #include "process/order_server.hpp"
+#include "process/overloaded.hpp"
 #include "process/peer_table.hpp"
 #include "process/shard_handover.hpp"
 #include "process/state_log.hpp"
@@ -55,14 +56,6 @@
 // end what the upstream holds.
 constexpr int reports_within_lease = 2;
 
-template <class... Ts>
-struct overloaded : Ts...
-{
-    using Ts::operator()...;
-};
-template <class... Ts>
-overloaded(Ts...) -> overloaded<Ts...>;
-
 // Later than all incarnations of the node that are known, also if this VM's clock is
 // behind.
 std::uint64_t new_incarnation(std::string const& node, replica const& known)
