http_test takes ports that no outgoing connection can have

The test's port was 20,000 and the process's id modulo 20,000, which reaches into the ports that the system gives to outgoing connections (from 32,768), and over those of process_test.sh (from 29,000): another test's connection had it.

Ruled out: the product's listener; it reports the error as it should.

Change: ports from 10,000 to 27,999. No check is touched.

--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -19,9 +19,14 @@
 namespace
 {
 
+// Another port for each process: below those that the system gives to outgoing
+// connections (from 32,768) and those of process_test.sh (from 29,000), so that nobody
+// else has it.
 tcp_address test_address()
 {
-    return {.ip = "127.0.0.1", .port = 20'000 + getpid() % 20'000};
+    constexpr int first_port = 10'000;
+    constexpr int ports = 18'000;
+    return {.ip = "127.0.0.1", .port = first_port + getpid() % ports};
 }
 
 std::string text_of(http_request const& request)
