--- a/Makefile
+++ b/Makefile
@@ -2,8 +2,8 @@
 #
 #   make test SANITIZE=address,undefined   builds and tests with sanitizers
 #   make soak SEED=1 CASES=2000            more cases of the property tests
-BUILD := build$(if $(SANITIZE),-$(subst $(comma),-,$(SANITIZE)))
 comma := ,
+BUILD := build$(if $(SANITIZE),-$(subst $(comma),-,$(SANITIZE)))
 SUDO := $(if $(filter 0,$(shell id -u)),,sudo)
 PACKAGES := $(shell cat packages.txt)
 CASES ?= 2000
