A refusal after an attempt in doubt says that there is a doubt

Cause: a read that was taken back from a silent owner was repeated; when nobody could be found for the repeat, the caller was told 503 with "ran": false, although the first attempt was still on its way and ran afterwards. A link that had been silent delivered the first attempt after the refusal.

Ruled out: the node that ran it was wrong to (its lease and epoch held, the order's deadline had 3 ms left); a doubled reply (the ids of the sendings differ).

Change: attempt_history keeps the first doubt of a request; refuse() gives the doubt's outcome instead of a refusal from then on. Taking an attempt back stood twice and is one function.

The unit test states the rule; there is no test of ingress without processes.

--- a/src/process/ingress.cpp
+++ b/src/process/ingress.cpp
@@ -94,9 +94,9 @@
     instant arrived;
     duration latency_bound{0}; // of the objective
     std::uint32_t max_attempts = 1;
-    std::uint32_t arrivals = 0; // at upstreams, as far as is known
-    owner_search search;        // of the shard's owner
-    std::string sent_to;        // an answer is awaited from this node
+    attempt_history attempts;
+    owner_search search; // of the shard's owner
+    std::string sent_to; // an answer is awaited from this node
     std::string endpoint;
     std::uint64_t sending = 0; // of the answer that is awaited
     std::optional<agent::order_id> local;
@@ -521,9 +521,12 @@
 
 void ingress::on_answered(flight& f, order_answered& result, instant now)
 {
-    ++f.arrivals;
+    f.attempts.on_arrival();
     if (result.failed && take_repeat(f, kept_from_failures, now))
+    {
+        f.attempts.on_doubt(reason::answer_lost); // it ran, and its answer is not used
         return dispatch_later(f, now);
+    }
     auto response = std::visit([&](auto const& form)
                                { return form.answered(std::move(result.response)); },
                                m_options.form);
@@ -533,7 +536,7 @@
 void ingress::on_refused(flight& f, order_refused const& result, instant now)
 {
     if (result.reached_upstream)
-        ++f.arrivals;
+        f.attempts.on_arrival();
     if (f.retry_after == 0us || result.retry_after < f.retry_after)
         f.retry_after = result.retry_after;
     bool const final = result.why == reason::operation_invalid ||
@@ -542,8 +545,8 @@
                        (f.o.shard && result.why == reason::overloaded);
     if (final || now + least_time >= f.o.deadline)
         return refuse(f, result.why, result.retry_after);
-    if (result.reached_upstream &&
-        !(f.arrivals < f.max_attempts && m_retries.try_repeat(f.o.service, now)))
+    if (result.reached_upstream && !(f.attempts.arrivals() < f.max_attempts &&
+                                     m_retries.try_repeat(f.o.service, now)))
         return refuse(f, result.why, result.retry_after);
     f.search.forget();
     bool const elsewhere = !f.o.shard && result.why != reason::stale;
@@ -554,7 +557,8 @@
 
 void ingress::on_unknown(flight& f, order_unknown const& result, instant now)
 {
-    ++f.arrivals;
+    f.attempts.on_arrival();
+    f.attempts.on_doubt(result.why);
     if (!take_repeat(f, 0, now))
         return give_up(f, result.why);
     f.search.forget();
@@ -576,7 +580,7 @@
     char const* denied = nullptr;
     if (!f.o.repeatable)
         denied = "not-repeatable";
-    else if (f.arrivals >= f.max_attempts)
+    else if (f.attempts.arrivals() >= f.max_attempts)
         denied = "attempts";
     else if (now + least_time >= f.o.deadline)
         denied = "time";
@@ -585,7 +589,7 @@
     f.trail.add("repeat",
                 {{"allowed", denied == nullptr ? "yes" : "no"},
                  {"denied_by", denied == nullptr ? "-" : denied},
-                 {"arrivals", std::to_string(f.arrivals)},
+                 {"arrivals", std::to_string(f.attempts.arrivals())},
                  {"most", std::to_string(f.max_attempts)},
                  {"budget_left",
                   std::to_string(static_cast<int>(m_retries.left(f.o.service, now)))}});
@@ -595,6 +599,17 @@
     return true;
 }
 
+// Gives up the attempt at a node that does not answer, if the request may be repeated.
+bool ingress::take_back(flight& f, instant now)
+{
+    f.attempts.on_arrival();
+    if (!take_repeat(f, 0, now))
+        return false;
+    f.attempts.on_doubt(reason::owner_lost);
+    end_sending(f, true, now);
+    return true;
+}
+
 void ingress::on_silent(std::string const& node, instant now)
 {
     m_placement.avoid(node, now + silent_for);
@@ -626,11 +641,9 @@
         if (f == nullptr)
             continue;
         f->trail.add("lost", {{"at", node}, {"certain", certainly ? "yes" : "no"}});
-        ++f->arrivals;
-        if (take_repeat(*f, 0, now))
+        if (take_back(*f, now))
         {
             f->tried.insert(node);
-            end_sending(*f, true, now);
             dispatch(*f, now);
         }
         else if (certainly)
@@ -640,8 +653,11 @@
 
 // ---- ends ----
 
+// After an attempt that may have run the caller learns of the doubt instead.
 void ingress::refuse(flight& f, reason why, duration retry_after)
 {
+    if (auto const doubt = f.attempts.doubt())
+        return give_up(f, *doubt);
     auto response =
         std::visit([&](auto const& form)
                    { return form.refused({.why = why, .retry_after = retry_after}); },
@@ -672,12 +688,12 @@
                           {"status", std::to_string(response.status)},
                           {"took_ms", in_ms(now - f.arrived)},
                           {"late", late ? "yes" : "no"},
-                          {"arrivals", std::to_string(f.arrivals)}});
+                          {"arrivals", std::to_string(f.attempts.arrivals())}});
     constexpr int first_failure = 500;
     auto const how = kind != outcome_kind::answered     ? to_string(why)
                      : response.status >= first_failure ? "failed"
                      : late                             ? "late"
-                     : f.arrivals > 1                   ? "repeated"
+                     : f.attempts.arrivals() > 1        ? "repeated"
                                                         : usual_end;
     f.trail.end(f.o.id, how, m_sampler, now);
     m_loop.timers().cancel(f.timer);
@@ -764,10 +780,8 @@
         auto const* m = m_coordinator->copy().node(f->sent_to);
         if (m != nullptr && m->state != member_state::gone)
             continue;
-        ++f->arrivals;
-        if (!take_repeat(*f, 0, now))
+        if (!take_back(*f, now))
             continue;
-        end_sending(*f, true, now);
         f->search.forget();
         ready.push_back(id);
     }
--- a/src/process/ingress.hpp
+++ b/src/process/ingress.hpp
@@ -14,6 +14,7 @@
 #ifndef BUCKTHORNUSHER_PROCESS_INGRESS_HPP
 #define BUCKTHORNUSHER_PROCESS_INGRESS_HPP
 
+#include "buckthornusher/attempt_history.hpp"
 #include "buckthornusher/burn.hpp"
 #include "buckthornusher/coordinator.hpp"
 #include "buckthornusher/owner_search.hpp"
@@ -108,6 +109,7 @@
     void on_unknown(flight& f, order_unknown const& result, instant now);
     void on_moved(flight& f, order_moved const& moved, instant now);
     bool take_repeat(flight& f, double kept_share, instant now);
+    bool take_back(flight& f, instant now);
     void dispatch_later(flight& f, instant now);
     void end_sending(flight& f, bool failed, instant now);
     void note_result(flight& f, order_result const& result,
--- a/tests/request_policy_test.cpp
+++ b/tests/request_policy_test.cpp
@@ -1,6 +1,7 @@
 // Decisions about requests under load: the queue, the placement, the budget of repeats.
 // Each is checked against what must always hold, and played against a load to see what
 // callers get.
+#include "buckthornusher/attempt_history.hpp"
 #include "buckthornusher/placement.hpp"
 #include "buckthornusher/retry_budget.hpp"
 #include "buckthornusher/upstream_queue.hpp"
@@ -555,6 +556,19 @@
     }
 }
 
+TEST(attempt_history, a_doubt_lasts_whatever_later_attempts_meet)
+{
+    attempt_history attempts;
+    attempts.on_arrival(); // an upstream that refused
+    EXPECT_FALSE(attempts.doubt());
+    attempts.on_arrival();
+    attempts.on_doubt(reason::owner_lost);
+    attempts.on_arrival();
+    attempts.on_doubt(reason::answer_lost);
+    EXPECT_EQ(attempts.doubt(), reason::owner_lost);
+    EXPECT_EQ(attempts.arrivals(), 3U);
+}
+
 TEST(retry_budget, allows_a_share_of_the_traffic_and_keeps_some_for_others)
 {
     retry_budget budget({.ratio = 0.1, .reserve = 5, .window = 10s, .used = 1});
