A shard keeps its owner while an order in doubt may still begin

Cause: an owner that gave up waiting for its upstream's answer counted the order as ended. If the shard was to move, it was released at once; an upstream that had been paused then read the order from its socket, saw a lease that still ran and began, after the new owner had begun.

Ruled out: two leases at once (one epoch followed the other by a planned release); the upstream's fence (it knows only epochs that reached it). Upstreams that are granted their keys are not concerned: they say themselves when a key is free.

Change: such an order counts as running until the lease is over that its upstream was told.

--- a/src/process/agent.cpp
+++ b/src/process/agent.cpp
@@ -270,7 +270,10 @@
     {
         // An upstream that is not granted its keys knows the lease by what it is told.
         if (!l->holds)
-            until = std::min(until, m_coordinator->lease_until());
+        {
+            w.lease_told = m_coordinator->lease_until();
+            until = std::min(until, w.lease_told);
+        }
         if (!m_coordinator->may_send({w.o.service, *w.o.shard}, w.epoch, now))
             why = reason::lease_over;
     }
@@ -439,6 +442,7 @@
 {
     settle_operation(w, result);
     end_trail(w, result);
+    bool const unknown = std::holds_alternative<order_unknown>(result);
     auto const owned = m_works.extract(w.id); // keeps `w` until the end
     m_waiting.erase(w.id);
     auto const done = std::move(w.done);
@@ -447,12 +451,22 @@
         auto& counts = m_backends[{w.o.service, *w.o.shard}];
         --(w.old_setup ? counts.old_setup : counts.upstream);
     }
-    if (w.begun)
+    if (w.begun && unknown && boot_now() < w.lease_told)
+        end_with_lease(w);
+    else if (w.begun)
         m_coordinator->end({w.o.service, *w.o.shard});
     if (done)
         done(std::move(result));
 }
 
+// The order may still be on its way to the upstream, which begins it as long as the lease
+// runs that it was told. Until then the shard has no other owner.
+void agent::end_with_lease(work const& w)
+{
+    m_loop.timers().at(w.lease_told, [this, shard = shard_id{w.o.service, *w.o.shard}](
+                                         instant) { m_coordinator->end(shard); });
+}
+
 void agent::refuse_all(std::vector<order_id> const& ids, reason why, duration retry_after)
 {
     for (auto const id : ids)
--- a/src/process/agent.hpp
+++ b/src/process/agent.hpp
@@ -173,6 +173,7 @@
     void on_upstream(order_id id, instant started, http_result result);
     void settle(work& w, http_result& result, instant started, instant now);
     void finish(work& w, order_result result);
+    void end_with_lease(work const& w);
     void settle_operation(work& w, order_result const& result);
     void end_trail(work& w, order_result const& result);
     void refuse_all(std::vector<order_id> const& ids, reason why, duration retry_after);
--- a/src/process/agent_impl.hpp
+++ b/src/process/agent_impl.hpp
@@ -53,6 +53,7 @@
     bool begun = false;   // counted by the coordinator
     std::optional<operation_id> operation;
     std::optional<http_client::call_id> call;
+    instant lease_told; // to an upstream that is not granted its keys: it begins before
     instant arrived;
     request_trail trail;
 };
