A fault soak: the programs on loopback under drawn faults

What it is: soak/ draws faults from a seed (20 kinds: kills, pauses and planned stops of nodes, kills and pauses of upstreams, eight troubles of the store, six of links, changes of the configuration), starts the store stand-in, upstream stand-ins and nodes as processes with a relay on each link, loads them, and checks what callers and upstreams saw: one owner of a key at a time, nothing twice that must not be, refusals that are true, answers of their own request, connections not cut off but by kills, configuration numbers that only rise, the retry budget, processes that end in order, memory and descriptors, service back within 15 s.

For the relays a node may announce another address for its peers than it listens on (listen.advertised_peers), which deployments behind address translation need as well.

Ruled out: cutting links within the nodes (it would not be from outside).

Not yet: clients that send requests ahead or slowly, clocks that jump, runs at the limits.

--- a/Makefile
+++ b/Makefile
@@ -2,14 +2,17 @@
 #
 #   make test SANITIZE=address,undefined   builds and tests with sanitizers
 #   make soak SEED=1 CASES=2000            more cases of the property tests
+#   make fault-soak SEED=1 SECONDS=20 NODES=6   the programs under drawn faults
 comma := ,
 BUILD := build$(if $(SANITIZE),-$(subst $(comma),-,$(SANITIZE)))
 SUDO := $(if $(filter 0,$(shell id -u)),,sudo)
 PACKAGES := $(shell cat packages.txt)
 CASES ?= 2000
 SEED ?= 1
+SECONDS ?= 20
+NODES ?= 6
 
-.PHONY: all packages build demo test soak format lint clean
+.PHONY: all packages build demo test soak fault-soak format lint clean
 
 all: build
 
@@ -33,11 +36,15 @@
 soak: build
 	RC_PARAMS="seed=$(SEED) max_success=$(CASES)" $(BUILD)/coordinator_property_test
 
+fault-soak: build
+	$(BUILD)/fault_soak --seed $(SEED) --seconds $(SECONDS) --nodes $(NODES) \
+	  --programs $(BUILD)
+
 format:
 	@git ls-files '*.cpp' '*.hpp' | xargs clang-format -i
 
 lint: build
-	@git ls-files 'src/*.cpp' 'standins/*.cpp' 'bench/*.cpp' 'tests/*.cpp' | \
+	@git ls-files 'src/*.cpp' 'standins/*.cpp' 'bench/*.cpp' 'soak/*.cpp' 'tests/*.cpp' | \
 	  xargs -P $$(nproc) -n 2 clang-tidy -p $(BUILD) --quiet 2> /dev/null
 
 clean:
--- /dev/null
+++ b/soak/callers.cpp
@@ -0,0 +1,166 @@
+// The load of a run.
+#include "soak/callers.hpp"
+
+#include "process/boot_clock.hpp"
+
+namespace buckthornusher::soak
+{
+namespace
+{
+
+constexpr std::size_t connections_per_node = 200;
+constexpr duration patience = 5s; // longer than any deadline of the configuration
+constexpr int most_tries = 6;
+constexpr duration order_pause = 50ms; // between tries of an order, times their number
+constexpr std::uint64_t most_work_us = 30'000;
+constexpr std::uint64_t long_body_bytes = 100'000;
+
+// Shares of the kinds, in percent.
+constexpr std::uint64_t reads = 55;
+constexpr std::uint64_t orders = 20; // under an operation id
+constexpr std::uint64_t single_orders = 12;
+constexpr std::uint64_t leaving = 5;
+constexpr std::uint64_t long_bodies = 3;
+
+} // namespace
+
+struct callers::request_state
+{
+    std::string id;
+    std::string path;
+    std::string body;
+    bool read_only = true;
+    bool wants_operation = false;
+    std::string operation;
+    std::uint64_t work_us = 0;
+    duration leaves_after{0}; // 0: stays
+    int tries = 0;
+};
+
+callers::callers(event_loop& loop, options opts)
+    : m_loop(loop), m_options(std::move(opts)), m_random(m_options.seed)
+{
+    for (auto const port : m_options.ports)
+        m_clients.push_back(std::make_unique<http_client>(
+            loop, http_client::options{.peer = {.ip = "127.0.0.1", .port = port},
+                                       .max_connections = connections_per_node}));
+    m_gap = duration(1s) / m_options.rate;
+}
+
+callers::~callers() = default;
+
+void callers::start(duration length)
+{
+    m_end = boot_now() + length;
+    send_due(boot_now());
+}
+
+bool callers::finished() const
+{
+    return m_open == 0 && boot_now() >= m_end;
+}
+
+void callers::send_due(instant now)
+{
+    if (now >= m_end)
+        return;
+    ++m_sent;
+    ++m_open;
+    send(draw());
+    m_loop.timers().at(now + m_gap, [this](instant t) { send_due(t); });
+}
+
+std::shared_ptr<callers::request_state> callers::draw()
+{
+    auto r = std::make_shared<request_state>();
+    r->id = "s" + std::to_string(m_options.seed) + "-" + std::to_string(m_sent);
+    auto const kind = draw_below(100);
+    auto const key = "k" + std::to_string(draw_below(m_options.keys));
+    r->read_only = kind < reads || kind >= reads + orders + single_orders;
+    r->wants_operation = kind >= reads && kind < reads + orders;
+    r->path = (kind < reads ? "/stands/" : !r->read_only ? "/orders/" : "/rounds/") + key;
+    r->work_us = draw_below(most_work_us);
+    if (draw_below(100) < leaving)
+        r->leaves_after = std::chrono::milliseconds(1 + draw_below(20));
+    if (!r->read_only)
+        r->body = draw_below(100) < long_bodies ? std::string(long_body_bytes, 'b')
+                                                : "order " + r->id;
+    return r;
+}
+
+void callers::send(std::shared_ptr<request_state> const& r)
+{
+    ++r->tries;
+    bool const asks_operation = r->wants_operation && r->operation.empty();
+    caller_attempt attempt{.id = r->id + "." + std::to_string(r->tries),
+                           .node = draw_below(m_clients.size()),
+                           .sent = boot_now()};
+    http_request request{.method = r->read_only ? "GET" : "POST",
+                         .target = r->path + "?work_us=" + std::to_string(r->work_us)};
+    request.headers.push_back({"x-request-id", attempt.id});
+    if (r->wants_operation)
+        request.headers.push_back(
+            {"buckthornusher-operation", asks_operation ? "new" : r->operation});
+    if (!asks_operation)
+        request.body = r->body;
+    auto& client = *m_clients[attempt.node];
+    auto const call = client.call(std::move(request), patience,
+                                  [this, r, attempt](http_result const& result)
+                                  { on_answer(r, attempt, result); });
+    if (r->leaves_after > 0s)
+        m_loop.timers().at(boot_now() + r->leaves_after,
+                           [&client, call](instant) { client.cancel(call); });
+}
+
+namespace
+{
+
+attempt_end end_of(http_result const& result)
+{
+    if (result.has_value())
+    {
+        auto const outcome =
+            find_header(result.value().headers, "buckthornusher-outcome");
+        return outcome == "refused"   ? attempt_end::refused
+               : outcome == "unknown" ? attempt_end::unknown
+                                      : attempt_end::answered;
+    }
+    auto const& failure = result.error();
+    if (failure.at == http_failure::step::cancelled ||
+        failure.at == http_failure::step::timeout)
+        return attempt_end::left;
+    return failure.sent ? attempt_end::cut_off : attempt_end::not_reached;
+}
+
+} // namespace
+
+void callers::on_answer(std::shared_ptr<request_state> const& r, caller_attempt attempt,
+                        http_result const& result)
+{
+    attempt.ended = boot_now();
+    attempt.end = end_of(result);
+    bool const got_operation = attempt.end == attempt_end::answered &&
+                               r->wants_operation && r->operation.empty();
+    if (got_operation)
+        r->operation = find_header(result.value().headers, "buckthornusher-operation");
+    else if (attempt.end == attempt_end::answered)
+        attempt.whole =
+            result.value().body.find(r->path + "\n" + r->body) != std::string::npos;
+    m_attempts.push_back(attempt);
+
+    bool const done = attempt.end == attempt_end::answered && !got_operation;
+    bool const safe = attempt.end == attempt_end::refused ||
+                      attempt.end == attempt_end::not_reached || got_operation ||
+                      r->read_only || r->wants_operation;
+    m_served += done ? 1 : 0;
+    if (done || attempt.end == attempt_end::left || !safe || r->tries >= most_tries)
+    {
+        --m_open;
+        return;
+    }
+    auto const pause =
+        r->wants_operation && !got_operation ? order_pause * r->tries : duration(1ms);
+    m_loop.timers().at(boot_now() + pause, [this, r](instant) { send(r); });
+}
+
+} // namespace buckthornusher::soak
--- /dev/null
+++ b/soak/callers.hpp
@@ -0,0 +1,65 @@
+// Callers of a run: open-loop load over kept connections, and what each attempt met.
+//
+// Reads, orders under an operation id, single orders and requests without a key, some
+// with bodies of some size. Some callers go away early. Whoever is refused, or not
+// reached, tries again at once at another node; who doesn't know does so if it is
+// allowed: a read, or an order under its operation id.
+#ifndef BUCKTHORNUSHER_SOAK_CALLERS_HPP
+#define BUCKTHORNUSHER_SOAK_CALLERS_HPP
+
+#include "connection/http_client.hpp"
+#include "process/event_loop.hpp"
+#include "soak/promises.hpp"
+
+#include <memory>
+#include <random>
+
+namespace buckthornusher::soak
+{
+
+class callers
+{
+public:
+    struct options
+    {
+        std::vector<int> ports; // the nodes', on 127.0.0.1
+        std::uint64_t seed = 1;
+        std::uint32_t rate = 150; // requests a second
+        std::uint32_t keys = 64;
+    };
+
+    callers(event_loop& loop, options opts);
+    ~callers();
+
+    void start(duration length);
+    bool finished() const; // all sent, and no call open
+
+    std::uint64_t sent() const { return m_sent; }
+    // By the last attempt of each request.
+    std::uint64_t served() const { return m_served; }
+    std::vector<caller_attempt> const& attempts() const { return m_attempts; }
+
+private:
+    struct request_state;
+    void send_due(instant now);
+    std::shared_ptr<request_state> draw();
+    void send(std::shared_ptr<request_state> const& r);
+    void on_answer(std::shared_ptr<request_state> const& r, caller_attempt attempt,
+                   http_result const& result);
+    std::uint64_t draw_below(std::uint64_t bound) { return m_random() % bound; }
+
+    event_loop& m_loop;
+    options m_options;
+    std::mt19937_64 m_random;
+    std::vector<std::unique_ptr<http_client>> m_clients; // by node
+    std::vector<caller_attempt> m_attempts;
+    std::uint64_t m_sent = 0;
+    std::uint64_t m_served = 0;
+    std::uint64_t m_open = 0;
+    instant m_end;
+    duration m_gap{0}; // between two requests
+};
+
+} // namespace buckthornusher::soak
+
+#endif
--- /dev/null
+++ b/soak/child_process.cpp
@@ -0,0 +1,102 @@
+// Starting, signalling and watching one process.
+#include "soak/child_process.hpp"
+
+#include <csignal>
+#include <fcntl.h>
+#include <filesystem>
+#include <fstream>
+#include <spawn.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+extern char** environ;
+
+namespace buckthornusher::soak
+{
+namespace
+{
+
+constexpr int not_started = 127;
+constexpr int signal_base = 128;
+constexpr mode_t log_mode = 0644;
+
+} // namespace
+
+child_process::child_process(options const& opts)
+{
+    posix_spawn_file_actions_t files;
+    posix_spawn_file_actions_init(&files);
+    posix_spawn_file_actions_addopen(&files, STDOUT_FILENO, opts.log.c_str(),
+                                     O_WRONLY | O_CREAT | O_APPEND, log_mode);
+    posix_spawn_file_actions_adddup2(&files, STDOUT_FILENO, STDERR_FILENO);
+    std::vector<char*> arguments;
+    for (auto const& argument : opts.command)
+        arguments.push_back(const_cast<char*>(argument.c_str()));
+    arguments.push_back(nullptr);
+    if (posix_spawn(&m_pid, arguments[0], &files, nullptr, arguments.data(), environ) !=
+        0)
+    {
+        m_pid = -1;
+        m_exit_code = not_started;
+    }
+    posix_spawn_file_actions_destroy(&files);
+}
+
+child_process::~child_process()
+{
+    if (!is_running())
+        return;
+    signal(SIGKILL);
+    int status = 0;
+    waitpid(m_pid, &status, 0);
+}
+
+void child_process::signal(int number)
+{
+    // The id stays ours until its end has been collected, which only exit_code() does.
+    if (is_running())
+        ::kill(m_pid, number);
+}
+
+bool child_process::is_running()
+{
+    return !exit_code();
+}
+
+std::optional<int> child_process::exit_code()
+{
+    int status = 0;
+    if (!m_exit_code && waitpid(m_pid, &status, WNOHANG) == m_pid)
+        m_exit_code =
+            WIFEXITED(status) ? WEXITSTATUS(status) : signal_base + WTERMSIG(status);
+    return m_exit_code;
+}
+
+std::uint64_t child_process::resident_kb()
+{
+    if (!is_running())
+        return 0;
+    std::ifstream status("/proc/" + std::to_string(m_pid) + "/status");
+    for (std::string word; status >> word;)
+        if (word == "VmRSS:")
+        {
+            std::uint64_t kb = 0;
+            status >> kb;
+            return kb;
+        }
+    return 0;
+}
+
+std::uint64_t child_process::descriptors()
+{
+    if (!is_running())
+        return 0;
+    std::uint64_t count = 0;
+    std::error_code error;
+    for (auto const& entry : std::filesystem::directory_iterator(
+             "/proc/" + std::to_string(m_pid) + "/fd", error))
+        count += entry.exists(error) || !error ? 1 : 0;
+    return count;
+}
+
+} // namespace buckthornusher::soak
--- /dev/null
+++ b/soak/main.cpp
@@ -0,0 +1,272 @@
+// The fault soak: the real programs under drawn faults, and the promises checked.
+//
+//   fault_soak --seed 7 --seconds 20 --nodes 6 --programs build --document FILE
+//
+// Prints the faults, then each broken promise with its request, key or node, the faults
+// before it and where the logs are. Exits with 0 if every promise was kept, 1 if one was
+// broken, 2 if the fleet did not come up.
+#include "process/boot_clock.hpp"
+#include "soak/callers.hpp"
+#include "soak/fleet.hpp"
+
+#include <CLI/CLI.hpp>
+
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
+namespace buckthornusher::soak
+{
+namespace
+{
+
+constexpr std::uint64_t shards = 128; // of the two services with keys in the document
+constexpr duration poll_period = 250ms;
+constexpr duration start_limit = 30s;
+constexpr duration recovery_limit = 15s; // after the last fault, as the sites' recover_s
+constexpr duration planned_stop_limit = 30s;
+constexpr duration final_load = 2s;
+constexpr std::size_t faults_shown = 6;
+
+struct soak_options
+{
+    std::uint64_t seed = 1;
+    std::uint32_t seconds = 20;
+    std::uint32_t nodes = 6;
+    int base_port = 30'000;
+    std::string programs = "build";
+    std::string document = "examples/svecnik.toml";
+    std::string directory; // empty: a new one
+    std::string break_promise;
+    bool plan_only = false;
+};
+
+std::string read_file(std::string const& name)
+{
+    std::ifstream file(name);
+    std::ostringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
+class soak_run
+{
+public:
+    soak_run(event_loop& loop, soak_options const& opts, std::string directory)
+        : m_loop(loop), m_options(opts), m_directory(std::move(directory)),
+          m_fleet(loop, {.programs = opts.programs,
+                         .directory = m_directory,
+                         .document = read_file(opts.document),
+                         .base_port = opts.base_port,
+                         .nodes = opts.nodes,
+                         .break_promise = opts.break_promise}),
+          m_load(loop, {.ports = m_fleet.caller_ports(), .seed = opts.seed}),
+          m_last(loop, {.ports = m_fleet.caller_ports(), .seed = opts.seed + last_seed})
+    {
+        loop.timers().every(boot_now(), poll_period, [this](instant) { m_fleet.poll(); });
+    }
+
+    int run()
+    {
+        if (!come_up())
+            return 2;
+        m_plan = draw_faults({.seed = m_options.seed,
+                              .length = std::chrono::seconds(m_options.seconds),
+                              .nodes = m_options.nodes,
+                              .upstreams = m_fleet.upstreams(),
+                              .links = m_fleet.links()});
+        m_began = boot_now();
+        play();
+        recover();
+        judge();
+        return report();
+    }
+
+private:
+    static constexpr std::uint64_t last_seed = 1'000'000'000;
+
+    template <class Condition>
+    bool wait_for(duration limit, Condition const& condition)
+    {
+        auto const until = boot_now() + limit;
+        while (!condition())
+        {
+            if (boot_now() >= until)
+                return false;
+            m_loop.run_once();
+        }
+        return true;
+    }
+
+    bool whole() const
+    {
+        return m_fleet.shards_owned() == shards && m_fleet.has_configuration();
+    }
+
+    bool come_up()
+    {
+        bool const up = wait_for(start_limit,
+                                 [this]
+                                 {
+                                     // The first document, until one was accepted.
+                                     if (!m_fleet.has_configuration() &&
+                                         boot_now() >= m_next_configure)
+                                     {
+                                         m_fleet.begin({});
+                                         m_next_configure = boot_now() + 1s;
+                                     }
+                                     return whole();
+                                 });
+        if (!up)
+            std::cout << "the fleet did not come up; logs: " << m_directory << "\n";
+        return up;
+    }
+
+    void play()
+    {
+        auto const length = duration(std::chrono::seconds(m_options.seconds));
+        m_load.start(length);
+        for (auto const& f : m_plan)
+        {
+            m_loop.timers().at(m_began + f.at, [this, f](instant) { m_fleet.begin(f); });
+            m_loop.timers().at(m_began + f.at + f.lasts,
+                               [this, f](instant) { m_fleet.end(f); });
+        }
+        wait_for(length + recovery_limit,
+                 [&] { return boot_now() > m_began + length && m_load.finished(); });
+        m_fleet.mend();
+    }
+
+    void recover()
+    {
+        // Nodes in a planned stop have their own time, and say so when they refuse.
+        wait_for(planned_stop_limit, [this] { return !m_fleet.is_stopping(); });
+        if (!wait_for(recovery_limit, [this] { return whole(); }))
+            m_found.push_back({.promise = "service is back",
+                               .subject = "all nodes",
+                               .detail = std::to_string(m_fleet.shards_owned()) + " of " +
+                                         std::to_string(shards) + " shards are owned"});
+        m_last.start(final_load);
+        wait_for(final_load + recovery_limit, [this] { return m_last.finished(); });
+        auto const refused = std::count_if(
+            m_last.attempts().begin(), m_last.attempts().end(),
+            [](auto const& a)
+            { return a.end != attempt_end::answered && a.end != attempt_end::left; });
+        if (refused > 0)
+            m_found.push_back({.promise = "service is back",
+                               .subject = std::to_string(refused) + " attempts of " +
+                                          std::to_string(m_last.attempts().size()),
+                               .detail = "not answered after the recovery"});
+    }
+
+    void add(violations const& more)
+    {
+        m_found.insert(m_found.end(), more.begin(), more.end());
+    }
+
+    void judge()
+    {
+        auto const begins = m_fleet.read_journals();
+        auto attempts = m_load.attempts();
+        attempts.insert(attempts.end(), m_last.attempts().begin(),
+                        m_last.attempts().end());
+        add(check_one_owner(begins));
+        add(check_not_twice(begins));
+        add(check_refusals(attempts, begins));
+        add(check_answers(attempts));
+        add(check_not_cut_off(attempts, m_fleet.broken_times()));
+        add(check_versions(m_fleet.versions()));
+        add(check_retries(begins, {}, m_options.nodes, boot_now() - m_began));
+        add(m_fleet.check_processes());
+        m_begins = begins.size();
+    }
+
+    int report() const
+    {
+        std::cout << "seed " << m_options.seed << ", " << m_options.seconds << " s, "
+                  << m_options.nodes << " nodes: " << m_plan.size() << " faults, "
+                  << m_load.sent() + m_last.sent() << " requests, "
+                  << m_load.served() + m_last.served() << " served, " << m_begins
+                  << " begun, " << m_found.size() << " violations\n";
+        if (m_found.empty())
+            return 0;
+        for (auto const& v : m_found)
+            std::cout << "BROKEN " << v.promise << ": " << v.subject << ": " << v.detail
+                      << "\n";
+        std::cout << "traffic began at " << m_began.time_since_epoch() / 1ms
+                  << " ms; the last faults:\n";
+        auto const first = m_plan.size() - std::min(m_plan.size(), faults_shown);
+        for (auto i = first; i < m_plan.size(); ++i)
+            std::cout << "  " << describe(m_plan[i]) << "\n";
+        std::cout << "logs: " << m_directory << "\n";
+        return 1;
+    }
+
+    event_loop& m_loop;
+    soak_options m_options;
+    std::string m_directory;
+    fleet m_fleet;
+    callers m_load;
+    callers m_last; // after the recovery
+    std::vector<fault> m_plan;
+    violations m_found;
+    std::size_t m_begins = 0;
+    instant m_began;
+    instant m_next_configure;
+};
+
+int play(soak_options const& opts)
+{
+    if (opts.plan_only)
+    {
+        for (auto const& f : draw_faults({.seed = opts.seed,
+                             .length = std::chrono::seconds(opts.seconds),
+                             .nodes = opts.nodes,
+                             .upstreams = opts.nodes * fleet::upstreams_per_node,
+                             .links = opts.nodes * fleet::links_per_node}))
+            std::cout << describe(f) << "\n";
+        return 0;
+    }
+    auto directory = opts.directory;
+    if (directory.empty())
+    {
+        auto name =
+            (std::filesystem::temp_directory_path() / "fault-soak-XXXXXX").string();
+        if (mkdtemp(name.data()) == nullptr)
+        {
+            std::cerr << "no directory for the logs: " << name << "\n";
+            return 2;
+        }
+        directory = name;
+    }
+    std::filesystem::create_directories(directory);
+    event_loop loop;
+    soak_run run(loop, opts, directory);
+    auto const code = run.run();
+    if (code == 0 && opts.directory.empty())
+        std::filesystem::remove_all(directory);
+    return code;
+}
+
+} // namespace
+} // namespace buckthornusher::soak
+
+int main(int argc, char** argv)
+{
+    buckthornusher::soak::soak_options opts;
+    CLI::App app("The programs under drawn faults");
+    app.add_option("--seed", opts.seed, "of the faults and the load");
+    app.add_option("--seconds", opts.seconds, "of faults")->check(CLI::Range(1, 3'600));
+    app.add_option("--nodes", opts.nodes, "number of nodes")->check(CLI::Range(3, 40));
+    app.add_option("--port-base", opts.base_port, "first port; 20 for each node")
+        ->check(CLI::Range(1'024, 31'000));
+    app.add_option("--programs", opts.programs, "folder with the built programs");
+    app.add_option("--document", opts.document, "the configuration");
+    app.add_option("--directory", opts.directory, "for logs; kept");
+    app.add_option("--break-promise", opts.break_promise,
+                   "a switch of the upstream stand-in that breaks a promise");
+    app.add_flag("--plan", opts.plan_only, "prints the faults and ends");
+    CLI11_PARSE(app, argc, argv);
+    return buckthornusher::soak::play(opts);
+}
--- a/src/process/node.cpp
+++ b/src/process/node.cpp
@@ -127,7 +127,7 @@
 {
     impl(node_settings s, settings_source from)
         : settings(std::move(s)), source(std::move(from)),
-          peers(loop, endpoint(),
+          peers(loop, "tcp://" + settings.peers,
                 [this](peer_route const& route, wire::Envelope const& m)
                 { on_peer(route, m); }),
           table(peers, settings.name, std::random_device{}(), {}),
@@ -226,7 +226,12 @@
     instant next_peer_review;
     instant next_load_report;
 
-    std::string endpoint() const { return "tcp://" + settings.peers; }
+    // Where the others reach this node.
+    std::string endpoint() const
+    {
+        return "tcp://" + (settings.advertised_peers.empty() ? settings.peers
+                                                             : settings.advertised_peers);
+    }
 
     // Callers are welcome: they can be served with a configuration that is known.
     bool ready() const { return !stopping && requests.routes() != nullptr; }
--- a/src/version/config.cpp
+++ b/src/version/config.cpp
@@ -538,6 +538,7 @@
     settings.callers = r.address("callers");
     settings.operators = r.address("operators");
     settings.peers = r.address("peers");
+    settings.advertised_peers = r.address("advertised_peers", "");
     settings.upstreams = r.address("upstreams", "");
     settings.readiness = r.address("readiness", "");
     settings.metrics = r.address("metrics", "");
--- a/src/version/config.hpp
+++ b/src/version/config.hpp
@@ -165,6 +165,7 @@
     std::string readiness; // the same for who asks whether to send callers here
     std::string metrics;   // the same for collectors of metrics; may be empty
     std::string peers;     // ZeroMQ
+    std::string advertised_peers; // where other nodes reach `peers`; empty: there
     std::string store;
     std::vector<std::string>
         seeds;                     // peers to ask when the store is down, "tcp://IP:port"
--- a/standins/upstream.cpp
+++ b/standins/upstream.cpp
@@ -8,6 +8,8 @@
 //
 // Journal: one line for each executed request on standard output at GET /journal:
 //   OPERATION SERVICE SHARD EPOCH KEY START_US END_US
+// With --journal-file a line is written to that file as soon as a request begins:
+//   REQUEST_ID OPERATION SERVICE SHARD EPOCH METHOD START_US
 // GET /stats counts. POST /drain makes it refuse new requests. Load and health lag: /load
 // answers the state of a second ago.
 #include "connection/http_client.hpp"
@@ -18,8 +20,8 @@
 
 #include <CLI/CLI.hpp>
 
+#include <fstream>
 #include <map>
-#include <set>
 
 namespace buckthornusher
 {
@@ -29,7 +31,10 @@
 struct upstream_options
 {
     int port = 0;
+    int announced_port = 0; // where others reach it; 0: at `port`
     int node_port = 0;
+    std::string journal_file; // empty: none
+    bool repeats = false;
     std::string service;
     std::uint32_t slots = 20;
     std::uint32_t connections = 110;
@@ -52,6 +57,8 @@
                    [this](http_request request, http_reply reply)
                    { handle(std::move(request), reply); })
     {
+        if (!opts.journal_file.empty())
+            m_begins.open(opts.journal_file, std::ios::app);
         announce();
         loop.timers().every(boot_now(), 500ms, [this](instant) { announce(); });
         loop.timers().every(boot_now(), duration(opts.lag_ms * 1'000),
@@ -61,11 +68,13 @@
 private:
     void announce()
     {
-        auto const query = "service=" + m_options.service +
-                           "&port=" + std::to_string(m_options.port) +
-                           "&slots=" + std::to_string(m_options.slots) +
-                           "&connections=" + std::to_string(m_options.connections) +
-                           "&life=" + std::to_string(to_micros(m_started));
+        auto const query =
+            "service=" + m_options.service + "&port=" +
+            std::to_string(m_options.announced_port != 0 ? m_options.announced_port
+                                                         : m_options.port) +
+            "&slots=" + std::to_string(m_options.slots) +
+            "&connections=" + std::to_string(m_options.connections) +
+            "&life=" + std::to_string(to_micros(m_started));
         m_node.call({.method = "POST", .target = "/v1/announce?" + query}, 1s,
                     [](http_result const&) {});
     }
@@ -126,6 +135,9 @@
         ++m_running;
         reply.on_gone([this] { ++m_cancelled; });
         auto const start = boot_now();
+        write_begin(request, start);
+        if (m_options.repeats)
+            write_begin(request, start);
         auto work = duration(m_options.work_us);
         if (auto const wanted = find_query(request.query(), "work_us"); !wanted.empty())
             work = duration(number_of(wanted));
@@ -136,19 +148,33 @@
                            { finish(request, reply, start); });
     }
 
+    static std::string header_or_dash(http_request const& request, char const* name)
+    {
+        auto const value = find_header(request.headers, name);
+        return value.empty() ? std::string("-") : std::string(value);
+    }
+
+    void write_begin(http_request const& request, instant start)
+    {
+        if (!m_begins.is_open())
+            return;
+        m_begins << header_or_dash(request, "x-request-id") << " "
+                 << header_or_dash(request, "buckthornusher-operation") << " "
+                 << m_options.service << " "
+                 << header_or_dash(request, "buckthornusher-shard") << " "
+                 << header_or_dash(request, "buckthornusher-epoch") << " "
+                 << request.method << " " << to_micros(start) << std::endl;
+    }
+
     void finish(http_request const& request, http_reply const& reply, instant start)
     {
         --m_running;
         ++m_executed;
-        auto const header = [&](char const* name)
-        {
-            auto const value = find_header(request.headers, name);
-            return value.empty() ? std::string("-") : std::string(value);
-        };
         if (request.method != "GET")
-            m_journal += header("buckthornusher-operation") + " " + m_options.service +
-                         " " + header("buckthornusher-shard") + " " +
-                         header("buckthornusher-epoch") + " " +
+            m_journal += header_or_dash(request, "buckthornusher-operation") + " " +
+                         m_options.service + " " +
+                         header_or_dash(request, "buckthornusher-shard") + " " +
+                         header_or_dash(request, "buckthornusher-epoch") + " " +
                          std::string(request.path()) + " " +
                          std::to_string(to_micros(start)) + " " +
                          std::to_string(to_micros(boot_now())) + "\n";
@@ -180,6 +206,7 @@
     std::map<std::string, std::uint64_t> m_refused;
     std::map<std::string, std::uint64_t> m_epochs; // highest seen, by shard
     std::string m_journal;
+    std::ofstream m_begins; // what began, also of a process that is killed
     http_client m_node;
     http_server m_server;
 };
@@ -195,6 +222,11 @@
     app.add_option("--port", opts.port, "port on 127.0.0.1")->required();
     app.add_option("--node-port", opts.node_port,
                    "operators' port of the node beside it");
+    app.add_option("--announced-port", opts.announced_port,
+                   "port at which others reach it, if it is not the same");
+    app.add_option("--journal-file", opts.journal_file,
+                   "gets a line for each request that begins");
+    app.add_flag("--repeat-journal", opts.repeats, "writes such a line twice");
     app.add_option("--service", opts.service, "service name")->required();
     app.add_option("--slots", opts.slots, "requests at once");
     app.add_option("--connections", opts.connections, "connections at once");
