--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,7 @@
 SECONDS ?= 20
 NODES ?= 6
 
-.PHONY: all packages build demo test soak fault-soak format lint clean
+.PHONY: all packages build demo test soak fault-soak fault-soak-kept format lint clean
 
 all: build
 
@@ -40,6 +40,11 @@
 	$(BUILD)/fault_soak --seed $(SEED) --seconds $(SECONDS) --nodes $(NODES) \
 	  --programs $(BUILD)
 
+# The seeds that once broke a promise.
+fault-soak-kept: build
+	@grep -v '^#' soak/SEEDS | while read -r seed _; do \
+	  $(BUILD)/fault_soak --seed $$seed --programs $(BUILD) || exit 1; done
+
 format:
 	@git ls-files '*.cpp' '*.hpp' | xargs clang-format -i
 
--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -153,6 +153,8 @@
          "listen.peers: found \"127.0.0.1:3x\", allowed IP:port"},
         {node + listen + "peers = 3\n" + store,
          "listen.peers: found 3, allowed a string that is not empty"},
+        {node + listen + peers + "advertised_peers = \":3\"\n" + store,
+         "listen.advertised_peers: found \":3\", allowed IP:port"},
         {node + "seeds = 1\n" + listen + peers + store,
          "node.seeds: found 1, allowed an array of strings"},
         {node + "seeds = [1]\n" + listen + peers + store,
@@ -175,6 +177,10 @@
             << to_string(parsed.error().front());
     }
     EXPECT_TRUE(parse_settings(node + listen + peers + store).has_value());
+    auto const advertised = parse_settings(node + listen + peers +
+                                           "advertised_peers = \"10.0.0.9:7\"\n" + store);
+    ASSERT_TRUE(advertised.has_value());
+    EXPECT_EQ(advertised.value().advertised_peers, "10.0.0.9:7");
 }
 
 TEST(route_table, a_host_with_routes_of_its_own_has_no_others)
