A restarted owner does not take operation ids of the process before it

Cause: an id of the shard's present epoch that is not in the table was taken for new. That rested on "an owner that is lost never serves its epoch again". Since owners are tenures (one life of the upstream), a node's process that is killed and started again keeps the epoch, while its table is gone; an order that had run was run again under its id.

Ruled out: two owners (one epoch, one node); a refusal that was not true (the caller was told unknown, and repeated under its id as it may).

Change: the table has a beginning on its owner's clock; an id of the present epoch that was made before it is answered as one of a lost owner, unknown for ever. A handover tells the successor the beginning for each epoch, so that it does not take such ids either. A VM that restarts ends its upstream's life and so the epoch, so clocks that begin anew do no harm.

Deployments of the platform have no operation ids; nothing changes there.

--- a/include/buckthornusher/operation_table.hpp
+++ b/include/buckthornusher/operation_table.hpp
@@ -4,9 +4,12 @@
 // with that id as often as it likes. The id names the shard's epoch. The owner runs an
 // operation when the id is of its own epoch and not in its table; the table gives the
 // first attempt's answer to all later ones. An id of an earlier epoch is never run: its
-// owner may have run it before it was lost, so the outcome is unknown. No clock and no
-// log are needed: an epoch has one owner, and an owner that is lost never serves its
-// epoch again.
+// owner may have run it before it was lost, so the outcome is unknown. No log is needed:
+// an epoch has one owner, and an owner that is lost never serves its epoch again.
+//
+// An owner whose process is restarted keeps its epoch, but the table is gone: an id that
+// was made before the process began (`since`) is treated as one of an owner that was
+// lost.
 //
 // In a planned move the owner hands the shard's operations to its successor, which then
 // takes the ids of the older epochs as well; only a loss makes outcomes unknown.
@@ -85,6 +88,7 @@
 {
     std::uint64_t epoch = 0;
     instant now;
+    instant since; // ids that were made before are not taken
     friend bool operator==(epoch_clock const&, epoch_clock const&) = default;
 };
 
@@ -108,6 +112,7 @@
 {
     std::size_t max_entries = 20'000;
     duration keep = 10min;
+    instant since = {}; // when this table began, on this member's clock
 };
 
 class operation_table
@@ -136,12 +141,16 @@
     std::size_t size() const { return m_entries.size(); }
 
 private:
+    struct earlier_epoch
+    {
+        duration offset{0}; // to be added to this member's clock to get its owner's
+        instant since;      // on its owner's clock
+    };
     // Earlier epochs of a shard whose operations were handed over.
     struct inheritance
     {
         std::uint64_t next_epoch = 0; // at which they are taken
-        // By epoch: what to add to this member's clock to get its owner's.
-        std::map<std::uint64_t, duration> clock_offsets;
+        std::map<std::uint64_t, earlier_epoch> epochs;
     };
 
     enum class state
--- a/src/process/agent.cpp
+++ b/src/process/agent.cpp
@@ -40,7 +40,8 @@
 
 agent::agent(event_loop& loop, coordinator& coord, agent_options opts)
     : m_loop(loop), m_coordinator(&coord), m_options(opts), m_started(boot_now()),
-      m_operations({}), m_sampler(sampled_per_second), m_random(std::random_device{}())
+      m_operations({.since = boot_now()}), m_sampler(sampled_per_second),
+      m_random(std::random_device{}())
 {
 }
 
--- a/src/process/shard_handover.cpp
+++ b/src/process/shard_handover.cpp
@@ -23,6 +23,7 @@
         auto& epoch = *out.add_epochs();
         epoch.set_epoch(e.epoch);
         epoch.set_now(to_micros(e.now));
+        epoch.set_since(to_micros(e.since));
     }
     for (auto const& o : handover.operations)
     {
@@ -43,7 +44,9 @@
                                 .epochs = {},
                                 .operations = {}};
     for (auto const& e : in.epochs())
-        handover.epochs.push_back({.epoch = e.epoch(), .now = from_micros(e.now())});
+        handover.epochs.push_back({.epoch = e.epoch(),
+                                   .now = from_micros(e.now()),
+                                   .since = from_micros(e.since())});
     for (auto const& o : in.operations())
     {
         auto const id = parse_operation_id(o.id());
--- a/src/request/operation_table.cpp
+++ b/src/request/operation_table.cpp
@@ -77,15 +77,17 @@
 {
     if (id.shard != shard.index)
         return std::nullopt;
+    if (id.epoch == epoch && made_at(id) < m_options.since)
+        return std::nullopt; // this member's process before may have run it
     if (id.epoch == epoch)
         return now - made_at(id);
     auto const it = m_inherited.find(shard);
     if (it == m_inherited.end() || it->second.next_epoch != epoch)
         return std::nullopt;
-    auto const offset = it->second.clock_offsets.find(id.epoch);
-    if (offset == it->second.clock_offsets.end())
+    auto const earlier = it->second.epochs.find(id.epoch);
+    if (earlier == it->second.epochs.end() || made_at(id) < earlier->second.since)
         return std::nullopt;
-    return now + offset->second - made_at(id);
+    return now + earlier->second.offset - made_at(id);
 }
 
 void operation_table::insert(key const& k, entry e)
@@ -100,9 +102,10 @@
     operation_handover handover{.shard = shard, .epochs = {}, .operations = {}};
     auto const inherited = m_inherited.find(shard);
     if (inherited != m_inherited.end() && inherited->second.next_epoch == epoch)
-        for (auto const& [earlier, offset] : inherited->second.clock_offsets)
-            handover.epochs.push_back({.epoch = earlier, .now = now + offset});
-    handover.epochs.push_back({.epoch = epoch, .now = now});
+        for (auto const& [earlier, of] : inherited->second.epochs)
+            handover.epochs.push_back(
+                {.epoch = earlier, .now = now + of.offset, .since = of.since});
+    handover.epochs.push_back({.epoch = epoch, .now = now, .since = m_options.since});
     for (auto const& [k, e] : m_entries)
     {
         if (k.service != shard.service || k.id.shard != shard.index)
@@ -121,9 +124,9 @@
         return;
     auto& inherited = m_inherited[handover.shard];
     inherited.next_epoch = handover.epochs.back().epoch + 1;
-    inherited.clock_offsets.clear();
+    inherited.epochs.clear();
     for (auto const& e : handover.epochs)
-        inherited.clock_offsets[e.epoch] = e.now - now;
+        inherited.epochs[e.epoch] = {.offset = e.now - now, .since = e.since};
     for (auto const& operation : handover.operations)
     {
         key const k{handover.shard.service, operation.id};
--- a/tests/request_parts_test.cpp
+++ b/tests/request_parts_test.cpp
@@ -41,7 +41,7 @@
         now += std::chrono::milliseconds(*rc::gen::inRange(0, 2'000));
         auto const local = now + clocks[owner];
         auto const next = *rc::gen::inRange(0, 3);
-        switch (*rc::gen::inRange(0, 8))
+        switch (*rc::gen::inRange(0, 9))
         {
         case 0:
             known.push_back(
@@ -62,6 +62,11 @@
             owner = next;
             ++epoch;
             break;
+        case 3: // its process is restarted: the epoch stays, the table is gone
+            now += 1us;
+            owners.at(owner) = operation_table(
+                {.max_entries = 30, .keep = 60s, .since = now + clocks[owner]});
+            break;
         default:
             if (known.empty())
                 break;
