--- a/include/buckthornusher/attempt_history.hpp
+++ b/include/buckthornusher/attempt_history.hpp
@@ -1,8 +1,8 @@
 // What became of a request's earlier attempts, and so what its caller may still be told.
 //
-// A request that may be repeated is sent again after an attempt whose end is not known, or
-// that ran and failed. From then on no later refusal can say that the request has not run:
-// the caller learns the doubt instead. Cost: O(1).
+// A request that may be repeated is sent again after an attempt whose end is not known,
+// or that ran and failed. From then on no later refusal can say that the request has not
+// run: the caller learns the doubt instead. Cost: O(1).
 #ifndef BUCKTHORNUSHER_ATTEMPT_HISTORY_HPP
 #define BUCKTHORNUSHER_ATTEMPT_HISTORY_HPP
 
