--- a/soak/child_process.cpp
+++ b/soak/child_process.cpp
@@ -5,12 +5,10 @@
 #include <fcntl.h>
 #include <filesystem>
 #include <fstream>
-#include <spawn.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
-extern char** environ;
-
 namespace buckthornusher::soak
 {
 namespace
@@ -20,26 +18,34 @@
 constexpr int signal_base = 128;
 constexpr mode_t log_mode = 0644;
 
+// In the new process, before the program: only calls that are safe after a fork.
+[[noreturn]] void become(std::vector<char*> const& arguments, int log)
+{
+    // A soak that is killed leaves nothing behind.
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
+    dup2(log, STDOUT_FILENO);
+    dup2(log, STDERR_FILENO);
+    execv(arguments[0], arguments.data());
+    _exit(not_started);
+}
+
 } // namespace
 
 child_process::child_process(options const& opts)
 {
-    posix_spawn_file_actions_t files;
-    posix_spawn_file_actions_init(&files);
-    posix_spawn_file_actions_addopen(&files, STDOUT_FILENO, opts.log.c_str(),
-                                     O_WRONLY | O_CREAT | O_APPEND, log_mode);
-    posix_spawn_file_actions_adddup2(&files, STDOUT_FILENO, STDERR_FILENO);
     std::vector<char*> arguments;
     for (auto const& argument : opts.command)
         arguments.push_back(const_cast<char*>(argument.c_str()));
     arguments.push_back(nullptr);
-    if (posix_spawn(&m_pid, arguments[0], &files, nullptr, arguments.data(), environ) !=
-        0)
-    {
-        m_pid = -1;
+    int const log =
+        open(opts.log.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, log_mode);
+    m_pid = log < 0 ? -1 : fork();
+    if (m_pid == 0)
+        become(arguments, log);
+    if (m_pid < 0)
         m_exit_code = not_started;
-    }
-    posix_spawn_file_actions_destroy(&files);
+    if (log >= 0)
+        close(log);
 }
 
 child_process::~child_process()
