--- a/tests/fault_soak_test.cpp
+++ b/tests/fault_soak_test.cpp
@@ -11,6 +11,7 @@
 #include <gtest/gtest.h>
 #include <optional>
 #include <set>
+#include <unistd.h>
 
 namespace buckthornusher::soak
 {
@@ -139,7 +140,10 @@
         return got;
     }
 
-    static constexpr int port = 27'981;
+    // Tests run at the same time in processes of their own; each has a pair of ports.
+    static constexpr int first_port = 28'000;
+    static constexpr int port_pairs = 499;
+    int port = first_port + 2 * (getpid() % port_pairs);
     std::string m_body = std::string(30'000, 'x');
     event_loop m_loop;
     http_server m_server{m_loop,
