Logic that stood twice gets one place; no change of behaviour

Found in reading the whole change again: - which owned shards an answer grants and which it lets go was sorted in the agent and again in the fake fleet: shards_by_answer, beside the ledger that takes the two lists; - reading a whole file stood in main and in the operators' client (and in the soak): process/read_file; - an id of the present epoch had a rule of its own beside that for epochs that were handed over: operation_table::find_epoch, and one rule; - the answer for a request that is refused or in doubt was made at three places, and whether an answer is late computed twice; - the shards asked for and the shards in work were walked by two equal loops; - a comment whose constant had moved, and a usage example that no longer compiled.

--- a/include/buckthornusher/hold_ledger.hpp
+++ b/include/buckthornusher/hold_ledger.hpp
@@ -16,8 +16,10 @@
 // upstream with less than the ledger thinks, never with more.
 //
 //   hold_ledger ledger({...});
-//   auto answer = ledger.on_report(report, wanted, lease_until, now);
-//   for (auto& r : ledger.take_released()) ...
+//   auto shards = shards_by_answer(owned, is_idle);
+//   auto answer = ledger.on_report(report, shards.wanted, shards.leaving, again_soon,
+//                                  lease_until, now);
+//   for (auto& r : ledger.take_released(now)) ...
 //   if (ledger.held_until(shard, epoch) > now) the upstream may be asked
 //
 // Only durations on one process's clock are compared; an upstream's clock may be slower
@@ -26,10 +28,12 @@
 #ifndef BUCKTHORNUSHER_HOLD_LEDGER_HPP
 #define BUCKTHORNUSHER_HOLD_LEDGER_HPP
 
+#include "buckthornusher/ownership.hpp"
 #include "buckthornusher/time.hpp"
 #include "buckthornusher/upstream_report.hpp"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -60,6 +64,16 @@
     friend bool operator==(wanted_shard const&, wanted_shard const&) = default;
 };
 
+// A node's shards, by what the next answer does with them.
+struct answered_shards
+{
+    std::vector<wanted_shard> wanted;
+    std::vector<wanted_shard> leaving; // a successor is named
+    friend bool operator==(answered_shards const&, answered_shards const&) = default;
+};
+answered_shards shards_by_answer(std::vector<owned_shard> const& owned,
+                                 std::function<bool(std::uint32_t)> const& is_idle);
+
 struct released_shard
 {
     std::uint32_t index = 0;
--- a/include/buckthornusher/operation_table.hpp
+++ b/include/buckthornusher/operation_table.hpp
@@ -141,16 +141,16 @@
     std::size_t size() const { return m_entries.size(); }
 
 private:
-    struct earlier_epoch
+    struct taken_epoch
     {
         duration offset{0}; // to be added to this member's clock to get its owner's
-        instant since;      // on its owner's clock
+        instant since;      // of its ids, on its owner's clock
     };
     // Earlier epochs of a shard whose operations were handed over.
     struct inheritance
     {
         std::uint64_t next_epoch = 0; // at which they are taken
-        std::map<std::uint64_t, earlier_epoch> epochs;
+        std::map<std::uint64_t, taken_epoch> epochs;
     };
 
     enum class state
@@ -173,7 +173,11 @@
     };
 
     bool make_room(instant now);
-    // The id's age, or nothing if its epoch is not taken.
+    // The present epoch, or one whose operations were handed over; else nothing.
+    std::optional<taken_epoch> find_epoch(shard_id const& shard, std::uint64_t present,
+                                          std::uint64_t wanted) const;
+    // The id's age, or nothing if it is not of an epoch that is taken, or made before
+    // what is known of that epoch.
     std::optional<duration> age(shard_id const& shard, std::uint64_t epoch,
                                 operation_id const& id, instant now) const;
     void insert(key const& k, entry e);
--- a/src/coordination/coordinator.cpp
+++ b/src/coordination/coordinator.cpp
@@ -13,7 +13,6 @@
 {
 constexpr duration pause_threshold = 600ms; // between ticks
 constexpr duration pull_patience = 300ms;
-// A watch that was begun longer ago may have been cut off.
 } // namespace
 
 void coordinator::impl::send(member_id const& to, control_message message)
--- a/src/coordination/hold_ledger.cpp
+++ b/src/coordination/hold_ledger.cpp
@@ -49,6 +49,19 @@
     return life.id + "@" + std::to_string(life.started);
 }
 
+answered_shards shards_by_answer(std::vector<owned_shard> const& owned,
+                                 std::function<bool(std::uint32_t)> const& is_idle)
+{
+    answered_shards shards;
+    for (auto const& s : owned)
+        (s.moving ? shards.leaving : shards.wanted)
+            .push_back({.index = s.index,
+                        .epoch = s.epoch,
+                        .handover = s.handover,
+                        .idle = is_idle(s.index)});
+    return shards;
+}
+
 // Takes what the range needs in an answer from what is left. False: it does not fit.
 bool hold_ledger::take_room(granted_range const& range, std::size_t& room) const
 {
--- a/src/process/agent_upstreams.cpp
+++ b/src/process/agent_upstreams.cpp
@@ -113,13 +113,14 @@
 std::set<std::uint32_t> agent::busy_shards(std::string const& service) const
 {
     std::set<std::uint32_t> busy;
-    shard_id const first{.service = service, .index = 0};
-    for (auto it = m_rates.lower_bound(first);
-         it != m_rates.end() && it->first.service == service; ++it)
-        busy.insert(it->first.index);
-    for (auto it = m_asked.lower_bound(first);
-         it != m_asked.end() && it->first.service == service; ++it)
-        busy.insert(it->first.index);
+    auto const add = [&](auto const& by_shard)
+    {
+        for (auto it = by_shard.lower_bound({.service = service, .index = 0});
+             it != by_shard.end() && it->first.service == service; ++it)
+            busy.insert(it->first.index);
+    };
+    add(m_rates);
+    add(m_asked);
     for (auto const& entry : m_works)
         if (entry.second->o.service == service && entry.second->o.shard)
             busy.insert(*entry.second->o.shard);
@@ -142,26 +143,19 @@
     bool const again_soon = expects_shards(l, report.service, now);
     auto const busy =
         again_soon ? busy_shards(report.service) : std::set<std::uint32_t>{};
-    std::vector<wanted_shard> wanted;
-    std::vector<wanted_shard> leaving;
-    for (auto const& s : *owned)
-    {
-        (s.moving ? leaving : wanted)
-            .push_back({.index = s.index,
-                        .epoch = s.epoch,
-                        .handover = s.handover,
-                        .idle = !busy.contains(s.index)});
-        if (s.moving)
-            m_coordinator->begin_drain({report.service, s.index});
-    }
-    auto grant = l.holds->on_report(report, wanted, leaving, again_soon,
+    auto const shards = shards_by_answer(*owned, [&](std::uint32_t index)
+                                         { return !busy.contains(index); });
+    for (auto const& s : shards.leaving)
+        m_coordinator->begin_drain({report.service, s.index});
+    auto grant = l.holds->on_report(report, shards.wanted, shards.leaving, again_soon,
                                     m_coordinator->lease_until(), now);
-    if (grant && std::exchange(l.granted_shards, wanted.size()) != wanted.size())
+    auto const granted = shards.wanted.size();
+    if (grant && std::exchange(l.granted_shards, granted) != granted)
         log_event(log_level::info, "shards-granted",
                   {{"service", report.service},
                    {"life", to_string(report.life)},
-                   {"count", std::to_string(wanted.size())},
-                   {"leaving", std::to_string(leaving.size())},
+                   {"count", std::to_string(granted)},
+                   {"leaving", std::to_string(shards.leaving.size())},
                    {"lease_ms", in_ms(m_coordinator->lease_until() - now)}});
     return grant;
 }
--- a/src/process/ingress.cpp
+++ b/src/process/ingress.cpp
@@ -140,9 +140,13 @@
                           {"config", std::to_string(m_config_number)}});
     trail.end(facts.id, to_string(why), m_sampler, now);
     m_metrics.count_outcome(service, outcome_kind::refused, why, 0us);
-    reply.send(std::visit([&](auto const& form)
-                          { return form.refused({.why = why, .retry_after = after}); },
-                          m_options.form));
+    reply.send(refusal_response({.why = why, .retry_after = after}));
+}
+
+// What a caller is told who gets no answer of an upstream.
+http_response ingress::refusal_response(refusal const& r) const
+{
+    return std::visit([&](auto const& form) { return form.refused(r); }, m_options.form);
 }
 
 void ingress::on_request(http_request request, http_reply reply)
@@ -658,20 +662,14 @@
 {
     if (auto const doubt = f.attempts.doubt())
         return give_up(f, *doubt);
-    auto response =
-        std::visit([&](auto const& form)
-                   { return form.refused({.why = why, .retry_after = retry_after}); },
-                   m_options.form);
-    finish(f, std::move(response), outcome_kind::refused, why);
+    finish(f, refusal_response({.why = why, .retry_after = retry_after}),
+           outcome_kind::refused, why);
 }
 
 void ingress::give_up(flight& f, reason why)
 {
-    auto response =
-        std::visit([&](auto const& form)
-                   { return form.refused({.why = why, .may_have_run = true}); },
-                   m_options.form);
-    finish(f, std::move(response), outcome_kind::unknown, why);
+    finish(f, refusal_response({.why = why, .may_have_run = true}), outcome_kind::unknown,
+           why);
 }
 
 void ingress::finish(flight& f, http_response response, outcome_kind kind, reason why)
@@ -680,9 +678,8 @@
     m_metrics.count_outcome(f.o.service, kind, why, now - f.arrived);
     if (kind == outcome_kind::answered)
         note_answer(f, response, now);
-    m_burn.count(f.o.service, kind == outcome_kind::answered,
-                 now - f.arrived > f.latency_bound, now);
     bool const late = now - f.arrived > f.latency_bound;
+    m_burn.count(f.o.service, kind == outcome_kind::answered, late, now);
     f.trail.add("ended", {{"outcome", to_string(kind)},
                           {"reason", std::string(to_string(why))},
                           {"status", std::to_string(response.status)},
--- a/src/process/ingress.hpp
+++ b/src/process/ingress.hpp
@@ -122,6 +122,7 @@
     void refuse_early(http_request const& request, http_reply const& reply,
                       std::string const& service, reason why, duration after,
                       instant now);
+    http_response refusal_response(refusal const& r) const;
     void refuse(flight& f, reason why, duration retry_after);
     void give_up(flight& f, reason why);
     void finish(flight& f, http_response response, outcome_kind kind, reason why);
--- a/src/process/main.cpp
+++ b/src/process/main.cpp
@@ -3,6 +3,7 @@
 #include "process/log.hpp"
 #include "process/node.hpp"
 #include "process/operator_client.hpp"
+#include "process/read_file.hpp"
 #include "version/config.hpp"
 
 #include <CLI/CLI.hpp>
@@ -20,16 +21,6 @@
 
 node* running_node = nullptr;
 
-std::optional<std::string> read_file(std::string const& path)
-{
-    std::ifstream file(path, std::ios::binary);
-    if (!file)
-        return std::nullopt;
-    std::ostringstream text;
-    text << file.rdbuf();
-    return text.str();
-}
-
 void print_errors(std::string const& path, std::vector<config_error> const& errors)
 {
     for (auto const& error : errors)
@@ -42,9 +33,9 @@
     // that has gone is none of the node's business.
     std::signal(SIGHUP, SIG_IGN);
     std::signal(SIGPIPE, SIG_IGN);
-    auto const text = read_file(path);
+    auto const text = read_input(path);
     if (!text)
-        return std::cerr << path << ": cannot be read\n", exit_bad_input;
+        return exit_bad_input;
     auto const settings = parse_settings(*text);
     if (!settings)
         return print_errors(path, settings.error()), exit_bad_input;
@@ -78,9 +69,9 @@
 
 int check_config(std::string const& path)
 {
-    auto const text = read_file(path);
+    auto const text = read_input(path);
     if (!text)
-        return std::cerr << path << ": cannot be read\n", exit_bad_input;
+        return exit_bad_input;
     auto const parsed = parse_document(*text);
     if (!parsed)
         return print_errors(path, parsed.error()), exit_bad_input;
--- a/src/process/operator_client.cpp
+++ b/src/process/operator_client.cpp
@@ -4,6 +4,7 @@
 #include "buckthornusher/burn.hpp"
 #include "connection/http_client.hpp"
 #include "process/event_loop.hpp"
+#include "process/read_file.hpp"
 
 #include "wire.pb.h"
 
@@ -11,7 +12,6 @@
 #include <google/protobuf/util/json_util.h>
 
 #include <charconv>
-#include <fstream>
 #include <iomanip>
 #include <iostream>
 #include <map>
@@ -44,17 +44,6 @@
     return std::nullopt;
 }
 
-std::optional<std::string> read_file(std::string const& path)
-{
-    std::ifstream file(path, std::ios::binary);
-    std::ostringstream text;
-    text << file.rdbuf();
-    if (file)
-        return text.str();
-    std::cerr << path << ": cannot be read\n";
-    return std::nullopt;
-}
-
 int put_document(node_address const& node, std::string document, std::uint64_t expected)
 {
     auto const response =
@@ -285,7 +274,7 @@
 
 int config_diff(node_address const& node, std::string const& path)
 {
-    auto const text = read_file(path);
+    auto const text = read_input(path);
     if (!text)
         return exit_bad_input;
     auto const response = call(node, {.method = "GET", .target = "/v1/config"});
@@ -300,7 +289,7 @@
 int config_apply(node_address const& node, std::string const& path,
                  std::uint64_t expected)
 {
-    auto text = read_file(path);
+    auto text = read_input(path);
     if (!text)
         return exit_bad_input;
     return put_document(node, std::move(*text), expected);
--- a/src/request/operation_table.cpp
+++ b/src/request/operation_table.cpp
@@ -77,17 +77,25 @@
 {
     if (id.shard != shard.index)
         return std::nullopt;
-    if (id.epoch == epoch && made_at(id) < m_options.since)
-        return std::nullopt; // this member's process before may have run it
-    if (id.epoch == epoch)
-        return now - made_at(id);
+    auto const taken = find_epoch(shard, epoch, id.epoch);
+    if (!taken || made_at(id) < taken->since)
+        return std::nullopt;
+    return now + taken->offset - made_at(id);
+}
+
+std::optional<operation_table::taken_epoch>
+operation_table::find_epoch(shard_id const& shard, std::uint64_t present,
+                            std::uint64_t wanted) const
+{
+    if (wanted == present)
+        return taken_epoch{.offset = duration{0}, .since = m_options.since};
     auto const it = m_inherited.find(shard);
-    if (it == m_inherited.end() || it->second.next_epoch != epoch)
+    if (it == m_inherited.end() || it->second.next_epoch != present)
         return std::nullopt;
-    auto const earlier = it->second.epochs.find(id.epoch);
-    if (earlier == it->second.epochs.end() || made_at(id) < earlier->second.since)
+    auto const earlier = it->second.epochs.find(wanted);
+    if (earlier == it->second.epochs.end())
         return std::nullopt;
-    return now + earlier->second.offset - made_at(id);
+    return earlier->second;
 }
 
 void operation_table::insert(key const& k, entry e)
--- a/tests/fake_fleet.hpp
+++ b/tests/fake_fleet.hpp
@@ -418,19 +418,11 @@
             m.coord->servable("s", std::to_string(report.life.started), now);
         if (!owned)
             return;
-        std::vector<wanted_shard> wanted;
-        std::vector<wanted_shard> leaving;
-        for (auto const& s : *owned)
-        {
-            (s.moving ? leaving : wanted)
-                .push_back({.index = s.index,
-                            .epoch = s.epoch,
-                            .handover = s.handover,
-                            .idle = s.index % 2 == 0});
-            if (s.moving)
-                m.coord->begin_drain({"s", s.index});
-        }
-        auto const grant = m.ledger->on_report(report, wanted, leaving,
+        auto const shards =
+            shards_by_answer(*owned, [](std::uint32_t index) { return index % 2 == 0; });
+        for (auto const& s : shards.leaving)
+            m.coord->begin_drain({"s", s.index});
+        auto const grant = m.ledger->on_report(report, shards.wanted, shards.leaving,
                                                m.coord->shards().incoming("s") > 0,
                                                m.coord->lease_until(), now);
         for (auto& r : m.ledger->take_released(now))
--- a/tests/request_policy_test.cpp
+++ b/tests/request_policy_test.cpp
@@ -309,6 +309,11 @@
     return {.node = std::move(node), .away = distance::same_region, .slots = slots};
 }
 
+placement_candidate far_one(std::string node)
+{
+    return {.node = std::move(node), .away = distance::other_region, .slots = 10};
+}
+
 upstream_load busy(std::uint32_t running, std::uint32_t waiting, duration service)
 {
     return {.slots = 10, .running = running, .waiting = waiting, .service = service};
@@ -383,8 +388,7 @@
 {
     placement p({});
     auto const now = at_ms(1'000);
-    placement_candidate const far{
-        .node = "far", .away = distance::other_region, .slots = 10};
+    auto const far = far_one("far");
     p.on_load("far", busy(0, 0, 200ms), now);
     p.on_load("near", busy(10, 5, 200ms), now);
     EXPECT_EQ(p.choose({near_one("near"), far}, 0, 0, now)->node, "near");
@@ -398,8 +402,7 @@
 {
     placement p({});
     auto const now = at_ms(1'000);
-    placement_candidate const far{
-        .node = "far", .away = distance::other_region, .slots = 10};
+    auto const far = far_one("far");
     p.on_load("far", busy(0, 0, 200ms), now);
     p.on_load("near", busy(10, 9, 200ms), now);
     EXPECT_EQ(p.choose({near_one("near"), far}, 500, 0, now)->node, "far");
