The soak keeps faults on a process in one type, and its limits in the settings

Nodes and upstreams counted kills and pauses in copies of the same code; both are a disturbed_process now. The plan was drawn at two places with options that could differ. The retry budget and the time of a planned stop repeated the settings' defaults and are taken from them. A document that cannot be read is named at once; before, the fleet did not come up for 30 s.

--- a/soak/child_process.cpp
+++ b/soak/child_process.cpp
@@ -15,7 +15,6 @@
 {
 
 constexpr int not_started = 127;
-constexpr int signal_base = 128;
 constexpr mode_t log_mode = 0644;
 
 // In the new process, before the program: only calls that are safe after a fork.
--- a/soak/child_process.hpp
+++ b/soak/child_process.hpp
@@ -14,6 +14,8 @@
 class child_process
 {
 public:
+    static constexpr int signal_base = 128; // of the code of one that a signal ended
+
     struct options
     {
         std::vector<std::string> command; // program and arguments
@@ -30,7 +32,8 @@
     // Does nothing once the process has ended.
     void signal(int number);
     bool is_running();
-    // The code of exit() or 128 + the number of the signal; nothing while it runs.
+    // The code of exit(), or signal_base plus the number of the signal; nothing while it
+    // runs.
     std::optional<int> exit_code();
 
     // Of /proc; 0 for a process that has ended.
--- a/soak/fleet.cpp
+++ b/soak/fleet.cpp
@@ -2,6 +2,7 @@
 #include "soak/fleet.hpp"
 
 #include "process/boot_clock.hpp"
+#include "version/config.hpp"
 
 #include <algorithm>
 #include <array>
@@ -35,8 +36,8 @@
                                                 "stajerska"};
 
 constexpr duration call_timeout = 2s;
-constexpr duration stop_limit = 25s;    // the settings' grace and room for the exit
-constexpr duration break_slack = 500ms; // an end that a caller notices later
+constexpr duration exit_room = 5s;                 // after the grace of a planned stop
+constexpr duration break_slack = 500ms;            // an end that a caller notices later
 constexpr std::uint64_t most_resident_kb = 65'536; // the design's 64 MB for a node
 constexpr std::uint64_t most_descriptors = 512;
 
@@ -96,29 +97,48 @@
     return {.peer = {.ip = "127.0.0.1", .port = port}, .max_connections = 4};
 }
 
+// A process and the faults in force that keep it from running.
+struct disturbed_process
+{
+    std::unique_ptr<child_process> process;
+    std::uint32_t ends = 0; // kills and planned stops
+    std::uint32_t pauses = 0;
+
+    void begin_end(int signal)
+    {
+        ++ends;
+        process->signal(signal);
+    }
+
+    void begin_pause()
+    {
+        ++pauses;
+        process->signal(SIGSTOP);
+    }
+
+    void end_pause()
+    {
+        if (--pauses == 0)
+            process->signal(SIGCONT);
+    }
+
+    bool is_to_start() const { return ends == 0 && !process->is_running(); }
+};
+
 } // namespace
 
-// Invariant: `kills`, `pauses` and `stops` count the faults in force that keep the
-// process from running.
-struct fleet::node_state
+struct fleet::node_state : disturbed_process
 {
-    std::unique_ptr<child_process> process;
     std::unique_ptr<http_client> operators;
     std::uint32_t life = 0;
-    std::uint32_t kills = 0;
-    std::uint32_t pauses = 0;
-    std::uint32_t stops = 0;
     std::uint64_t shards = 0;
     std::uint64_t configuration = 0;
     bool stopping = false;             // the process was asked to stop
     std::optional<instant> stop_began; // of a planned stop that nothing else disturbed
 };
 
-struct fleet::upstream_state
+struct fleet::upstream_state : disturbed_process
 {
-    std::unique_ptr<child_process> process;
-    std::uint32_t kills = 0;
-    std::uint32_t pauses = 0;
 };
 
 fleet::fleet(event_loop& loop, options opts) : m_loop(loop), m_options(std::move(opts))
@@ -146,16 +166,6 @@
 
 fleet::~fleet() = default;
 
-std::uint32_t fleet::upstreams() const
-{
-    return static_cast<std::uint32_t>(m_upstreams.size());
-}
-
-std::uint32_t fleet::links() const
-{
-    return static_cast<std::uint32_t>(m_links.size());
-}
-
 std::vector<int> fleet::caller_ports() const
 {
     std::vector<int> ports;
@@ -259,22 +269,18 @@
     switch (f.kind)
     {
     case fault_kind::node_kill:
-        ++m_nodes[f.target]->kills;
         m_nodes[f.target]->stop_began.reset();
         m_broken.push_back({.node = f.target, .from = boot_now(), .until = boot_now()});
-        return m_nodes[f.target]->process->signal(SIGKILL);
+        return m_nodes[f.target]->begin_end(SIGKILL);
     case fault_kind::node_pause:
-        ++m_nodes[f.target]->pauses;
         m_nodes[f.target]->stop_began.reset();
-        return m_nodes[f.target]->process->signal(SIGSTOP);
+        return m_nodes[f.target]->begin_pause();
     case fault_kind::node_stop:
         return stop_planned(f.target);
     case fault_kind::upstream_kill:
-        ++m_upstreams[f.target]->kills;
-        return m_upstreams[f.target]->process->signal(SIGKILL);
+        return m_upstreams[f.target]->begin_end(SIGKILL);
     case fault_kind::upstream_pause:
-        ++m_upstreams[f.target]->pauses;
-        return m_upstreams[f.target]->process->signal(SIGSTOP);
+        return m_upstreams[f.target]->begin_pause();
     default:
         return configure();
     }
@@ -288,23 +294,23 @@
         return --m_link_faults[f.target] == 0
                    ? m_links[f.target]->disturb(disturbance::none)
                    : void();
-    bool const of_upstream =
-        f.kind == fault_kind::upstream_kill || f.kind == fault_kind::upstream_pause;
-    if (of_upstream)
-    {
-        auto& u = *m_upstreams[f.target];
-        --(f.kind == fault_kind::upstream_kill ? u.kills : u.pauses);
-        if (u.pauses == 0)
-            u.process->signal(SIGCONT);
-    }
-    else if (f.kind != fault_kind::configure)
+    switch (f.kind)
     {
-        auto& n = *m_nodes[f.target];
-        --(f.kind == fault_kind::node_kill    ? n.kills
-           : f.kind == fault_kind::node_pause ? n.pauses
-                                              : n.stops);
-        if (n.pauses == 0)
-            n.process->signal(SIGCONT);
+    case fault_kind::node_kill:
+    case fault_kind::node_stop:
+        --m_nodes[f.target]->ends;
+        break;
+    case fault_kind::node_pause:
+        m_nodes[f.target]->end_pause();
+        break;
+    case fault_kind::upstream_kill:
+        --m_upstreams[f.target]->ends;
+        break;
+    case fault_kind::upstream_pause:
+        m_upstreams[f.target]->end_pause();
+        break;
+    default:
+        break;
     }
     poll();
 }
@@ -313,10 +319,10 @@
 void fleet::stop_planned(std::uint32_t node)
 {
     auto& n = *m_nodes[node];
-    if (n.stops++ == 0 && n.kills == 0 && n.pauses == 0 && n.process->is_running())
+    if (n.ends == 0 && n.pauses == 0 && n.process->is_running())
         n.stop_began = boot_now();
     n.stopping = true;
-    n.process->signal(SIGTERM);
+    n.begin_end(SIGTERM);
 }
 
 void fleet::note_stop(std::uint32_t node)
@@ -325,13 +331,14 @@
     auto const subject = "node " + std::to_string(node);
     if (auto const code = n.process->exit_code())
     {
-        if (*code != 0 && *code != 128 + SIGKILL)
+        if (*code != 0 && *code != child_process::signal_base + SIGKILL)
             m_found.push_back({.promise = "processes end in order",
                                .subject = subject,
                                .detail = "exit code " + std::to_string(*code)});
         n.stop_began.reset();
     }
-    else if (n.stop_began && boot_now() - *n.stop_began > stop_limit)
+    else if (n.stop_began &&
+             boot_now() - *n.stop_began > node_settings{}.grace + exit_room)
     {
         m_found.push_back({.promise = "processes end in order",
                            .subject = subject,
@@ -358,7 +365,7 @@
             note_stop(node);
             n.shards = 0;
             n.configuration = 0;
-            if (n.kills == 0 && n.stops == 0)
+            if (n.is_to_start())
                 start_node(node);
             continue;
         }
@@ -368,8 +375,7 @@
                           { on_status(node, life, result); });
     }
     for (std::uint32_t upstream = 0; upstream < m_upstreams.size(); ++upstream)
-        if (m_upstreams[upstream]->kills == 0 &&
-            !m_upstreams[upstream]->process->is_running())
+        if (m_upstreams[upstream]->is_to_start())
             start_upstream(upstream);
 }
 
--- a/soak/fleet.hpp
+++ b/soak/fleet.hpp
@@ -41,8 +41,6 @@
     fleet(fleet const&) = delete;
     fleet& operator=(fleet const&) = delete;
 
-    std::uint32_t upstreams() const;
-    std::uint32_t links() const;
     std::vector<int> caller_ports() const;
 
     void begin(fault const& f);
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -6,15 +6,15 @@
 // before it and where the logs are. Exits with 0 if every promise was kept, 1 if one was
 // broken, 2 if the fleet did not come up.
 #include "process/boot_clock.hpp"
+#include "process/read_file.hpp"
 #include "soak/callers.hpp"
 #include "soak/fleet.hpp"
+#include "version/config.hpp"
 
 #include <CLI/CLI.hpp>
 
 #include <filesystem>
-#include <fstream>
 #include <iostream>
-#include <sstream>
 
 namespace buckthornusher::soak
 {
@@ -43,22 +43,33 @@
     bool plan_only = false;
 };
 
-std::string read_file(std::string const& name)
+std::vector<fault> plan_of(soak_options const& opts)
 {
-    std::ifstream file(name);
-    std::ostringstream text;
-    text << file.rdbuf();
-    return text.str();
+    return draw_faults({.seed = opts.seed,
+                        .length = std::chrono::seconds(opts.seconds),
+                        .nodes = opts.nodes,
+                        .upstreams = opts.nodes * fleet::upstreams_per_node,
+                        .links = opts.nodes * fleet::links_per_node});
+}
+
+// The budget of nodes whose settings name none.
+retry_allowance default_allowance()
+{
+    node_settings const settings;
+    return {.ratio = settings.retry_ratio,
+            .reserve = settings.retry_reserve,
+            .window = settings.retry_window};
 }
 
 class soak_run
 {
 public:
-    soak_run(event_loop& loop, soak_options const& opts, std::string directory)
+    soak_run(event_loop& loop, soak_options const& opts, std::string document,
+             std::string directory)
         : m_loop(loop), m_options(opts), m_directory(std::move(directory)),
           m_fleet(loop, {.programs = opts.programs,
                          .directory = m_directory,
-                         .document = read_file(opts.document),
+                         .document = std::move(document),
                          .base_port = opts.base_port,
                          .nodes = opts.nodes,
                          .break_promise = opts.break_promise}),
@@ -71,11 +82,7 @@
     {
         if (!come_up())
             return 2;
-        m_plan = draw_faults({.seed = m_options.seed,
-                              .length = std::chrono::seconds(m_options.seconds),
-                              .nodes = m_options.nodes,
-                              .upstreams = m_fleet.upstreams(),
-                              .links = m_fleet.links()});
+        m_plan = plan_of(m_options);
         m_began = boot_now();
         play();
         recover();
@@ -195,7 +202,8 @@
         add(check_answers(attempts));
         add(check_not_cut_off(attempts, m_fleet.broken_times()));
         add(check_versions(m_fleet.versions()));
-        add(check_retries(begins, {}, m_options.nodes, boot_now() - m_began));
+        add(check_retries(begins, default_allowance(), m_options.nodes,
+                          boot_now() - m_began));
         add(m_fleet.check_processes());
         m_begins = begins.size();
     }
@@ -239,14 +247,13 @@
 {
     if (opts.plan_only)
     {
-        for (auto const& f : draw_faults({.seed = opts.seed,
-                             .length = std::chrono::seconds(opts.seconds),
-                             .nodes = opts.nodes,
-                             .upstreams = opts.nodes * fleet::upstreams_per_node,
-                             .links = opts.nodes * fleet::links_per_node}))
+        for (auto const& f : plan_of(opts))
             std::cout << describe(f) << "\n";
         return 0;
     }
+    auto document = read_input(opts.document);
+    if (!document)
+        return 2;
     auto directory = opts.directory;
     if (directory.empty())
     {
@@ -261,7 +268,7 @@
     }
     std::filesystem::create_directories(directory);
     event_loop loop;
-    soak_run run(loop, opts, directory);
+    soak_run run(loop, opts, *std::move(document), directory);
     auto const code = run.run();
     if (code == 0 && opts.directory.empty())
         std::filesystem::remove_all(directory);
--- a/soak/promises.hpp
+++ b/soak/promises.hpp
@@ -70,8 +70,8 @@
 
 struct retry_allowance
 {
-    double ratio = 0.2;
-    double reserve = 50; // in each window, for each node
+    double ratio = 0;   // of the attempts
+    double reserve = 0; // in each window, for each node
     duration window = 10s;
     friend bool operator==(retry_allowance const&, retry_allowance const&) = default;
 };
