A request at a later epoch fetches the news that its shard's new owner has missed

The new owner of a planned move had missed the push of the move. It asks for what it misses only after a peer's next renewal (0.8 s) and 0.3 s more; requests for the moved shards waited there past their 0.8 s, although each of them came from a node that knew of the move.

Change: a forwarded request names the epoch at which its sender knows the owner (the field was in the message, unused). An owner that knows an older epoch asks that sender at once.

Ruled out, tried and taken back: to keep ranges that arrive beyond a gap, to pass on a watch's range that closes a gap without news, and to ask from each tick.

Tests: coordinator.a_request_at_a_later_epoch_fetches_the_news; it does not compile before the change, as nobody could tell the coordinator.

--- a/include/buckthornusher/coordinator.hpp
+++ b/include/buckthornusher/coordinator.hpp
@@ -168,6 +168,10 @@
     void report_load(load_report const& report, instant now);
 
     // ---- requests ----
+    // A request for the shard came from a peer (a node's name) that knows of an owner at
+    // that epoch; to be called before try_begin().
+    void note_epoch(std::string const& peer, shard_id const& shard, std::uint64_t epoch,
+                    instant now);
     admission_check try_begin(shard_id const& shard, instant now);
     bool may_send(shard_id const& shard, std::uint64_t epoch, instant now) const;
     void end(shard_id const& shard);
--- a/src/coordination/coordinator.cpp
+++ b/src/coordination/coordinator.cpp
@@ -185,6 +185,20 @@
     send(peer, pull{.from = copy.revision(), .config_version = own_config});
 }
 
+void coordinator::impl::note_epoch(std::string const& peer, shard_id const& shard,
+                                   std::uint64_t epoch, instant now)
+{
+    auto const* a = copy.find_assignment(shard);
+    auto const* m = copy.node(peer);
+    bool const known = epoch == 0 || (a != nullptr && a->epoch >= epoch);
+    if (known || m == nullptr || now < next_pull)
+        return;
+    next_pull = now + pull_patience;
+    ++counts.pulls;
+    send(m->id, pull{.from = copy.revision(),
+                     .config_version = copy.version_of(config_object)});
+}
+
 void coordinator::impl::note_config_age(std::uint64_t version, duration age, instant now)
 {
     if (version == copy.version_of(config_object))
@@ -492,6 +506,12 @@
         m_impl->tell_load(report, now);
 }
 
+void coordinator::note_epoch(std::string const& peer, shard_id const& shard,
+                             std::uint64_t epoch, instant now)
+{
+    m_impl->note_epoch(peer, shard, epoch, now);
+}
+
 admission_check coordinator::try_begin(shard_id const& shard, instant now)
 {
     if (!m_impl->has_caught_up(shard) || m_impl->tenure_ends())
--- a/src/process/agent.cpp
+++ b/src/process/agent.cpp
@@ -70,7 +70,11 @@
                                        .retry_after = agent_wait_retry}),
                id;
     if (w.o.shard)
-        ++m_asked[{w.o.service, *w.o.shard}];
+    {
+        shard_id const shard{w.o.service, *w.o.shard};
+        ++m_asked[shard];
+        m_coordinator->note_epoch(w.o.sender, shard, w.o.epoch, w.arrived);
+    }
     try_begin(w, boot_now());
     return id;
 }
--- a/src/process/agent.hpp
+++ b/src/process/agent.hpp
@@ -45,6 +45,7 @@
     std::string origin;        // the service beside which the request began
     std::string request_class; // orders of a class need about the same time
     std::uint32_t rank = 1;
+    std::uint64_t epoch = 0; // of the shard's owner, as the sender knows it; 0: unknown
     bool repeatable = false; // it may run more than once
     instant due;             // an answer after it is late
     instant deadline;        // an answer after it is useless
--- a/src/process/ingress.cpp
+++ b/src/process/ingress.cpp
@@ -260,6 +260,7 @@
                           {"epoch", std::to_string(asked->epoch)},
                           {"told", *asked == by_replica ? "by-replica" : "by-node"},
                           {"replica", std::to_string(copy.revision())}});
+    f.o.epoch = asked->epoch;
     send_to(f, {.node = m->id.node, .endpoint = m->endpoint}, now);
 }
 
--- a/src/process/request_wire.cpp
+++ b/src/process/request_wire.cpp
@@ -95,6 +95,7 @@
     o.origin = in.origin();
     o.request_class = in.request_class();
     o.rank = in.rank();
+    o.epoch = in.epoch();
     o.repeatable = in.repeatable();
     o.request.method = in.method();
     o.request.target = in.target();
@@ -114,6 +115,7 @@
     out.set_origin(o.origin);
     out.set_request_class(o.request_class);
     out.set_rank(o.rank);
+    out.set_epoch(o.epoch);
     out.set_repeatable(o.repeatable);
     out.set_method(o.request.method);
     out.set_target(o.request.target);
--- a/tests/coordinator_test.cpp
+++ b/tests/coordinator_test.cpp
@@ -4,6 +4,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <map>
 
 namespace buckthornusher
 {
@@ -98,5 +99,71 @@
     EXPECT_EQ(alone.listening(at_ms(3'010)).config_age, 0ms);
 }
 
+// ---- news of the replica ----
+
+constexpr std::uint64_t joined_revision = 4;
+
+member_record peer_record(std::string const& node)
+{
+    return {.id = {node, 7},
+            .tenure = 7,
+            .endpoint = "tcp://" + node + ":1",
+            .region = "r",
+            .domain = "d-" + node};
+}
+
+// A member of one region with the peers p and q, as of `joined_revision`.
+struct joined_member
+{
+    joined_member()
+    {
+        c.start(at_ms(0));
+        auto const effects = c.take_effects();
+        c.on_store_answer(list_call(effects, object_kind::configuration),
+                          store_objects{.revision = 3, .objects = {}}, at_ms(1));
+        std::vector<object> records;
+        for (auto const* node : {"p", "q"})
+            records.push_back(
+                {.name = member_object(node), .version = 3, .value = peer_record(node)});
+        c.on_store_answer(list_call(effects, object_kind::fleet),
+                          store_objects{.revision = 3, .objects = records}, at_ms(1));
+        for (auto const& e : c.take_effects())
+            if (auto const* call = std::get_if<call_store>(&e))
+                if (std::holds_alternative<store_write>(call->operation))
+                    c.on_store_answer(call->id, store_written{.version = joined_revision},
+                                      at_ms(2));
+        c.take_effects();
+    }
+
+    // Of messages of that type, whom they went to.
+    template <class M>
+    std::map<std::string, M> sent()
+    {
+        std::map<std::string, M> found;
+        for (auto const& e : c.take_effects())
+            if (auto const* s = std::get_if<send_message>(&e))
+                if (auto const* m = std::get_if<M>(&s->message))
+                    found[s->to.node] = *m;
+        return found;
+    }
+
+    coordinator c{
+        {.self = {"n", 5}, .endpoint = "tcp://n:1", .region = "r", .domain = "d-n"}};
+};
+
+// The new owner of a moved shard has missed the news of the move; a request of a member
+// that had them shows it.
+TEST(coordinator, a_request_at_a_later_epoch_fetches_the_news)
+{
+    joined_member m;
+    m.c.note_epoch("p", {"orders", 2}, 0, at_ms(10));
+    m.c.note_epoch("stranger", {"orders", 2}, 9, at_ms(10));
+    EXPECT_TRUE(m.sent<pull>().empty());
+    m.c.note_epoch("p", {"orders", 2}, 9, at_ms(10));
+    EXPECT_EQ(m.sent<pull>().at("p").from, joined_revision);
+    m.c.note_epoch("p", {"orders", 2}, 9, at_ms(11));
+    EXPECT_TRUE(m.sent<pull>().empty()) << "asked a moment ago";
+}
+
 } // namespace
 } // namespace buckthornusher
