Waits told by rank, offers that are not vain, and a queue that keeps short calls

Ruled out: processors (0.07 cores at most in those seconds), slots of the callee (rank 1 had a free slot each 40 ms), the retry budget (805 repeats allowed, 282 denied).

Change: a load report tells the wait by rank; next_offer() skips offers that would be refused, asks three at most in the last round, and refuses at once what cannot start in its time. In the queue, late requests go last within their rank only, short ones are never put back, half a service time is kept in hand, and one that becomes late is told when it does. A repeat avoids the node that failed.

Tried and taken back: the time since a caller's first attempt counted against its objective.

--- a/include/buckthornusher/placement.hpp
+++ b/include/buckthornusher/placement.hpp
@@ -33,14 +33,24 @@
 namespace buckthornusher
 {
 
+// For how long the waiting requests of a rank keep all slots.
+struct rank_backlog
+{
+    std::uint32_t rank = 0;
+    duration time{0};
+    friend bool operator==(rank_backlog const&, rank_backlog const&) = default;
+};
+
 // How busy an upstream is, by the node beside it.
 struct upstream_load
 {
     std::uint32_t slots = 0;   // that are used at present
     std::uint32_t running = 0; // requests
     std::uint32_t waiting = 0;
-    duration service{0};   // mean time of a request
-    bool accepting = true; // false: it is leaving, or gone
+    duration service{0};               // mean time of a request
+    duration until_slot{0};            // until one is free, apart from those that wait
+    std::vector<rank_backlog> backlog; // by falling urgency
+    bool accepting = true;             // false: it is leaving, or gone
     friend bool operator==(upstream_load const&, upstream_load const&) = default;
 };
 
@@ -60,6 +70,13 @@
                            placement_candidate const&) = default;
 };
 
+struct placement_request
+{
+    double exchange_bytes = 0; // the likely size of the request and its answer together
+    std::uint32_t rank = 1;
+    friend bool operator==(placement_request const&, placement_request const&) = default;
+};
+
 struct placement_options
 {
     duration near_trip = 1ms; // there and back within a region
@@ -78,9 +95,45 @@
 {
     std::string node;
     duration expected{0}; // until the answer
+    duration wait{0};     // of it, for a slot
+    bool told = false;    // the node has told its load lately
     friend bool operator==(placement_choice const&, placement_choice const&) = default;
 };
 
+// ---- how a request is offered ----
+//
+// First with little patience, so that one that is refused soon goes on to the next; then
+// with all that there is, to a few. What the nodes have told lately saves offers that
+// would surely be refused.
+//
+//   load it answers: a service that is full at nearly all of its nodes.
+
+struct offers_made
+{
+    bool last_round = false;    // with all the patience there is
+    std::size_t refused_by = 0; // nodes that had no room in this round
+    friend bool operator==(offers_made const&, offers_made const&) = default;
+};
+
+enum class offer_step
+{
+    ask,        // the choice
+    last_round, // begin it, and choose anew
+    refuse,     // it surely cannot be served in time, or enough have been asked
+};
+
+struct offer_options
+{
+    // How long an upstream may let a request wait while there are others to ask.
+    duration patience = 60ms;
+    std::size_t most_last_offers = 3;
+    friend bool operator==(offer_options const&, offer_options const&) = default;
+};
+
+// `left`: the request's time.
+offer_step next_offer(placement_choice const& choice, offers_made const& made,
+                      duration left, offer_options const& opts = {});
+
 class placement
 {
 public:
@@ -97,11 +150,10 @@
     void avoid(std::string const& node, instant until);
 
     // The best of the candidates, none if all are out. `draw` decides between those that
-    // are about as good: any number. `exchange_bytes`: the likely size of the request
-    // and its answer together.
+    // are about as good: any number.
     std::optional<placement_choice> choose(std::vector<placement_candidate> const& from,
-                                           double exchange_bytes, std::uint64_t draw,
-                                           instant now) const;
+                                           placement_request const& request,
+                                           std::uint64_t draw, instant now) const;
 
     // What is known of the node, for logs: "running/slots+waiting~service ms, age ms".
     std::string describe(std::string const& node, instant now) const;
@@ -124,8 +176,9 @@
     duration guess(std::vector<placement_candidate> const& from) const;
     // The way there and back, and what its bytes count as.
     duration way(distance away, double exchange_bytes) const;
-    std::optional<duration> expected(placement_candidate const& c, duration way,
-                                     duration guess, instant now) const;
+    std::optional<placement_choice> estimate(placement_candidate const& c,
+                                             placement_request const& request,
+                                             duration guess, instant now) const;
 
     placement_options m_options;
     std::map<std::string, entry> m_entries; // by node
--- a/include/buckthornusher/upstream_queue.hpp
+++ b/include/buckthornusher/upstream_queue.hpp
@@ -3,13 +3,18 @@
 //
 // The upstream runs `slots` requests at a time. Requests beyond that wait here, the more
 // urgent rank first and within a rank the earliest due first; one that would be late goes
-// after those that would not. A request is refused on arrival if, by what the upstream
-// has needed lately, it could not start within what its sender allows or not end when it
-// is due; so nobody waits for an answer that will not come. The refusal says when there
-// is likely to be room.
+// after those of its rank that would not. A request is refused on arrival if, by what the
+// upstream has needed lately, it could not start within what its sender allows or not end
+// when it is due; so nobody waits for an answer that will not come. One that is late
+// already when it comes is taken only while little waits before it. The refusal says when
+// there is likely to be room.
+//
+// A request that needs far less than others is never put back for being late: it costs
+// few slots, and often another upstream holds a slot of its own while it waits for it.
 //
 //   load it answers: more work than slots, for seconds or for good; an upstream that
-//   has turned slow or starts cold; a mix of short and long requests.
+//   has turned slow or starts cold; a mix of short and long requests, the short ones
+//   called by the long ones of other upstreams.
 //
 // The time that a request needs is learnt for each class of requests (a route), as
 // requests of one upstream differ far more by class than within one.
@@ -19,6 +24,7 @@
 #ifndef BUCKTHORNUSHER_UPSTREAM_QUEUE_HPP
 #define BUCKTHORNUSHER_UPSTREAM_QUEUE_HPP
 
+#include "buckthornusher/placement.hpp"
 #include "buckthornusher/time.hpp"
 
 #include <compare>
@@ -89,8 +95,9 @@
     // The request that starts next, if there is a slot for it; it counts as running.
     std::optional<std::uint64_t> start_next(instant now);
 
-    // Removes and returns those that can no longer end in time, and those whose senders
-    // would rather look elsewhere.
+    // Removes and returns those that can no longer end by their deadlines, those whose
+    // senders would rather look elsewhere, and those that have become late and for which
+    // there is no room behind the others.
     std::vector<std::uint64_t> expire(instant now);
 
     // Removes a request that waits. False if it does not.
@@ -101,8 +108,10 @@
     // The upstream takes another number of requests at once.
     void set_slots(std::uint32_t slots);
 
-    // What a request of that class would wait for a slot, and need then.
-    duration expected_wait(std::uint32_t rank, instant due) const;
+    // Until a slot is free, apart from those that wait.
+    duration until_a_slot() const;
+    // For how long those that wait keep all slots, by rank.
+    std::vector<rank_backlog> backlog() const;
     duration expected_service(std::string const& request_class) const;
     // Over all classes, by how often they came.
     duration mean_service() const;
@@ -116,6 +125,7 @@
     struct place
     {
         std::uint32_t rank = 0;
+        bool late = false; // it would be, when it was put here
         instant due;
         std::uint64_t id = 0;
         friend auto operator<=>(place const&, place const&) = default;
@@ -124,10 +134,16 @@
     {
         queued_request request;
         duration service{0};
+        place at;
     };
 
     bool has_slot() const { return m_running.size() < limit(); }
-    duration until_a_slot() const;
+    duration wait_until(std::set<place>::const_iterator end) const;
+    bool is_small(duration service) const;
+    bool has_room(queued_request const& r, place const& at, duration service,
+                  instant now) const;
+    bool put_back(std::uint64_t id, instant now);
+    void learn(std::string const& request_class, duration took);
 
     upstream_queue_options m_options;
     // Invariants: m_running.size() <= slots; m_waiting holds exactly the ids of m_queue.
@@ -136,6 +152,7 @@
     std::map<std::uint64_t, waiting> m_waiting;
     std::map<std::string, double> m_service_us; // by class
     double m_mean_us = 0;                       // over all
+    double m_longest_us = 0;                    // the largest in m_service_us
     double m_limit;                             // 1 <= m_limit <= slots
 };
 
--- a/src/coordination/coordinator.cpp
+++ b/src/coordination/coordinator.cpp
@@ -195,8 +195,8 @@
         return;
     next_pull = now + pull_patience;
     ++counts.pulls;
-    send(m->id, pull{.from = copy.revision(),
-                     .config_version = copy.version_of(config_object)});
+    send(m->id,
+         pull{.from = copy.revision(), .config_version = copy.version_of(config_object)});
 }
 
 void coordinator::impl::note_config_age(std::uint64_t version, duration age, instant now)
--- a/src/process/ingress.cpp
+++ b/src/process/ingress.cpp
@@ -16,8 +16,7 @@
 
 constexpr duration longest_deadline = 60s; // of a request that names its own
 constexpr duration retry_pause = 20ms;
-// How long an upstream may let a request wait while there are others to ask.
-constexpr duration offer_patience = 60ms;
+constexpr offer_options offers{};
 // Less time than this does not make another sending worth it.
 constexpr duration least_time = 15ms;
 // The part of its time that a request waits for an owner before its caller is told to
@@ -271,18 +270,30 @@
         m_placement.on_load(m_options.self, *load, now);
     auto from = candidates(f);
     if (from.empty() && !f.tried.empty() && !f.last_round)
+        from = begin_last_round(f);
+    placement_request const request{.exchange_bytes = exchange_bytes(f),
+                                    .rank = f.o.rank};
+    auto const step_for = [&](placement_choice const& c)
     {
-        f.last_round = true;
-        f.tried.clear();
-        from = candidates(f);
+        return next_offer(c, {.last_round = f.last_round, .refused_by = f.tried.size()},
+                          f.o.deadline - now, offers);
+    };
+    auto choice = m_placement.choose(from, request, m_random(), now);
+    auto step = choice ? step_for(*choice) : offer_step::ask;
+    if (step == offer_step::last_round)
+    {
+        from = begin_last_round(f);
+        choice = m_placement.choose(from, request, m_random(), now);
+        step = choice ? step_for(*choice) : offer_step::ask;
     }
-    auto const choice = m_placement.choose(from, exchange_bytes(f), m_random(), now);
+    if (choice && step == offer_step::refuse)
+        return refuse(f, reason::overloaded, std::max(f.retry_after, choice->wait));
     if (!choice && !f.tried.empty())
         return refuse(f, reason::overloaded, f.retry_after);
     if (!choice)
         return wait(f, now);
     bool const others = from.size() > 1;
-    f.o.start_until = others && !f.last_round ? now + offer_patience : f.o.deadline;
+    f.o.start_until = others && !f.last_round ? now + offers.patience : f.o.deadline;
     f.trail.add("placed", {{"to", choice->node},
                            {"expected_ms", in_ms(choice->expected)},
                            {"of", std::to_string(from.size())},
@@ -297,6 +308,13 @@
             return send_to(f, p, now);
 }
 
+std::vector<placement_candidate> ingress::begin_last_round(flight& f)
+{
+    f.last_round = true;
+    f.tried.clear();
+    return candidates(f);
+}
+
 std::vector<placement_candidate> ingress::candidates(flight const& f) const
 {
     std::vector<placement_candidate> found;
@@ -402,7 +420,7 @@
                         auto const now = boot_now();
                         bool const failed = std::holds_alternative<order_unknown>(result);
                         m_placement.on_done(m_options.self, failed, now);
-                        if (std::holds_alternative<order_refused>(result))
+                        if (failed || std::holds_alternative<order_refused>(result))
                             flight->tried.insert(m_options.self);
                         note_result(*flight, result, m_options.self);
                         on_result(*flight, std::move(result), now);
@@ -480,6 +498,8 @@
     auto const* answered = std::get_if<order_answered>(&result);
     bool const failed = std::holds_alternative<order_unknown>(result) ||
                         (answered != nullptr && answered->failed);
+    if (failed)
+        f->tried.insert(node); // a repeat goes elsewhere if it can
     end_sending(*f, failed, now);
     note_result(*f, result, node);
     on_result(*f, std::move(result), now);
--- a/src/process/ingress.hpp
+++ b/src/process/ingress.hpp
@@ -128,6 +128,7 @@
     void finish(flight& f, http_response response, outcome_kind kind, reason why);
     void on_deadline(flight_id id);
     void refresh_places();
+    std::vector<placement_candidate> begin_last_round(flight& f);
     std::vector<placement_candidate> candidates(flight const& f) const;
     flight* find(flight_id id);
 
--- a/src/process/request_wire.cpp
+++ b/src/process/request_wire.cpp
@@ -135,15 +135,31 @@
     out.set_waiting(load.waiting);
     out.set_service(static_cast<std::uint64_t>(load.service.count()));
     out.set_accepting(load.accepting);
+    out.set_until_slot(static_cast<std::uint64_t>(load.until_slot.count()));
+    for (auto const& b : load.backlog)
+    {
+        auto& rank = *out.add_backlog();
+        rank.set_rank(b.rank);
+        rank.set_time(static_cast<std::uint64_t>(b.time.count()));
+    }
 }
 
 upstream_load decode(wire::Load const& in)
 {
-    return {.slots = in.slots(),
-            .running = in.running(),
-            .waiting = in.waiting(),
-            .service = duration(static_cast<duration::rep>(in.service())),
-            .accepting = in.accepting()};
+    auto const from_us = [](std::uint64_t us)
+    {
+        return duration(static_cast<duration::rep>(us));
+    };
+    upstream_load load{.slots = in.slots(),
+                       .running = in.running(),
+                       .waiting = in.waiting(),
+                       .service = from_us(in.service()),
+                       .until_slot = from_us(in.until_slot()),
+                       .backlog = {},
+                       .accepting = in.accepting()};
+    for (auto const& b : in.backlog())
+        load.backlog.push_back({.rank = b.rank(), .time = from_us(b.time())});
+    return load;
 }
 
 } // namespace buckthornusher
--- a/src/request/placement.cpp
+++ b/src/request/placement.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 
 namespace buckthornusher
 {
@@ -13,6 +14,7 @@
 constexpr double failure_weight = 0.15;   // of the newest end
 constexpr double failure_half_life = 2.0; // seconds without an end
 constexpr double worst_failure = 0.9;
+constexpr auto any_rank = std::numeric_limits<std::uint32_t>::max();
 constexpr double bytes_per_kib = 1'024;
 
 double seconds(duration d)
@@ -25,6 +27,19 @@
     return std::chrono::duration_cast<duration>(std::chrono::duration<double>(s));
 }
 
+// What a request of the rank waits for: those that are as urgent, or more so.
+duration wait_of(upstream_load const& load, std::uint32_t rank, duration service)
+{
+    bool const told = load.waiting == 0 || !load.backlog.empty();
+    if (!told)
+        return service * (load.waiting + 1) / std::max(1U, load.slots);
+    auto wait = load.until_slot;
+    for (auto const& b : load.backlog)
+        if (b.rank <= rank)
+            wait += b.time;
+    return wait;
+}
+
 } // namespace
 
 void placement::on_load(std::string const& node, upstream_load const& load, instant now)
@@ -91,44 +106,58 @@
     return m_options.near_trip;
 }
 
-std::optional<duration> placement::expected(placement_candidate const& c, duration way,
-                                            duration guess, instant now) const
+std::optional<placement_choice> placement::estimate(placement_candidate const& c,
+                                                    placement_request const& request,
+                                                    duration guess, instant now) const
 {
+    auto const way = this->way(c.away, request.exchange_bytes);
     auto const it = m_entries.find(c.node);
     if (it == m_entries.end())
-        return way + guess;
+        return placement_choice{.node = c.node, .expected = way + guess};
     auto const& e = it->second;
     if (now < e.avoid_until)
         return std::nullopt;
     auto const slots = std::max(1U, e.load ? e.load->slots : c.slots);
     auto const service = e.load && e.load->service > 0us ? e.load->service : guess;
-    double busy = e.sent_since;
+    auto const s = seconds(service);
+    double busy = 0;
+    double wait = 0;
+    bool told = false;
     if (e.load)
     {
         if (!e.load->accepting && now - e.told < m_options.fresh_for * 4)
             return std::nullopt;
         auto const age = now - e.told;
         auto const stale = seconds(std::max(duration{0}, age - m_options.fresh_for));
-        auto const weight = std::exp(-stale / std::max(0.05, seconds(service)));
-        busy += weight * (e.load->running + e.load->waiting);
+        auto const weight = std::exp(-stale / std::max(0.05, s));
+        busy = weight * e.load->running;
+        wait = weight * seconds(wait_of(*e.load, request.rank, service));
+        told = age < m_options.fresh_for;
     }
-    auto const beyond = std::max(0.0, busy + 1 - slots);
-    auto const s = seconds(service);
+    // What was sent since takes the free slots first; the backlog that was told counts
+    // the first of those that wait.
+    auto const free = std::max(0.0, slots - busy);
+    auto const beyond =
+        wait > 0 ? e.sent_since : std::max(0.0, e.sent_since + 1.0 - free);
+    wait += beyond * s / slots;
     auto const failing =
         std::min(worst_failure, e.failure * std::exp2(-seconds(now - e.failure_seen) /
                                                       failure_half_life));
-    return way + from_seconds((s + beyond * s / slots) / (1 - failing));
+    return placement_choice{.node = c.node,
+                            .expected = way + from_seconds((s + wait) / (1 - failing)),
+                            .wait = from_seconds(wait),
+                            .told = told};
 }
 
 std::optional<placement_choice>
-placement::choose(std::vector<placement_candidate> const& from, double exchange_bytes,
-                  std::uint64_t draw, instant now) const
+placement::choose(std::vector<placement_candidate> const& from,
+                  placement_request const& request, std::uint64_t draw, instant now) const
 {
     std::vector<placement_choice> choices;
     auto const unknown = guess(from);
     for (auto const& c : from)
-        if (auto const e = expected(c, way(c.away, exchange_bytes), unknown, now))
-            choices.push_back({.node = c.node, .expected = *e});
+        if (auto e = estimate(c, request, unknown, now))
+            choices.push_back(std::move(*e));
     if (choices.empty())
         return std::nullopt;
     auto const best = std::min_element(choices.begin(), choices.end(),
@@ -140,6 +169,19 @@
     return choices[draw % choices.size()];
 }
 
+offer_step next_offer(placement_choice const& choice, offers_made const& made,
+                      duration left, offer_options const& opts)
+{
+    if (made.last_round && made.refused_by >= opts.most_last_offers)
+        return offer_step::refuse;
+    if (!choice.told)
+        return offer_step::ask;
+    if (choice.wait >= left)
+        return offer_step::refuse;
+    bool const soon = choice.wait <= opts.patience;
+    return soon || made.last_round ? offer_step::ask : offer_step::last_round;
+}
+
 std::string placement::describe(std::string const& node, instant now) const
 {
     auto const it = m_entries.find(node);
@@ -152,6 +194,7 @@
     };
     return std::to_string(e.load->running) + "/" + std::to_string(e.load->slots) + "+" +
            std::to_string(e.load->waiting) + "~" + in_ms(e.load->service) + "ms," +
+           in_ms(wait_of(*e.load, any_rank, e.load->service)) + "ms-wait," +
            in_ms(now - e.told) + "ms," + std::to_string(e.sent_since) + "sent";
 }
 
--- a/src/request/upstream_queue.cpp
+++ b/src/request/upstream_queue.cpp
@@ -12,6 +12,13 @@
 constexpr double sample_weight = 0.1; // of the newest time in a class's mean
 constexpr double shed_decrease = 0.9; // of the limit, when the upstream has no room
 constexpr double least_limit = 0.5;   // of the slots: one that sheds at random keeps them
+// A class that needs less than this part of the longest one is small.
+constexpr double small_part = 4;
+// How many times what waits before a late request may be overtaken by what still comes.
+constexpr int late_wait_factor = 3;
+// Waits and times differ from their means; who is taken keeps this part of the mean time
+// in hand.
+constexpr int margin_part = 2;
 constexpr duration shortest_retry = 50ms;
 constexpr duration longest_retry = 2s;
 
@@ -54,15 +61,49 @@
     return mean_service() / static_cast<duration::rep>(limit());
 }
 
-duration upstream_queue::expected_wait(std::uint32_t rank, instant due) const
+duration upstream_queue::wait_until(std::set<place>::const_iterator end) const
 {
-    auto const end = m_queue.lower_bound({.rank = rank, .due = due, .id = 0});
     duration ahead{0};
     for (auto it = m_queue.begin(); it != end; ++it)
         ahead += m_waiting.at(it->id).service;
     return until_a_slot() + ahead / static_cast<duration::rep>(limit());
 }
 
+std::vector<rank_backlog> upstream_queue::backlog() const
+{
+    std::vector<rank_backlog> by_rank;
+    for (auto const& at : m_queue)
+    {
+        if (by_rank.empty() || by_rank.back().rank != at.rank)
+            by_rank.push_back({.rank = at.rank, .time = duration{0}});
+        by_rank.back().time += m_waiting.at(at.id).service;
+    }
+    for (auto& b : by_rank)
+        b.time /= static_cast<duration::rep>(limit());
+    return by_rank;
+}
+
+bool upstream_queue::is_small(duration service) const
+{
+    return static_cast<double>(service.count()) * small_part <= m_longest_us;
+}
+
+// While there is more work than slots, a slot that is spent on a late answer is missing
+// for one in time; and those in time that still come go before one that is late.
+bool upstream_queue::has_room(queued_request const& r, place const& at, duration service,
+                              instant now) const
+{
+    if (m_queue.size() >= m_options.max_queue)
+        return false;
+    auto const wait = wait_until(m_queue.lower_bound(at));
+    if (now + wait > r.start_until)
+        return false;
+    if (at.late)
+        return now + late_wait_factor * wait + service <= r.deadline;
+    auto const end = is_small(service) ? r.deadline : std::min(r.due, r.deadline);
+    return now + wait + service + service / margin_part <= end;
+}
+
 queue_verdict upstream_queue::arrive(queued_request const& r, instant now)
 {
     auto const service = expected_service(r.request_class);
@@ -71,16 +112,16 @@
         m_running.emplace(r.id, r.request_class);
         return starts_now{};
     }
-    auto const wait = expected_wait(r.rank, r.due);
-    // While there is more work than slots, a slot that is spent on a late answer is
-    // missing for one in time.
-    auto const limit = now + service <= r.due ? std::min(r.due, r.deadline) : r.deadline;
-    bool const late = now + wait + service > limit || now + wait > r.start_until;
-    if (late || m_queue.size() >= m_options.max_queue)
+    place const at{.rank = r.rank,
+                   .late = !is_small(service) && now + service > r.due,
+                   .due = r.due,
+                   .id = r.id};
+    auto const wait = wait_until(m_queue.lower_bound(at));
+    if (!has_room(r, at, service, now))
         return has_no_room{.retry_after = std::clamp(wait, duration(shortest_retry),
                                                      duration(longest_retry))};
-    m_queue.insert({.rank = r.rank, .due = r.due, .id = r.id});
-    m_waiting[r.id] = {.request = r, .service = service};
+    m_queue.insert(at);
+    m_waiting[r.id] = {.request = r, .service = service, .at = at};
     return waits{.expected = wait};
 }
 
@@ -100,11 +141,21 @@
     if (end != request_end::completed)
         return;
     m_limit = std::min<double>(m_options.slots, m_limit + 1.0 / m_limit);
+    learn(request_class, took);
+}
+
+void upstream_queue::learn(std::string const& request_class, duration took)
+{
+    auto const add = [](double& mean, double sample)
+    {
+        mean = mean <= 0 ? sample : mean + sample_weight * (sample - mean);
+    };
     auto const sample = static_cast<double>(took.count());
-    auto& mean = m_service_us[request_class];
-    mean = mean <= 0 ? sample : mean + sample_weight * (sample - mean);
-    m_mean_us =
-        m_mean_us <= 0 ? sample : m_mean_us + sample_weight * (sample - m_mean_us);
+    add(m_service_us[request_class], sample);
+    add(m_mean_us, sample);
+    m_longest_us = 0;
+    for (auto const& entry : m_service_us)
+        m_longest_us = std::max(m_longest_us, entry.second);
 }
 
 std::optional<std::uint64_t> upstream_queue::start_next(instant now)
@@ -114,11 +165,13 @@
     auto chosen = m_queue.end();
     for (auto it = m_queue.begin(); it != m_queue.end(); ++it)
     {
+        if (chosen != m_queue.end() && it->rank != chosen->rank)
+            break;
         auto const& w = m_waiting.at(it->id);
         // It could not end in time; expire() names it.
         if (now + w.service > w.request.deadline)
             continue;
-        bool const in_time = now + w.service <= w.request.due;
+        bool const in_time = is_small(w.service) || now + w.service <= w.request.due;
         if (chosen == m_queue.end() || in_time)
             chosen = it;
         if (in_time)
@@ -136,21 +189,42 @@
 std::vector<std::uint64_t> upstream_queue::expire(instant now)
 {
     std::vector<std::uint64_t> expired;
+    std::vector<std::uint64_t> now_late;
     for (auto const& [id, w] : m_waiting)
+    {
         if (now + w.service > w.request.deadline || now > w.request.start_until)
             expired.push_back(id);
+        else if (!w.at.late && !is_small(w.service) && now + w.service > w.request.due)
+            now_late.push_back(id);
+    }
     for (auto const id : expired)
         cancel(id);
+    for (auto const id : now_late)
+        if (!put_back(id, now))
+            expired.push_back(id);
     return expired;
 }
 
+// Of a request that has become late: puts it after those of its rank that are not. False
+// if there is no room for it then; it is removed.
+bool upstream_queue::put_back(std::uint64_t id, instant now)
+{
+    auto w = m_waiting.at(id);
+    cancel(id);
+    w.at.late = true;
+    if (!has_room(w.request, w.at, w.service, now))
+        return false;
+    m_queue.insert(w.at);
+    m_waiting[id] = std::move(w);
+    return true;
+}
+
 bool upstream_queue::cancel(std::uint64_t id)
 {
     auto const it = m_waiting.find(id);
     if (it == m_waiting.end())
         return false;
-    auto const& r = it->second.request;
-    m_queue.erase({.rank = r.rank, .due = r.due, .id = id});
+    m_queue.erase(it->second.at);
     m_waiting.erase(it);
     return true;
 }
--- a/tests/request_policy_test.cpp
+++ b/tests/request_policy_test.cpp
@@ -131,6 +131,105 @@
     }
 }
 
+queued_request of_class(std::uint64_t id, std::string const& name, std::uint32_t rank,
+                        instant due, instant deadline)
+{
+    return {.id = id,
+            .request_class = name,
+            .rank = rank,
+            .due = due,
+            .deadline = deadline,
+            .start_until = deadline};
+}
+
+// A queue with one slot in use, that has learnt that "long" needs 400 ms, "short" 40.
+upstream_queue busy_queue()
+{
+    upstream_queue queue({.slots = 1});
+    queue.arrive(of_class(1, "long", 2, at_ms(10'000), at_ms(10'000)), at_ms(0));
+    queue.leave(1, request_end::completed, 400ms, at_ms(0));
+    queue.arrive(of_class(2, "short", 1, at_ms(10'000), at_ms(10'000)), at_ms(0));
+    queue.leave(2, request_end::completed, 40ms, at_ms(0));
+    queue.arrive(of_class(3, "long", 2, at_ms(10'000), at_ms(10'000)), at_ms(0));
+    return queue;
+}
+
+// An upstream calls a service that is full of longer, less urgent requests. The call has
+// become late on its way, but whoever waits for it holds a slot elsewhere.
+TEST(upstream_queue, a_short_call_that_is_late_goes_before_less_urgent_requests)
+{
+    auto queue = busy_queue();
+    for (std::uint64_t id = 10; id < 20; ++id)
+        queue.arrive(of_class(id, "long", 2, at_ms(10'000), at_ms(10'000)), at_ms(0));
+    ASSERT_TRUE(std::holds_alternative<waits>(
+        queue.arrive(of_class(20, "short", 1, at_ms(100), at_ms(700)), at_ms(70))));
+    queue.leave(3, request_end::completed, 400ms, at_ms(400));
+    EXPECT_EQ(queue.start_next(at_ms(400)), 20U);
+}
+
+// It is late by then, and of more worth to its caller than nothing.
+TEST(upstream_queue, a_short_call_is_not_refused_for_being_late)
+{
+    auto queue = busy_queue();
+    EXPECT_TRUE(std::holds_alternative<waits>(
+        queue.arrive(of_class(20, "short", 1, at_ms(100), at_ms(700)), at_ms(0))));
+    EXPECT_TRUE(std::holds_alternative<has_no_room>(
+        queue.arrive(of_class(21, "short", 1, at_ms(100), at_ms(110)), at_ms(0))))
+        << "it could not end before its deadline";
+}
+
+// It came when it could no longer be in time: those that can be go first.
+TEST(upstream_queue, a_request_that_is_late_already_goes_after_those_in_time)
+{
+    auto queue = busy_queue();
+    ASSERT_TRUE(std::holds_alternative<waits>(
+        queue.arrive(of_class(20, "long", 2, at_ms(300), at_ms(10'000)), at_ms(0))));
+    ASSERT_TRUE(std::holds_alternative<waits>(
+        queue.arrive(of_class(21, "long", 2, at_ms(2'000), at_ms(10'000)), at_ms(0))));
+    queue.leave(3, request_end::completed, 400ms, at_ms(400));
+    EXPECT_EQ(queue.start_next(at_ms(400)), 21U);
+    queue.leave(21, request_end::completed, 400ms, at_ms(800));
+    EXPECT_EQ(queue.start_next(at_ms(800)), 20U);
+}
+
+// Those that still come go before a late one, so it is told at once if it would wait
+// long.
+TEST(upstream_queue, a_late_request_is_refused_while_much_waits)
+{
+    auto queue = busy_queue();
+    for (std::uint64_t id = 10; id < 14; ++id)
+        queue.arrive(of_class(id, "long", 2, at_ms(10'000), at_ms(10'000)), at_ms(0));
+    EXPECT_TRUE(std::holds_alternative<has_no_room>(
+        queue.arrive(of_class(20, "long", 2, at_ms(300), at_ms(3'000)), at_ms(0))));
+}
+
+// It came in time, but what was promised to need 400 ms has taken 1,900. It is told as
+// soon as it is late, not when its deadline is near.
+TEST(upstream_queue, a_request_that_becomes_late_is_refused_while_much_waits)
+{
+    auto queue = busy_queue();
+    ASSERT_TRUE(std::holds_alternative<waits>(
+        queue.arrive(of_class(20, "long", 2, at_ms(2'000), at_ms(4'000)), at_ms(0))));
+    for (std::uint64_t id = 10; id < 14; ++id)
+        queue.arrive(of_class(id, "long", 2, at_ms(10'000), at_ms(10'000)), at_ms(1'500));
+    EXPECT_TRUE(queue.expire(at_ms(1'590)).empty()) << "it may be in time yet";
+    EXPECT_EQ(queue.expire(at_ms(1'610)), std::vector<std::uint64_t>{20});
+    EXPECT_EQ(queue.queued(), 4U);
+}
+
+TEST(upstream_queue, tells_for_how_long_those_that_wait_keep_the_slots)
+{
+    auto queue = busy_queue();
+    EXPECT_TRUE(queue.backlog().empty());
+    EXPECT_GT(queue.until_a_slot(), 0ms);
+    for (std::uint64_t id = 20; id < 22; ++id)
+        queue.arrive(of_class(id, "short", 1, at_ms(10'000), at_ms(10'000)), at_ms(0));
+    queue.arrive(of_class(22, "long", 2, at_ms(10'000), at_ms(10'000)), at_ms(0));
+    std::vector<rank_backlog> const expected{{.rank = 1, .time = 80ms},
+                                             {.rank = 2, .time = 400ms}};
+    EXPECT_EQ(queue.backlog(), expected);
+}
+
 TEST(upstream_queue, refuses_at_once_what_cannot_end_in_time_and_says_when_to_return)
 {
     upstream_queue queue({.slots = 2, .first_guess = 100ms});
@@ -328,22 +427,82 @@
     p.on_load("full", busy(10, 40, 100ms), now);
     std::vector<placement_candidate> const all{near_one("slow"), near_one("fast"),
                                                near_one("full")};
-    EXPECT_EQ(p.choose(all, 0, 0, now)->node, "fast");
+    EXPECT_EQ(p.choose(all, {}, 0, now)->node, "fast");
     for (int i = 0; i < 40; ++i) // our own, not told yet
         p.on_sent("fast");
-    EXPECT_EQ(p.choose(all, 0, 0, now)->node, "slow");
+    EXPECT_EQ(p.choose(all, {}, 0, now)->node, "slow");
     p.avoid("slow", now + 1s);
-    EXPECT_NE(p.choose(all, 0, 0, now)->node, "slow");
+    EXPECT_NE(p.choose(all, {}, 0, now)->node, "slow");
     p.on_load(
         "fast",
         {.slots = 10, .running = 0, .waiting = 0, .service = 1ms, .accepting = false},
         now);
-    EXPECT_EQ(p.choose(all, 0, 0, now)->node, "full");
-    EXPECT_EQ(p.choose({}, 0, 0, now), std::nullopt);
+    EXPECT_EQ(p.choose(all, {}, 0, now)->node, "full");
+    EXPECT_EQ(p.choose({}, {}, 0, now), std::nullopt);
 }
 
 // A quiet day: all have room, so that nothing but its speed speaks for one of them. One
 // that joins is tried once, and then stands by what its answer told.
+// The mean over a mix of classes says little about what waits just now.
+TEST(placement, goes_by_the_backlog_that_a_node_tells)
+{
+    placement p({});
+    upstream_load const much{
+        .slots = 10,
+        .running = 10,
+        .waiting = 20,
+        .service = 100ms,
+        .until_slot = 10ms,
+        .backlog = {{.rank = 1, .time = 20ms}, {.rank = 2, .time = 600ms}}};
+    auto little = much;
+    little.backlog = {{.rank = 1, .time = 50ms}};
+    p.on_load("much", much, at_ms(0));
+    p.on_load("little", little, at_ms(0));
+    placement_request const usual{.rank = 2};
+    placement_request const urgent{.rank = 1};
+    auto const choice =
+        p.choose({{.node = "much"}, {.node = "little"}}, usual, 0, at_ms(10));
+    ASSERT_TRUE(choice);
+    EXPECT_EQ(choice->node, "little");
+    EXPECT_EQ(choice->wait, 60ms);
+    EXPECT_TRUE(choice->told);
+    EXPECT_EQ(p.choose({{.node = "much"}}, urgent, 0, at_ms(10))->wait, 30ms)
+        << "less urgent ones do not hold it up";
+    EXPECT_FALSE(p.choose({{.node = "much"}}, urgent, 0, at_ms(2'000))->told)
+        << "the word is old";
+}
+
+// A service that is full everywhere: its nodes are not asked one by one for what each of
+// them has just said.
+TEST(offers, nodes_that_have_told_that_they_are_full_are_not_asked_in_vain)
+{
+    placement_choice const full{.node = "n", .wait = 400ms, .told = true};
+    placement_choice const free{.node = "n", .wait = 40ms, .told = true};
+    auto unknown = full;
+    unknown.told = false;
+    offers_made const none{};
+    offers_made const last{.last_round = true};
+    EXPECT_EQ(next_offer(free, none, 1s), offer_step::ask);
+    EXPECT_EQ(next_offer(unknown, none, 1s), offer_step::ask);
+    EXPECT_EQ(next_offer(full, none, 1s), offer_step::last_round);
+    EXPECT_EQ(next_offer(full, last, 1s), offer_step::ask) << "it waits there";
+    EXPECT_EQ(next_offer(full, none, 300ms), offer_step::refuse);
+    EXPECT_EQ(next_offer(full, last, 300ms), offer_step::refuse);
+    EXPECT_EQ(next_offer(unknown, last, 300ms), offer_step::ask);
+}
+
+TEST(offers, the_last_round_ends_after_a_few)
+{
+    placement_choice const free{.node = "n", .wait = 0ms, .told = true};
+    for (std::size_t refused : {0, 1, 2})
+        EXPECT_EQ(next_offer(free, {.last_round = true, .refused_by = refused}, 1s),
+                  offer_step::ask);
+    EXPECT_EQ(next_offer(free, {.last_round = true, .refused_by = 3}, 1s),
+              offer_step::refuse);
+    EXPECT_EQ(next_offer(free, {.last_round = false, .refused_by = 9}, 1s),
+              offer_step::ask);
+}
+
 TEST(placement, tries_an_upstream_that_joins_and_then_goes_by_its_answer)
 {
     placement p({});
@@ -351,17 +510,17 @@
     std::vector<placement_candidate> all{near_one("fast"), near_one("slow")};
     p.on_load("fast", busy(2, 0, 40ms), now);
     p.on_load("slow", busy(2, 0, 120ms), now);
-    EXPECT_EQ(p.choose(all, 0, 0, now)->node, "fast");
+    EXPECT_EQ(p.choose(all, {}, 0, now)->node, "fast");
     auto joined = near_one("joined");
     joined.away = distance::same_region;
     all.push_back(joined);
     for (std::uint64_t draw = 0; draw < 3; ++draw)
-        EXPECT_EQ(p.choose(all, 0, draw, now)->node, "joined");
+        EXPECT_EQ(p.choose(all, {}, draw, now)->node, "joined");
     p.on_sent("joined");
     p.on_load("joined", busy(0, 0, 90ms), now);
     p.on_done("joined", false, now);
     for (std::uint64_t draw = 0; draw < 3; ++draw)
-        EXPECT_EQ(p.choose(all, 0, draw, now)->node, "fast");
+        EXPECT_EQ(p.choose(all, {}, draw, now)->node, "fast");
 }
 
 // Nothing heard of a failing one but its failures: it is not tried over and over.
@@ -374,7 +533,7 @@
     int tries = 0;
     for (int i = 0; i < 50; ++i)
     {
-        if (p.choose(all, 0, 0, now)->node != "failing")
+        if (p.choose(all, {}, 0, now)->node != "failing")
             continue;
         ++tries;
         p.on_sent("failing");
@@ -391,9 +550,9 @@
     auto const far = far_one("far");
     p.on_load("far", busy(0, 0, 200ms), now);
     p.on_load("near", busy(10, 5, 200ms), now);
-    EXPECT_EQ(p.choose({near_one("near"), far}, 0, 0, now)->node, "near");
+    EXPECT_EQ(p.choose({near_one("near"), far}, {}, 0, now)->node, "near");
     p.on_load("near", busy(10, 30, 200ms), now);
-    EXPECT_EQ(p.choose({near_one("near"), far}, 0, 0, now)->node, "far");
+    EXPECT_EQ(p.choose({near_one("near"), far}, {}, 0, now)->node, "far");
 }
 
 // The near region is behind by 200 ms: that is worth the way to the other one for a
@@ -405,10 +564,13 @@
     auto const far = far_one("far");
     p.on_load("far", busy(0, 0, 200ms), now);
     p.on_load("near", busy(10, 9, 200ms), now);
-    EXPECT_EQ(p.choose({near_one("near"), far}, 500, 0, now)->node, "far");
-    EXPECT_EQ(p.choose({near_one("near"), far}, 6'000, 0, now)->node, "near");
+    EXPECT_EQ(p.choose({near_one("near"), far}, {.exchange_bytes = 500}, 0, now)->node,
+              "far");
+    EXPECT_EQ(p.choose({near_one("near"), far}, {.exchange_bytes = 6'000}, 0, now)->node,
+              "near");
     p.on_load("near", busy(10, 60, 200ms), now);
-    EXPECT_EQ(p.choose({near_one("near"), far}, 6'000, 0, now)->node, "far");
+    EXPECT_EQ(p.choose({near_one("near"), far}, {.exchange_bytes = 6'000}, 0, now)->node,
+              "far");
 }
 
 TEST(placement, leaves_an_upstream_that_fails_and_comes_back_to_it)
@@ -418,14 +580,14 @@
     std::vector<placement_candidate> const both{near_one("good"), near_one("bad")};
     p.on_load("good", busy(9, 0, 200ms), now);
     p.on_load("bad", busy(0, 0, 190ms), now);
-    EXPECT_EQ(p.choose(both, 0, 0, now)->node, "bad");
+    EXPECT_EQ(p.choose(both, {}, 0, now)->node, "bad");
     for (int i = 0; i < 10; ++i)
         p.on_done("bad", true, now);
-    EXPECT_EQ(p.choose(both, 0, 0, now)->node, "good");
+    EXPECT_EQ(p.choose(both, {}, 0, now)->node, "good");
     now += 10s;
     p.on_load("good", busy(9, 0, 200ms), now);
     p.on_load("bad", busy(0, 0, 150ms), now);
-    EXPECT_EQ(p.choose(both, 0, 0, now)->node, "bad");
+    EXPECT_EQ(p.choose(both, {}, 0, now)->node, "bad");
 }
 
 // Twelve nodes send requests to four upstreams of different speeds and hear of load only
@@ -501,7 +663,7 @@
         std::size_t to = random() % speeds.size();
         if (by_load)
         {
-            auto const choice = views[node].choose(candidates, 0, random(), now);
+            auto const choice = views[node].choose(candidates, {}, random(), now);
             to = static_cast<std::size_t>(choice->node.back() - '0');
         }
         views[node].on_sent(candidates[to].node);
