--- a/include/buckthornusher/placement.hpp
+++ b/include/buckthornusher/placement.hpp
@@ -111,7 +111,7 @@
 struct offers_made
 {
     bool last_round = false;    // with all the patience there is
-    std::size_t refused_by = 0; // nodes that had no room in this round
+    std::size_t refused_by = 0; // nodes without room, or that failed, in this round
     friend bool operator==(offers_made const&, offers_made const&) = default;
 };
 
@@ -155,7 +155,8 @@
                                            placement_request const& request,
                                            std::uint64_t draw, instant now) const;
 
-    // What is known of the node, for logs: "running/slots+waiting~service ms, age ms".
+    // What is known of the node, for logs: "running/slots+waiting~service ms, the wait
+    // that it told for the least urgent, age ms, sent since".
     std::string describe(std::string const& node, instant now) const;
 
     // Forgets nodes that are not among those kept.
--- a/src/process/ingress.cpp
+++ b/src/process/ingress.cpp
@@ -99,7 +99,7 @@
     std::string endpoint;
     std::uint64_t sending = 0; // of the answer that is awaited
     std::optional<agent::order_id> local;
-    std::set<std::string> tried; // nodes that had no room, in this round
+    std::set<std::string> tried; // nodes without room or that failed it, in this round
     bool last_round = false;     // offers with all the patience there is
     duration retry_after{0};     // the shortest that a node named
     std::optional<instant> waiting_since;
