One place for asking a peer for changes and for lateness; a wait computed once

Found in reading the whole change again; no change of behaviour meant. note_revision and note_epoch sent the same pull in two copies: ask_for_changes. Whether a request would be late stood three times in the queue: is_late. arrive() walked the queue for the wait twice: has_room takes it.

--- a/include/buckthornusher/upstream_queue.hpp
+++ b/include/buckthornusher/upstream_queue.hpp
@@ -140,7 +140,9 @@
     bool has_slot() const { return m_running.size() < limit(); }
     duration wait_until(std::set<place>::const_iterator end) const;
     bool is_small(duration service) const;
-    bool has_room(queued_request const& r, place const& at, duration service,
+    bool is_late(duration service, instant due, instant now) const;
+    // `wait`: for those before its place.
+    bool has_room(queued_request const& r, bool late, duration wait, duration service,
                   instant now) const;
     bool put_back(std::uint64_t id, instant now);
     void learn(std::string const& request_class, duration took);
--- a/src/coordination/coordinator.cpp
+++ b/src/coordination/coordinator.cpp
@@ -180,9 +180,7 @@
         behind_since.reset();
     if (!peer_ahead || now - *behind_since < pull_patience || now < next_pull)
         return;
-    next_pull = now + pull_patience;
-    ++counts.pulls;
-    send(peer, pull{.from = copy.revision(), .config_version = own_config});
+    ask_for_changes(peer, now);
 }
 
 void coordinator::impl::note_epoch(std::string const& peer, shard_id const& shard,
@@ -193,9 +191,14 @@
     bool const known = epoch == 0 || (a != nullptr && a->epoch >= epoch);
     if (known || m == nullptr || now < next_pull)
         return;
+    ask_for_changes(m->id, now);
+}
+
+void coordinator::impl::ask_for_changes(member_id const& peer, instant now)
+{
     next_pull = now + pull_patience;
     ++counts.pulls;
-    send(m->id,
+    send(peer,
          pull{.from = copy.revision(), .config_version = copy.version_of(config_object)});
 }
 
--- a/src/coordination/coordinator_impl.hpp
+++ b/src/coordination/coordinator_impl.hpp
@@ -168,6 +168,9 @@
     void note_revision(member_id const& peer, std::uint64_t revision,
                        std::uint64_t config_version, instant now);
 
+    // Nobody is asked again before `next_pull`.
+    void ask_for_changes(member_id const& peer, instant now);
+
     // The peer knows of an assignment of the shard at that epoch: asks it for the
     // assignment if it is news here.
     void note_epoch(std::string const& peer, shard_id const& shard, std::uint64_t epoch,
--- a/src/request/upstream_queue.cpp
+++ b/src/request/upstream_queue.cpp
@@ -88,17 +88,21 @@
     return static_cast<double>(service.count()) * small_part <= m_longest_us;
 }
 
+bool upstream_queue::is_late(duration service, instant due, instant now) const
+{
+    return !is_small(service) && now + service > due;
+}
+
 // While there is more work than slots, a slot that is spent on a late answer is missing
 // for one in time; and those in time that still come go before one that is late.
-bool upstream_queue::has_room(queued_request const& r, place const& at, duration service,
-                              instant now) const
+bool upstream_queue::has_room(queued_request const& r, bool late, duration wait,
+                              duration service, instant now) const
 {
     if (m_queue.size() >= m_options.max_queue)
         return false;
-    auto const wait = wait_until(m_queue.lower_bound(at));
     if (now + wait > r.start_until)
         return false;
-    if (at.late)
+    if (late)
         return now + late_wait_factor * wait + service <= r.deadline;
     auto const end = is_small(service) ? r.deadline : std::min(r.due, r.deadline);
     return now + wait + service + service / margin_part <= end;
@@ -112,12 +116,10 @@
         m_running.emplace(r.id, r.request_class);
         return starts_now{};
     }
-    place const at{.rank = r.rank,
-                   .late = !is_small(service) && now + service > r.due,
-                   .due = r.due,
-                   .id = r.id};
+    place const at{
+        .rank = r.rank, .late = is_late(service, r.due, now), .due = r.due, .id = r.id};
     auto const wait = wait_until(m_queue.lower_bound(at));
-    if (!has_room(r, at, service, now))
+    if (!has_room(r, at.late, wait, service, now))
         return has_no_room{.retry_after = std::clamp(wait, duration(shortest_retry),
                                                      duration(longest_retry))};
     m_queue.insert(at);
@@ -171,7 +173,7 @@
         // It could not end in time; expire() names it.
         if (now + w.service > w.request.deadline)
             continue;
-        bool const in_time = is_small(w.service) || now + w.service <= w.request.due;
+        bool const in_time = !is_late(w.service, w.request.due, now);
         if (chosen == m_queue.end() || in_time)
             chosen = it;
         if (in_time)
@@ -194,7 +196,7 @@
     {
         if (now + w.service > w.request.deadline || now > w.request.start_until)
             expired.push_back(id);
-        else if (!w.at.late && !is_small(w.service) && now + w.service > w.request.due)
+        else if (!w.at.late && is_late(w.service, w.request.due, now))
             now_late.push_back(id);
     }
     for (auto const id : expired)
@@ -212,7 +214,8 @@
     auto w = m_waiting.at(id);
     cancel(id);
     w.at.late = true;
-    if (!has_room(w.request, w.at, w.service, now))
+    auto const wait = wait_until(m_queue.lower_bound(w.at));
+    if (!has_room(w.request, true, wait, w.service, now))
         return false;
     m_queue.insert(w.at);
     m_waiting[id] = std::move(w);
