A stop's log lines tell its kind, its times and what is still in work

So a log tells a node that never closed (hypothesis 1) from one that closed and took too much (2). No change of behaviour.

--- a/src/process/node.cpp
+++ b/src/process/node.cpp
@@ -592,11 +592,15 @@
         {
             stopping = true;
             stop_began = now;
-            log_event(log_level::info, "stopping");
+            leaving = must_leave();
+            log_event(log_level::info, "stopping",
+                      {{"leaves", leaving ? "yes" : "no"},
+                       {"grace_ms", in_ms(settings.grace)},
+                       {"requests", std::to_string(requests.unfinished())},
+                       {"orders", std::to_string(local.unfinished())}});
             callers.begin_stopping();
-            if (must_leave())
+            if (leaving)
             {
-                leaving = true;
                 coord->leave(now);
                 carry_out();
             }
@@ -607,7 +611,7 @@
         bool const callers_gone =
             settings.form == speech::native || now - stop_began >= callers_leave;
         if (callers_gone && !leaving && !closing)
-            begin_closing();
+            begin_closing(now);
         bool const idle = requests.unfinished() == 0 && local.unfinished() == 0;
         bool const late = now >= grace_end - last_answers || stops > 1;
         if (late || ((left || !leaving) && idle && callers_gone))
@@ -616,10 +620,13 @@
 
     // Callers have been told to go elsewhere. What is in work here is finished, what
     // waits or still comes is refused.
-    void begin_closing()
+    void begin_closing(instant now)
     {
         closing = true;
-        log_event(log_level::info, "closing");
+        log_event(log_level::info, "closing",
+                  {{"after_ms", in_ms(now - stop_began)},
+                   {"requests", std::to_string(requests.unfinished())},
+                   {"orders", std::to_string(local.unfinished())}});
         local.begin_closing();
         requests.begin_closing(stop_began + settings.grace - last_answers);
         say_goodbye();
@@ -628,6 +635,11 @@
     void end(instant now, duration wait)
     {
         ending = true;
+        log_event(log_level::info, "stop-ends",
+                  {{"after_ms", in_ms(now - stop_began)},
+                   {"left", left ? "yes" : "no"},
+                   {"requests", std::to_string(requests.unfinished())},
+                   {"orders", std::to_string(local.unfinished())}});
         say_goodbye();
         requests.begin_closing(now);
         requests.finish_all();
