--- a/demo/fleet.sh
+++ b/demo/fleet.sh
@@ -3,6 +3,7 @@
 #   fleet_start BUILD_DIR BASE_PORT DOCUMENT SERVICES DOMAINS
 # DOMAINS is a list of REGION:DOMAIN; each gets one node with one upstream per service.
 # Ports: store BASE, node i BASE+10i (callers), +1 (operators), +2 (peers), upstreams from +3.
+# node_settings, if set, holds further lines of a node's settings.
 # Sets fleet_dir, node_pid[i], upstream_pid[i.j], caller_ports, upstream_ports.
 declare -A node_pid upstream_pid
 
@@ -30,6 +31,7 @@
 region = "$region"
 domain = "$domain"
 seeds = ["tcp://127.0.0.1:$((base + 12))", "tcp://127.0.0.1:$((base + 22))"]
+${node_settings:-}
 [listen]
 callers = "127.0.0.1:$port"
 operators = "127.0.0.1:$((port + 1))"
--- /dev/null
+++ b/tests/planned_stop_test.sh
@@ -0,0 +1,38 @@
+#!/usr/bin/env bash
+# A planned stop of a node whose callers do not go elsewhere, with processes. Waits on
+# conditions only; asserts no times.
+#
+#   tests/planned_stop_test.sh BUILD_DIR
+set -uo pipefail
+cd "$(dirname "$0")/.."
+. demo/fleet.sh
+trap 'fleet_stop 2> /dev/null' EXIT
+build_dir=$1
+failures=0
+
+check() { # WHAT CONDITION...
+  local what=$1
+  shift
+  if "$@"; then echo "ok: $what"; else echo "FAILED: $what"; failures=$((failures + 1)); fi
+}
+field() { sed -n "s/^$1 //p" "$fleet_dir/load"; }
+
+node_settings="grace_ms = 5000"
+fleet_start "$build_dir" 28000 examples/svecnik.toml "stand-status ordering rounds" \
+  "osrednja:lj-vic osrednja:lj-moste stajerska:mb-tabor stajerska:ce-hudinja" 2> /dev/null
+until http PUT "28011/v1/config?expected=0" examples/svecnik.toml | grep -q accepted; do sleep 0.2; done
+check "all shards get owners" fleet_wait 128
+
+# Requests of 0.9 s, all at the node that stops, for longer than its grace.
+"$build_dir/bench_load" --ports 28010 --rate 20 --seconds 9 --prefix /rounds/ \
+  --query work_us=900000 --connections 200 > "$fleet_dir/load" & load_pid=$!
+until http GET 28011/metrics | grep -q 'requests_total{.*outcome="answered"'; do sleep 0.1; done
+kill -TERM "${node_pid[0]}"
+wait "${node_pid[0]}"
+check "the node ends with exit code 0" [ $? = 0 ]
+wait "$load_pid"
+check "requests were answered before the stop" [ "$(field answered)" -gt 0 ]
+check "callers that come late are told that it stops" [ "$(field reason_stopping)" -gt 0 ]
+check "no request that the node took is given up" [ "$(field unknown)" = 0 ]
+[ "$failures" = 0 ] || { cat "$fleet_dir/load" "$fleet_dir"/*.log; }
+exit "$failures"
