A node that leaves closes as one that stays, and takes late requests only by their deadlines

Cause: begin_closing() was called only on nodes that keep their place. A node whose upstream has ended leaves, and took every request until 0.7 s before the end of its grace, then gave up what was in work. Ruled out as its cause: the estimate of a class's time while closing (no closing line at all); but that estimate (eight times a mean) was a guess where a bound is at hand, so it goes too.

Change: planned_stop decides, without clock or socket, what a stop still takes (from 2.5 s on only requests whose deadlines are before the last answers) and when it closes and ends, the same way for both kinds of node, for callers' requests and for peers' orders. Requests given up at the end are cancelled where they were sent. Where nobody follows at this place callers may come back after 100 ms instead of 500. A further SIGTERM no longer hurries a stop on the platform; on our own form it does, as documented.

--- a/src/process/agent.cpp
+++ b/src/process/agent.cpp
@@ -65,7 +65,7 @@
                           {"service", w.o.service},
                           {"shard", w.o.shard ? std::to_string(*w.o.shard) : "-"},
                           {"left_ms", in_ms(w.o.deadline - w.arrived)}});
-    if (m_closing)
+    if (m_closing || (m_stop && !m_stop->takes(w.o.deadline, w.arrived)))
         return finish(w, order_refused{.why = reason::stopping,
                                        .retry_after = agent_wait_retry}),
                id;
--- a/src/process/agent.hpp
+++ b/src/process/agent.hpp
@@ -16,6 +16,7 @@
 #include "buckthornusher/operation_table.hpp"
 #include "buckthornusher/outcome.hpp"
 #include "buckthornusher/placement.hpp"
+#include "buckthornusher/planned_stop.hpp"
 #include "buckthornusher/upstream_queue.hpp"
 #include "connection/http_client.hpp"
 #include "connection/upstream_form.hpp"
@@ -145,6 +146,8 @@
     // This member's coordinator was replaced; orders that wait are asked again.
     void set_coordinator(coordinator& coord) { m_coordinator = &coord; }
 
+    // From now on only those orders are taken that the stop takes.
+    void begin_stopping(planned_stop const& stop) { m_stop = stop; }
     // From now on nothing new is taken; what waits is refused.
     void begin_closing();
 
@@ -205,6 +208,7 @@
     request_sampler m_sampler;
     std::mt19937_64 m_random;
     order_id m_next_id = 1;
+    std::optional<planned_stop> m_stop;
     bool m_closing = false;
 };
 
--- a/src/process/ingress.cpp
+++ b/src/process/ingress.cpp
@@ -24,10 +24,11 @@
 constexpr int waiting_percent = 40;
 constexpr duration owner_retry = 300ms;
 constexpr double sampled_per_second = 5; // requests as usual that leave log lines
-constexpr double class_weight = 0.1;     // of the newest time in a class's mean
-// Hardly any request needs more than so many times its class's mean.
-constexpr int longest_over_mean = 8;
-constexpr duration restart_retry = 500ms; // another process follows at this place
+constexpr double class_weight = 0.1;     // of the newest exchange in a class's mean
+// When callers of a node that stops may come back: soon if they must go elsewhere, later
+// if another process follows at this place.
+constexpr duration leaving_retry = 100ms;
+constexpr duration restart_retry = 500ms;
 // Of the budget of repeats: an upstream that answers with a failure often does so because
 // another one is short of room, and a repeat adds to that.
 constexpr double kept_from_failures = 0.5;
@@ -163,10 +164,10 @@
     auto const& service = match->service->name;
     if (match->service->keyed && !shard_of(*match->service, match->key))
         return refuse_now(service, reason::no_key, 0us);
-    if (m_closing && !ends_in_time(class_of(*match->route), now))
-        return refuse_now(service, reason::stopping, restart_retry);
     auto facts =
         std::visit([&](auto const& form) { return form.read(request); }, m_options.form);
+    if (!takes(now + deadline_of(facts, *match), now))
+        return refuse_now(service, reason::stopping, stopping_retry());
     auto& f = begin(std::move(request), reply, std::move(facts), *match, now);
     f.trail.add("taken", {{"service", f.o.service},
                           {"class", f.o.request_class},
@@ -221,20 +222,25 @@
                           {"at", f->local ? "here" : f->sent_to}});
     f->trail.end(f->o.id, "left", m_sampler, boot_now());
     m_loop.timers().cancel(f->timer);
-    if (f->local)
-        m_agent.cancel(*f->local);
-    if (!f->sent_to.empty())
-    {
-        wire::Envelope message;
-        message.mutable_sender()->set_node(m_options.self);
-        message.mutable_cancel()->set_attempt(f->sending);
-        m_peers.send(f->endpoint, message);
-    }
+    cancel_sending(*f);
     end_sending(*f, false, boot_now());
     m_waiting.erase(id);
     m_flights.erase(id);
 }
 
+// Nobody waits for the answer any more.
+void ingress::cancel_sending(flight const& f)
+{
+    if (f.local)
+        m_agent.cancel(*f.local);
+    if (f.sent_to.empty())
+        return;
+    wire::Envelope message;
+    message.mutable_sender()->set_node(m_options.self);
+    message.mutable_cancel()->set_attempt(f.sending);
+    m_peers.send(f.endpoint, message);
+}
+
 // ---- sending ----
 
 void ingress::dispatch(flight& f, instant now)
@@ -432,8 +438,8 @@
 // Until there is somebody to send it to.
 void ingress::wait(flight& f, instant now)
 {
-    if (m_closing)
-        return refuse(f, reason::stopping, restart_retry);
+    if (!takes(f.o.deadline, now))
+        return refuse(f, reason::stopping, stopping_retry());
     m_waiting.insert(f.id);
     if (f.waiting_since)
         return;
@@ -698,7 +704,7 @@
     auto const now = boot_now();
     m_metrics.count_outcome(f.o.service, kind, why, now - f.arrived);
     if (kind == outcome_kind::answered)
-        note_answer(f, response, now);
+        note_answer(f, response);
     bool const late = now - f.arrived > f.latency_bound;
     m_burn.count(f.o.service, kind == outcome_kind::answered, late, now);
     f.trail.add("ended", {{"outcome", to_string(kind)},
@@ -738,39 +744,37 @@
         });
 }
 
-void ingress::note_answer(flight const& f, http_response const& response, instant now)
+void ingress::note_answer(flight const& f, http_response const& response)
 {
-    auto const learn = [](double& mean, double sample)
-    {
-        mean = mean <= 0 ? sample : mean + class_weight * (sample - mean);
-    };
-    auto& means = m_classes[f.o.request_class];
-    learn(means.us, static_cast<double>((now - f.arrived).count()));
-    learn(means.bytes,
-          static_cast<double>(size_of(f.o.request.headers, f.o.request.body) +
-                              size_of(response.headers, response.body)));
+    auto& mean = m_exchange_bytes[f.o.request_class];
+    auto const bytes =
+        static_cast<double>(size_of(f.o.request.headers, f.o.request.body) +
+                            size_of(response.headers, response.body));
+    mean = mean <= 0 ? bytes : mean + class_weight * (bytes - mean);
 }
 
 // What is known at the least is the size of the request itself.
 double ingress::exchange_bytes(flight const& f) const
 {
-    auto const it = m_classes.find(f.o.request_class);
-    auto const mean = it == m_classes.end() ? 0.0 : it->second.bytes;
+    auto const it = m_exchange_bytes.find(f.o.request_class);
+    auto const mean = it == m_exchange_bytes.end() ? 0.0 : it->second;
     return std::max(mean,
                     static_cast<double>(size_of(f.o.request.headers, f.o.request.body)));
 }
 
-bool ingress::ends_in_time(std::string const& request_class, instant now) const
+bool ingress::takes(instant deadline, instant now) const
 {
-    auto const it = m_classes.find(request_class);
-    if (it == m_classes.end())
-        return false;
-    auto const mean = duration(static_cast<duration::rep>(it->second.us));
-    return now + longest_over_mean * mean < *m_closing;
+    return !m_finished && (!m_stop || m_stop->takes(deadline, now));
+}
+
+duration ingress::stopping_retry() const
+{
+    return m_stop && m_stop->leaves() ? leaving_retry : restart_retry;
 }
 
 void ingress::finish_all()
 {
+    m_finished = true;
     std::vector<flight_id> all;
     for (auto const& entry : m_flights)
         all.push_back(entry.first);
@@ -779,8 +783,9 @@
         auto* f = find(id);
         if (f == nullptr)
             continue;
+        cancel_sending(*f);
         if (f->sent_to.empty() && !f->local)
-            refuse(*f, reason::stopping, restart_retry);
+            refuse(*f, reason::stopping, stopping_retry());
         else
             give_up(*f, reason::stopping);
     }
--- a/src/process/ingress.hpp
+++ b/src/process/ingress.hpp
@@ -19,6 +19,7 @@
 #include "buckthornusher/coordinator.hpp"
 #include "buckthornusher/owner_search.hpp"
 #include "buckthornusher/placement.hpp"
+#include "buckthornusher/planned_stop.hpp"
 #include "buckthornusher/retry_budget.hpp"
 #include "buckthornusher/timer_service.hpp"
 #include "connection/caller_form.hpp"
@@ -76,9 +77,9 @@
     }
     void set_coordinator(coordinator& coord) { m_coordinator = &coord; }
     void set_retries(retry_budget_options opts) { m_retries.set_options(opts); }
-    // From now on only requests are taken that are certain enough to end before `end`.
-    void begin_closing(instant end) { m_closing = end; }
-    // Gives every caller its last answer.
+    // From now on only those requests are taken that the stop takes.
+    void begin_stopping(planned_stop const& stop) { m_stop = stop; }
+    // Gives every caller its last answer, and takes nothing more.
     void finish_all();
     void on_replica_changed(instant now);
     void tick(instant now);
@@ -116,8 +117,10 @@
                      std::string const& from) const;
     void on_silent(std::string const& node, instant now);
     void on_lost(std::string const& node, bool certainly, instant now);
-    bool ends_in_time(std::string const& request_class, instant now) const;
-    void note_answer(flight const& f, http_response const& response, instant now);
+    bool takes(instant deadline, instant now) const;
+    duration stopping_retry() const;
+    void cancel_sending(flight const& f);
+    void note_answer(flight const& f, http_response const& response);
     double exchange_bytes(flight const& f) const;
     void refuse_early(http_request const& request, http_reply const& reply,
                       std::string const& service, reason why, duration after,
@@ -153,14 +156,10 @@
     burn_recorder m_burn;
     std::mt19937_64 m_random;
     flight_id m_next_id = 1;
-    std::optional<instant> m_closing; // when the last answers are given
-    // Means over the latest answers, by class.
-    struct class_means
-    {
-        double us = 0;    // to the answer
-        double bytes = 0; // of the request and its answer
-    };
-    std::map<std::string, class_means> m_classes;
+    std::optional<planned_stop> m_stop;
+    bool m_finished = false; // the last answers were given
+    // Bytes of a request and its answer, means over the latest ones, by class.
+    std::map<std::string, double> m_exchange_bytes;
 };
 
 } // namespace buckthornusher
--- a/src/process/node.cpp
+++ b/src/process/node.cpp
@@ -2,6 +2,7 @@
 #include "process/node.hpp"
 
 #include "buckthornusher/coordinator.hpp"
+#include "buckthornusher/planned_stop.hpp"
 #include "connection/http_server.hpp"
 #include "connection/peer_socket.hpp"
 #include "connection/store_client.hpp"
@@ -48,10 +49,11 @@
 constexpr duration reload_period = 5s; // looks for settings that changed without a signal
 constexpr duration load_report_period = 1s;
 constexpr duration stop_grace = 300ms; // callers' last answers leave
-// Callers that are told to go elsewhere do so within this.
+// The platform's callers learn within this that they are to go elsewhere.
 constexpr duration callers_leave = 3s;
-// Before the end of the grace, whoever still waits gets a last answer.
-constexpr duration last_answers = 700ms;
+// What is sent to a stopping node before `callers_leave` may be cut off at its end; what
+// is sent later may not. The difference is for a signal that is noticed late.
+constexpr duration takes_all_for = 2500ms;
 // A lease outlasts two reports of an upstream, so that one that is lost or late does not
 // end what the upstream holds.
 constexpr int reports_within_lease = 2;
@@ -216,12 +218,10 @@
     std::atomic<int> stops{0};
     std::atomic<bool> reload_asked{false};
     instant next_reload;
-    bool stopping = false;
-    bool leaving = false;
+    std::optional<planned_stop> stop; // once it was asked for
     bool left = false;
     bool closing = false;
     bool ending = false;
-    instant stop_began;
     bool carrying_out = false;
     instant next_peer_review;
     instant next_load_report;
@@ -234,7 +234,7 @@
     }
 
     // Callers are welcome: they can be served with a configuration that is known.
-    bool ready() const { return !stopping && requests.routes() != nullptr; }
+    bool ready() const { return !stop && requests.routes() != nullptr; }
 
     std::unique_ptr<coordinator> make_coordinator(std::vector<target> targets,
                                                   replica known)
@@ -353,7 +353,7 @@
         handover.set_coordinator(*fresh);
         coord = std::move(fresh);
         coord->start(boot_now());
-        if (leaving)
+        if (stop && stop->leaves())
             coord->leave(boot_now());
         carry_out();
     }
@@ -584,66 +584,76 @@
         return settings.form == speech::native || local.upstreams_ended();
     }
 
+    planned_stop_options stop_options() const
+    {
+        if (settings.form == speech::native)
+            return {.grace = settings.grace};
+        return {.grace = settings.grace,
+                .bounded_after = std::min<duration>(takes_all_for, settings.grace / 2),
+                .callers_leave = callers_leave,
+                .leaves = must_leave(),
+                .hurries = false};
+    }
+
     void follow_stop(instant now)
     {
-        if (stops == 0)
+        if (stops == 0 || ending)
             return;
-        if (!stopping)
+        if (!stop)
+            begin_stop(now);
+        bool const idle = requests.unfinished() == 0 && local.unfinished() == 0;
+        switch (stop->phase({.left = left, .idle = idle, .times_asked = stops}, now))
         {
-            stopping = true;
-            stop_began = now;
-            leaving = must_leave();
-            log_event(log_level::info, "stopping",
-                      {{"leaves", leaving ? "yes" : "no"},
-                       {"grace_ms", in_ms(settings.grace)},
-                       {"requests", std::to_string(requests.unfinished())},
-                       {"orders", std::to_string(local.unfinished())}});
-            callers.begin_stopping();
-            if (leaving)
-            {
-                coord->leave(now);
-                carry_out();
-            }
+        case stop_phase::serving:
+            return;
+        case stop_phase::closing:
+            return begin_closing(now);
+        case stop_phase::ending:
+            return end(now);
         }
-        if (ending)
+    }
+
+    void begin_stop(instant now)
+    {
+        stop.emplace(stop_options(), now);
+        log_event(log_level::info, "stopping",
+                  {{"leaves", stop->leaves() ? "yes" : "no"},
+                   {"grace_ms", in_ms(settings.grace)},
+                   {"requests", std::to_string(requests.unfinished())},
+                   {"orders", std::to_string(local.unfinished())}});
+        callers.begin_stopping();
+        requests.begin_stopping(*stop);
+        local.begin_stopping(*stop);
+        if (!stop->leaves())
             return;
-        auto const grace_end = stop_began + settings.grace;
-        bool const callers_gone =
-            settings.form == speech::native || now - stop_began >= callers_leave;
-        if (callers_gone && !leaving && !closing)
-            begin_closing(now);
-        bool const idle = requests.unfinished() == 0 && local.unfinished() == 0;
-        bool const late = now >= grace_end - last_answers || stops > 1;
-        if (late || ((left || !leaving) && idle && callers_gone))
-            end(now, stops > 1 ? 0us : stop_grace);
+        coord->leave(now);
+        carry_out();
     }
 
-    // Callers have been told to go elsewhere. What is in work here is finished, what
-    // waits or still comes is refused.
+    // What is in work here is finished, what waits or still comes is refused.
     void begin_closing(instant now)
     {
-        closing = true;
+        if (std::exchange(closing, true))
+            return;
         log_event(log_level::info, "closing",
-                  {{"after_ms", in_ms(now - stop_began)},
+                  {{"after_ms", in_ms(now - stop->began())},
                    {"requests", std::to_string(requests.unfinished())},
                    {"orders", std::to_string(local.unfinished())}});
         local.begin_closing();
-        requests.begin_closing(stop_began + settings.grace - last_answers);
         say_goodbye();
     }
 
-    void end(instant now, duration wait)
+    void end(instant now)
     {
         ending = true;
         log_event(log_level::info, "stop-ends",
-                  {{"after_ms", in_ms(now - stop_began)},
+                  {{"after_ms", in_ms(now - stop->began())},
                    {"left", left ? "yes" : "no"},
                    {"requests", std::to_string(requests.unfinished())},
                    {"orders", std::to_string(local.unfinished())}});
         say_goodbye();
-        requests.begin_closing(now);
         requests.finish_all();
-        loop.timers().at(now + wait, [this](instant) { loop.stop(); });
+        loop.timers().at(now + stop_grace, [this](instant) { loop.stop(); });
     }
 
     void say_goodbye()
@@ -684,7 +694,7 @@
     s.coord->start(now);
     s.carry_out();
     s.loop.run();
-    bool const clean = s.left || !s.leaving;
+    bool const clean = s.left || !(s.stop && s.stop->leaves());
     log_event(log_level::info, "stopped", {{"clean", clean ? "yes" : "no"}});
     flush_log();
     return clean ? 0 : 1;
