The model's upstreams report one at a time, as the platform's do

Why the model is wrong: an answer acknowledges a report if it comes within a second, otherwise the upstream goes on with its next; reports and answers do not leave the VM, so nothing overtakes, and the users' rule on owners excepts grants that were held up. No wait of the node can mend it without taking each moving shard out of service for a second or more: the node cannot know when the report that proves the release was sent. The model now also answers reports that get no grant, and drops answers that come late.

--- a/tests/fake_fleet.hpp
+++ b/tests/fake_fleet.hpp
@@ -388,6 +388,8 @@
 
     void report_step(std::uint32_t i)
     {
+        if (auto const until = m_members[i].upstream->awaits_until(m_now))
+            return at(*until, [this, i] { report_step(i); });
         send_report(i);
         at(m_now + duration(pick(700'000, 900'000)), [this, i] { report_step(i); });
     }
@@ -417,39 +419,51 @@
             m.ledger.emplace(m_options.shards, hold_options{});
             m.coord->set_targets(known_targets(m));
         }
+        auto const grant = renew_holds(m, report);
+        bool const lost = m_lossy_until > m_now && chance(0.3);
+        if (lost)
+            return;
+        at(m_now + trip(), [this, i = m.index, grant, life = report.life, sent]
+           { take_answer(i, grant, life, sent); });
+    }
+
+    std::optional<upstream_grant> renew_holds(member& m, upstream_report const& report)
+    {
         auto const now = local_time(m);
         auto const owned =
             m.coord->servable("s", std::to_string(report.life.started), now);
         if (!owned)
-            return;
+            return std::nullopt;
         auto const shards =
             shards_by_answer(*owned, [](std::uint32_t index) { return index % 2 == 0; });
         for (auto const& s : shards.leaving)
             m.coord->begin_drain({"s", s.index});
-        auto const grant = m.ledger->on_report(report, shards.wanted, shards.leaving,
-                                               m.coord->shards().incoming("s") > 0,
-                                               m.coord->lease_until(), now);
+        auto grant = m.ledger->on_report(report, shards.wanted, shards.leaving,
+                                         m.coord->shards().incoming("s") > 0,
+                                         m.coord->lease_until(), now);
         for (auto& r : m.ledger->take_released(now))
         {
             auto const index = r.index;
             m.released[index] = std::move(r);
             confirm_released(m, index);
         }
-        bool const lost = m_lossy_until > m_now && chance(0.3);
-        if (!grant || lost)
+        return grant;
+    }
+
+    void take_answer(std::uint32_t i, std::optional<upstream_grant> const& grant,
+                     upstream_life const& life, true_time sent)
+    {
+        auto& x = m_members[i];
+        if (auto const wrong = x.upstream->take(grant, life, sent, m_now, m_holds))
+            fail(*wrong);
+        constexpr true_time release_pause = 100ms;
+        if (!x.upstream->has_released())
             return;
-        at(m_now + trip(),
-           [this, i = m.index, grant = *grant, life = report.life, sent]
+        at(m_now + release_pause,
+           [this, i]
            {
-               constexpr true_time patience = 1s; // of the upstream
-               if (m_now - sent > patience)
-                   return;
-               auto& x = m_members[i];
-               if (auto const wrong = x.upstream->take(grant, life, sent, m_now, m_holds))
-                   fail(*wrong);
-               constexpr true_time release_pause = 100ms;
-               if (x.upstream->has_released())
-                   at(m_now + release_pause, [this, i] { send_report(i); });
+               if (!m_members[i].upstream->awaits_until(m_now))
+                   send_report(i);
            });
     }
 
--- a/tests/fake_upstream.hpp
+++ b/tests/fake_upstream.hpp
@@ -2,9 +2,10 @@
 // all of them hold together.
 //
 // The upstream outlives the process of its node; a new life of it holds nothing. Its
-// clock may be slow. Judged, in true time: no shard is held by two at once, and a shard
-// comes to another upstream, or to another life of one, only with an epoch above all
-// before.
+// clock may be slow. It sends a report once it has taken the answer to the one before, or
+// has waited for it in vain. Judged, in true time: no shard is held by two at once, and a
+// shard comes to another upstream, or to another life of one, only with an epoch above
+// all before.
 #ifndef BUCKTHORNUSHER_TESTS_FAKE_UPSTREAM_HPP
 #define BUCKTHORNUSHER_TESTS_FAKE_UPSTREAM_HPP
 
@@ -62,6 +63,9 @@
 class fake_upstream
 {
 public:
+    // An answer that takes longer is not taken any more.
+    static constexpr duration patience = 1s;
+
     fake_upstream(std::uint32_t shards, int slow_percent)
         : m_shards(shards), m_slow_percent(slow_percent)
     {
@@ -74,12 +78,23 @@
             judge.on_release(entry.first, m_life, now);
         m_holds.clear();
         m_freed.clear();
+        m_awaited.reset();
         m_sequence = 0;
         m_life = life;
     }
 
+    // Until when an answer is awaited.
+    std::optional<duration> awaits_until(duration now) const
+    {
+        if (!m_awaited || now >= *m_awaited + patience)
+            return std::nullopt;
+        return *m_awaited + patience;
+    }
+
+    // Requires that no answer is awaited.
     upstream_report report(duration now)
     {
+        m_awaited = now;
         std::erase_if(m_holds, [&](auto const& h) { return now >= h.second.until; });
         upstream_report r;
         r.service = "s";
@@ -95,13 +110,19 @@
         return r;
     }
 
-    // The answer to a report that was sent at `sent` by an earlier or the present life.
-    std::optional<std::string> take(upstream_grant const& grant,
+    // The answer to a report that was sent at `sent` by an earlier or the present life;
+    // without a grant it renews nothing.
+    std::optional<std::string> take(std::optional<upstream_grant> const& answer,
                                     upstream_life const& life, duration sent,
                                     duration now, hold_judge& judge)
     {
-        if (life.started != m_life.tenure)
-            return std::nullopt; // its connection ended with that life
+        bool const awaited = sent == m_awaited && awaits_until(now);
+        if (life.started != m_life.tenure || !awaited)
+            return std::nullopt; // its connection has ended
+        m_awaited.reset();
+        if (!answer)
+            return std::nullopt;
+        auto const& grant = *answer;
         auto const until = sent + grant.hold * (100 + m_slow_percent) / 100;
         std::map<std::uint32_t, hold> next;
         for (auto const& range : grant.ranges)
@@ -153,6 +174,7 @@
     std::map<std::uint32_t, hold> m_holds;
     std::map<std::uint32_t, std::uint64_t> m_seen; // the highest epoch, of this upstream
     std::vector<std::uint32_t> m_freed;
+    std::optional<duration> m_awaited; // the answer to the report that was sent then
 };
 
 } // namespace buckthornusher::test
