A member that only the store hears lets itself be replaced, and evicts nobody

Cause, by traces of the store's writes: (1) all its watchers are silent to it after 1.6 s, so it names others just before the present ones would evict it at 1.8 s, and does so every second; (2) once it is evicted it reads that in the store and registers anew within 50 ms, with its tenure and so its shards, which it cannot serve; (3) it takes all whom it watches for silent and evicts them, and each of those loses its lease. The same holds for a failure domain that is cut off: its members hear each other.

Change: a member that has heard nobody outside its failure domain for a renewal interval asks three members for changes, in turn, every 200 ms; a question is answered also without news. Until somebody is heard it keeps its watchers and starts no evictions; once evicted, the next incarnation in the process registers when it is heard. After 5 s it takes itself for the only one left, as before. A fleet in which all is well sends nothing more.

--- a/include/buckthornusher/coordinator.hpp
+++ b/include/buckthornusher/coordinator.hpp
@@ -147,6 +147,9 @@
 
     void start(instant now);
     void on_message(member_id const& from, control_message const& message, instant now);
+    // A message of another kind has come from a peer (a node's name): perhaps this member
+    // is not cut off.
+    void note_contact(std::string const& peer, instant now);
     void on_store_answer(std::uint64_t call_id, store_answer const& answer, instant now);
     void tick(instant now);
     std::vector<effect> take_effects();
--- a/src/coordination/coordinator.cpp
+++ b/src/coordination/coordinator.cpp
@@ -256,8 +256,7 @@
 
 void coordinator::impl::on(member_id const& from, pull const& m, instant /*now*/)
 {
-    if (auto const news = changes_for(copy, m); !news.objects.empty())
-        send(from, news);
+    send(from, changes_for(copy, m)); // also if there are none: it was heard
 }
 
 void coordinator::impl::on(member_id const& /*from*/, released const& m, instant now)
@@ -409,6 +408,7 @@
 void coordinator::start(instant now)
 {
     m_impl->last_tick = now;
+    m_impl->started = now;
     m_impl->last_membership_change = now;
     m_impl->config_confirmed = now;
     if (m_impl->copy.revision() > 0)
@@ -422,11 +422,24 @@
 {
     if (m_impl->at == impl::phase::ended)
         return;
+    note_contact(from.node, now);
     std::visit([&](auto const& m) { m_impl->on(from, m, now); }, message);
     if (m_impl->at == impl::phase::member)
         m_impl->send_releases(now);
 }
 
+void coordinator::note_contact(std::string const& peer, instant now)
+{
+    constexpr duration grain = 50ms; // a later contact tells nothing new before
+    auto& last = m_impl->last_contact;
+    if ((last && now - *last < grain) || !m_impl->is_far(peer))
+        return;
+    bool const waited = m_impl->waits_for_contact();
+    last = now;
+    if (waited)
+        m_impl->register_if_listed(now);
+}
+
 void coordinator::on_store_answer(std::uint64_t call_id, store_answer const& answer,
                                   instant now)
 {
@@ -455,6 +468,7 @@
     }
     s.last_tick = now;
     s.read_store(now);
+    s.probe_members(now);
     if (s.at == impl::phase::listing && now >= s.next_registration)
         s.retry_registration(now);
     for (auto& c : s.writer.repeat(s.next_call_id, now))
--- a/src/coordination/coordinator_evictions.cpp
+++ b/src/coordination/coordinator_evictions.cpp
@@ -34,6 +34,8 @@
 
 void coordinator::impl::start_evictions(instant now)
 {
+    if (seems_cut_off(now))
+        return; // the silence is this member's own
     for (auto const& id : watcher.silent(now))
         if (auto const* m = copy.member(id); m != nullptr && my_turn(*m, now))
             start_eviction(id, now);
--- a/src/coordination/coordinator_impl.hpp
+++ b/src/coordination/coordinator_impl.hpp
@@ -68,6 +68,13 @@
     bool leaving = false;
     std::uint64_t next_call_id = 1;
     instant last_tick;
+    instant started;
+    std::optional<instant> last_contact; // a far member was heard, since the start
+    bool resumed = false;                // follows an incarnation that was evicted
+    instant next_probe;
+    std::size_t probes = 0;
+    std::vector<member_id> far; // far_members(), for one generation of the members
+    std::uint64_t far_generation = 0;
     instant next_renewal;
     instant next_watcher_change;
     instant next_member_review;
@@ -203,6 +210,23 @@
     // Watchers that have not acked for two rounds.
     std::vector<member_id> silent_watchers(instant now) const;
 
+    // ---- cut off, with the store in reach ----
+    //
+    // A member that hears nobody, while the store hears it, would evict all whom it
+    // watches, replace its watchers as soon as they are about to evict it, and come back
+    // in a new incarnation once they have, each time with shards that it cannot serve.
+
+    // Live members outside of this one's failure domain, or all if there are none.
+    std::vector<member_id> const& far_members();
+    bool is_far(std::string const& node);
+    // No member outside of the failure domain was heard for a while. After a long one
+    // this member takes itself for the only one left.
+    bool seems_cut_off(instant now);
+    // It was evicted, and may still be cut off.
+    bool waits_for_contact();
+    // Asks some members, in turn, so that one that can be reached is heard.
+    void probe_members(instant now);
+
     // Brings this member's own record up to date, one write at a time.
     void update_self(instant now);
 
--- a/src/coordination/coordinator_membership.cpp
+++ b/src/coordination/coordinator_membership.cpp
@@ -15,6 +15,10 @@
 constexpr duration quick_renewal = 200ms; // while there is no lease
 constexpr duration watcher_change_interval = 1s;
 constexpr duration watcher_review_interval = 200ms;
+constexpr duration probe_interval = 200ms;
+constexpr std::size_t probed_at_once = 3;
+// Others have evicted a member that is cut off by then, if there are any.
+constexpr duration longest_isolation = 5s;
 } // namespace
 
 void coordinator::impl::end_membership(bool planned)
@@ -36,7 +40,7 @@
     // The same name elsewhere: that member has to be ended by those who watch it.
     if (!over && before->endpoint != opts.endpoint)
         return;
-    if (writer.busy(name))
+    if (writer.busy(name) || waits_for_contact())
         return;
     member_record self{.id = opts.self,
                        .tenure = opts.self.incarnation,
@@ -138,7 +142,54 @@
     refresh_subjects(now);
     // Members may have been told of changes that this one was not told of.
     fleet_reader.want_list();
-    register_self(now);
+    resumed = true;
+    probe_members(now);
+}
+
+std::vector<member_id> const& coordinator::impl::far_members()
+{
+    if (far_generation == copy.member_generation())
+        return far;
+    far_generation = copy.member_generation();
+    far.clear();
+    std::vector<member_id> near;
+    for (auto const& [id, m] : copy.members())
+        if (m.state == member_state::live && id.node != opts.self.node)
+            (m.domain == opts.domain ? near : far).push_back(id);
+    if (far.empty())
+        far = std::move(near);
+    return far;
+}
+
+bool coordinator::impl::is_far(std::string const& node)
+{
+    auto const& all = far_members();
+    return std::any_of(all.begin(), all.end(),
+                       [&](member_id const& id) { return id.node == node; });
+}
+
+bool coordinator::impl::seems_cut_off(instant now)
+{
+    auto const silent = now - last_contact.value_or(started);
+    return silent > opts.lease.renew_interval && silent < longest_isolation &&
+           !far_members().empty();
+}
+
+bool coordinator::impl::waits_for_contact()
+{
+    return resumed && !last_contact && !far_members().empty();
+}
+
+void coordinator::impl::probe_members(instant now)
+{
+    if (now < next_probe || !(waits_for_contact() || seems_cut_off(now)))
+        return;
+    next_probe = now + probe_interval;
+    auto const& asked = far_members();
+    for (std::size_t i = 0; i < std::min(probed_at_once, asked.size()); ++i)
+        send(asked[probes++ % asked.size()],
+             pull{.from = copy.revision(),
+                  .config_version = copy.version_of(config_object)});
 }
 
 std::vector<member_id> coordinator::impl::silent_watchers(instant now) const
@@ -181,7 +232,7 @@
         next.state = member_state::gone;
         lease.revoke(); // from here this member serves nothing
     }
-    else if (now >= next_watcher_change)
+    else if (now >= next_watcher_change && !seems_cut_off(now))
     {
         next_watcher_change = now + watcher_review_interval;
         auto const suspects = silent_watchers(now);
--- a/src/process/node.cpp
+++ b/src/process/node.cpp
@@ -448,6 +448,7 @@
     {
         auto const now = boot_now();
         auto const& node = message.sender().node();
+        coord->note_contact(node, now);
         if (auto const silent = table.heard(node, now); silent > 0us)
             log_event(log_level::info, "dependency-regained",
                       {{"kind", "peer"}, {"peer", node}, {"lost_ms", in_ms(silent)}});
@@ -493,13 +494,12 @@
         peers.reply(route, question);
     }
 
-    // Answered down the connection, as the asker may not be in the replica yet.
+    // Answered down the connection, as the asker may not be in the replica yet; also if
+    // there is no news, so that the asker knows that it can be reached.
     void answer_pull(peer_route const& route, wire::Envelope const& message)
     {
         auto const question = decode_control(message);
         auto const news = changes_for(coord->copy(), std::get<pull>(*question));
-        if (news.objects.empty())
-            return;
         wire::Envelope out;
         encode(coord->self(), *out.mutable_sender());
         encode(control_message(news), out);
--- a/tests/coordinator_property_test.cpp
+++ b/tests/coordinator_property_test.cpp
@@ -155,6 +155,32 @@
         std::nullopt);
 }
 
+// The target: a key is served again within 5 s of a loss.
+TEST(coordinator_property, whoever_only_the_store_hears_is_replaced_in_time)
+{
+    constexpr true_time target = 5s;
+    constexpr true_time cut_at = 8s;
+    for (bool const with_grants : {false, true})
+        for (std::uint32_t const members : {4U, 6U, 12U})
+            for (auto const kind : {fault::cut_member, fault::cut_domain})
+                for (std::uint64_t seed = 1; seed <= 10; ++seed)
+                {
+                    auto opts = granted(members, 4);
+                    opts.granted = with_grants;
+                    opts.seed = seed;
+                    opts.faults_end = 16s;
+                    opts.end = 20s;
+                    fake_fleet fleet(opts);
+                    auto const at = cut_at + seed * 37ms;
+                    EXPECT_EQ(
+                        fleet.run({{.kind = kind, .at = at, .member = 0, .length = 7s}}),
+                        std::nullopt);
+                    EXPECT_LE(fleet.longest_gap().count(), target.count())
+                        << members << " members, granted " << with_grants << ", seed "
+                        << seed;
+                }
+}
+
 RC_GTEST_PROP(coordinator_property, six_members_in_four_domains, ())
 {
     check_case({.members = 6, .domains = 4});
--- a/tests/coordinator_test.cpp
+++ b/tests/coordinator_test.cpp
@@ -5,6 +5,8 @@
 
 #include <algorithm>
 #include <map>
+#include <set>
+#include <string>
 
 namespace buckthornusher
 {
@@ -165,5 +167,147 @@
     EXPECT_TRUE(m.sent<pull>().empty()) << "asked a moment ago";
 }
 
+// ---- cut off, with the store in reach ----
+
+// Plays ticks from `from` on; `each` is called before each of them.
+template <class Function>
+void play(coordinator& c, int from_ms, int until_ms, Function const& each)
+{
+    constexpr int step_ms = 50;
+    for (int ms = from_ms; ms <= until_ms; ms += step_ms)
+    {
+        each(ms);
+        c.tick(at_ms(ms));
+    }
+}
+
+// The members whose records were to be written since the last call.
+std::set<std::string> written_members(coordinator& c)
+{
+    std::set<std::string> names;
+    for (auto const& e : c.take_effects())
+        if (auto const* call = std::get_if<call_store>(&e))
+            if (auto const* w = std::get_if<store_write>(&call->operation))
+                names.insert(w->name);
+    return names;
+}
+
+// p is watched by n.
+void watch_p(coordinator& c)
+{
+    auto p = peer_record("p");
+    p.watchers = {{"n", 5}};
+    c.on_message({"q", 7},
+                 deltas{.from = joined_revision,
+                        .to = joined_revision + 1,
+                        .objects = {{.name = member_object("p"),
+                                     .version = joined_revision + 1,
+                                     .value = p}}},
+                 at_ms(10));
+    c.take_effects();
+}
+
+TEST(coordinator, a_silent_subject_is_evicted_by_one_that_hears_others)
+{
+    joined_member m;
+    watch_p(m.c);
+    play(m.c, 50, 3'000,
+         [&](int ms)
+         {
+             if (ms % 500 == 0)
+                 m.c.note_contact("q", at_ms(ms));
+         });
+    EXPECT_TRUE(written_members(m.c).contains(member_object("p")));
+}
+
+TEST(coordinator, one_that_hears_nobody_evicts_nobody_and_keeps_its_watchers)
+{
+    joined_member m;
+    watch_p(m.c);
+    play(m.c, 50, 3'000, [](int) {});
+    EXPECT_TRUE(written_members(m.c).empty());
+}
+
+TEST(coordinator, one_that_hears_only_its_own_failure_domain_evicts_nobody)
+{
+    joined_member m;
+    watch_p(m.c);
+    auto neighbour = peer_record("neighbour");
+    neighbour.domain = "d-n";
+    m.c.on_message({"q", 7},
+                   deltas{.from = joined_revision + 1,
+                          .to = joined_revision + 2,
+                          .objects = {{.name = member_object("neighbour"),
+                                       .version = joined_revision + 2,
+                                       .value = neighbour}}},
+                   at_ms(20));
+    m.c.take_effects();
+    play(m.c, 50, 3'000, [&](int ms) { m.c.note_contact("neighbour", at_ms(ms)); });
+    EXPECT_FALSE(written_members(m.c).contains(member_object("p")));
+}
+
+TEST(coordinator, one_that_hears_nobody_asks_and_the_answer_counts)
+{
+    joined_member m;
+    watch_p(m.c);
+    play(m.c, 50, 700, [](int) {});
+    EXPECT_TRUE(m.sent<pull>().empty()) << "its peers may just have nothing to say";
+    play(m.c, 750, 1'200, [](int) {});
+    auto const asked = m.sent<pull>();
+    EXPECT_TRUE(asked.contains("p"));
+    EXPECT_TRUE(asked.contains("q"));
+    // Without news the answer is empty.
+    m.c.on_message({"q", 7}, deltas{.from = joined_revision + 1}, at_ms(1'210));
+    play(m.c, 1'250, 1'500, [](int) {});
+    EXPECT_TRUE(m.sent<pull>().empty());
+}
+
+TEST(coordinator, a_question_for_changes_is_answered_though_there_are_none)
+{
+    joined_member m;
+    m.c.on_message({"p", 7}, pull{.from = joined_revision}, at_ms(20));
+    EXPECT_TRUE(m.sent<deltas>().contains("p"));
+}
+
+TEST(coordinator, one_that_was_evicted_registers_again_once_it_is_heard)
+{
+    joined_member m;
+    member_record own{.id = {"n", 5},
+                      .tenure = 5,
+                      .endpoint = "tcp://n:1",
+                      .region = "r",
+                      .domain = "d-n",
+                      .state = member_state::evicting};
+    m.c.on_message({"p", 7},
+                   deltas{.from = joined_revision,
+                          .to = joined_revision + 1,
+                          .objects = {{.name = member_object("n"),
+                                       .version = joined_revision + 1,
+                                       .value = own}}},
+                   at_ms(20));
+    ASSERT_EQ(count_of<membership_ended>(m.c.take_effects()), 1U);
+    coordinator next({.self = {"n", 6},
+                      .endpoint = "tcp://n:1",
+                      .region = "r",
+                      .domain = "d-n",
+                      .known = m.c.take_copy()});
+    next.start(at_ms(30));
+    next.tick(at_ms(35));
+    auto const effects = next.take_effects();
+    EXPECT_EQ(count_of<send_message>(effects), 2U) << "p and q are asked";
+    next.on_store_answer(list_call(effects, object_kind::configuration),
+                         store_objects{.revision = 5, .objects = {}}, at_ms(40));
+    std::vector<object> records{
+        {.name = member_object("n"), .version = joined_revision + 1, .value = own}};
+    for (auto const* node : {"p", "q"})
+        records.push_back(
+            {.name = member_object(node), .version = 3, .value = peer_record(node)});
+    next.on_store_answer(list_call(effects, object_kind::fleet),
+                         store_objects{.revision = 5, .objects = records}, at_ms(40));
+    EXPECT_TRUE(written_members(next).empty());
+    next.note_contact("q", at_ms(50));
+    EXPECT_TRUE(written_members(next).contains(member_object("n")));
+}
+
 } // namespace
 } // namespace buckthornusher
--- a/tests/fake_fleet.hpp
+++ b/tests/fake_fleet.hpp
@@ -137,6 +137,14 @@
     }
 
     std::uint64_t executions() const { return m_executions; }
+    // In which a shard that had been served was not.
+    true_time longest_gap() const
+    {
+        true_time longest{0};
+        for (auto const& entry : m_shards)
+            longest = std::max(longest, entry.second.longest_gap);
+        return longest;
+    }
     std::uint64_t store_calls() const { return m_store_calls; }
 
     // ---- for directed cases ----
@@ -199,6 +207,7 @@
         std::uint64_t highest_epoch = 0;
         std::vector<execution> running;
         true_time last_end{-1};
+        true_time longest_gap{0};
     };
 
     std::int64_t pick(std::int64_t low, std::int64_t high)
@@ -706,6 +715,8 @@
                      other.by.node + " at once");
         s.highest_epoch = std::max(s.highest_epoch, epoch);
         s.running.push_back({.by = by, .epoch = epoch});
+        if (s.last_end >= 0s)
+            s.longest_gap = std::max(s.longest_gap, m_now - s.last_end);
         s.last_end = m_now;
     }
 
