--- a/soak/callers.cpp
+++ b/soak/callers.cpp
@@ -21,6 +21,8 @@
 constexpr std::uint64_t single_orders = 12;
 constexpr std::uint64_t leaving = 5;
 constexpr std::uint64_t long_bodies = 3;
+constexpr std::uint64_t slow_reads = 4;
+constexpr std::uint64_t most_slow_work_us = 1'000'000;
 
 } // namespace
 
@@ -78,8 +80,13 @@
     auto const key = "k" + std::to_string(draw_below(m_options.keys));
     r->read_only = kind < reads || kind >= reads + orders + single_orders;
     r->wants_operation = kind >= reads && kind < reads + orders;
-    r->path = (kind < reads ? "/stands/" : !r->read_only ? "/orders/" : "/rounds/") + key;
-    r->work_us = draw_below(most_work_us);
+    bool const slow = kind < slow_reads;
+    r->path = (slow            ? "/rounds/"
+               : kind < reads  ? "/stands/"
+               : !r->read_only ? "/orders/"
+                               : "/rounds/") +
+              key;
+    r->work_us = draw_below(slow ? most_slow_work_us : most_work_us);
     if (draw_below(100) < leaving)
         r->leaves_after = std::chrono::milliseconds(1 + draw_below(20));
     if (!r->read_only)
@@ -139,6 +146,9 @@
 {
     attempt.ended = boot_now();
     attempt.end = end_of(result);
+    attempt.stopping =
+        result.has_value() &&
+        find_header(result.value().headers, "buckthornusher-reason") == "stopping";
     bool const got_operation = attempt.end == attempt_end::answered &&
                                r->wants_operation && r->operation.empty();
     if (got_operation)
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -201,6 +201,7 @@
         add(check_refusals(attempts, begins));
         add(check_answers(attempts));
         add(check_not_cut_off(attempts, m_fleet.broken_times()));
+        add(check_stops(attempts));
         add(check_versions(m_fleet.versions()));
         add(check_retries(begins, default_allowance(), m_options.nodes,
                           boot_now() - m_began));
--- a/soak/promises.cpp
+++ b/soak/promises.cpp
@@ -119,6 +119,18 @@
     return found;
 }
 
+violations check_stops(std::vector<caller_attempt> const& attempts)
+{
+    violations found;
+    for (auto const& a : attempts)
+        if (a.stopping && a.end == attempt_end::unknown)
+            found.push_back({.promise = "planned stops",
+                             .subject = a.id,
+                             .detail = "sent to node " + std::to_string(a.node) + " at " +
+                                       ms(a.sent) + ", given up at " + ms(a.ended)});
+    return found;
+}
+
 violations check_versions(std::vector<version_seen> const& seen)
 {
     std::map<std::pair<std::size_t, std::uint32_t>, std::uint64_t> highest;
--- a/soak/promises.hpp
+++ b/soak/promises.hpp
@@ -46,7 +46,8 @@
     instant sent;
     instant ended;
     attempt_end end = attempt_end::answered;
-    bool whole = true; // an answer that is the request's own
+    bool whole = true;     // an answer that is the request's own
+    bool stopping = false; // the node said that it stops
     friend bool operator==(caller_attempt const&, caller_attempt const&) = default;
 };
 
@@ -95,6 +96,8 @@
 violations check_answers(std::vector<caller_attempt> const& attempts);
 violations check_not_cut_off(std::vector<caller_attempt> const& attempts,
                              std::vector<broken_time> const& excused);
+// A node that stops answers what it has taken, or says that it has not run.
+violations check_stops(std::vector<caller_attempt> const& attempts);
 violations check_versions(std::vector<version_seen> const& seen);
 // Begins beyond the first of an attempt are repeats of the product's own.
 violations check_retries(std::vector<work_begin> const& begins,
--- a/tests/fault_soak_test.cpp
+++ b/tests/fault_soak_test.cpp
@@ -110,6 +110,16 @@
         1U);
 }
 
+TEST(promises, what_a_stopping_node_gives_up_is_reported)
+{
+    caller_attempt a{.id = "a", .end = attempt_end::unknown};
+    EXPECT_EQ(check_stops({a}).size(), 0U);
+    a.stopping = true;
+    EXPECT_EQ(check_stops({a}).size(), 1U);
+    a.end = attempt_end::refused;
+    EXPECT_EQ(check_stops({a}).size(), 0U);
+}
+
 TEST(promises, a_version_that_goes_back_is_reported)
 {
     EXPECT_EQ(
