Descriptors are watched by a set of the kernel's, not by a poll over all of them

An inner call that needs 57 ms at its upstream takes 275 ms, and its caller's slot is held meanwhile.

Change: descriptor_watch uses one epoll set, which libwebsockets' loop polls together with ZeroMQ's descriptor; the loop stays libwebsockets'. Ruled out: libwebsockets' own libuv backend (a plugin to be loaded at run time, and handles that must be closed in turns of its loop).

--- a/src/process/event_loop.cpp
+++ b/src/process/event_loop.cpp
@@ -4,12 +4,15 @@
 #include "process/boot_clock.hpp"
 
 #include <libwebsockets.h>
+#include <sys/epoll.h>
 #include <unistd.h>
 
 #include <algorithm>
+#include <array>
 #include <atomic>
 #include <csignal>
 #include <deque>
+#include <map>
 #include <stdexcept>
 #include <utility>
 #include <vector>
@@ -21,6 +24,7 @@
 {
 
 constexpr duration longest_wait = 1s;
+constexpr int events_at_once = 64;
 
 int wake_callback(lws* wsi, lws_callback_reasons reason, void* /*user*/, void* /*in*/,
                   size_t /*len*/)
@@ -32,12 +36,8 @@
     return 0;
 }
 
-int watch_callback(lws* wsi, lws_callback_reasons reason, void* user, void* in,
-                   size_t len);
-
 lws_protocols const wake_protocols[] = {
     {"wake", wake_callback, 0, 0, 0, nullptr, 0},
-    {"watch", watch_callback, 0, 0, 0, nullptr, 0},
     {nullptr, nullptr, 0, 0, 0, nullptr, 0},
 };
 
@@ -59,56 +59,20 @@
 
 } // namespace
 
-// Invariant: `wsi` is null once libwebsockets has destroyed the connection or is about
-// to; `self` keeps the state while libwebsockets can call back.
+// Invariant: `fd` is -1 once it was closed, and `loop` then has no entry for `id`.
 struct descriptor_watch::state
 {
     descriptor_watch::handlers on;
-    lws* wsi = nullptr;
+    event_loop::impl* loop = nullptr;
+    std::uint64_t id = 0;
     int fd = -1;
-    bool in_callback = false;
-    bool closing = false; // closed by its owner within a callback
-    std::shared_ptr<state> self;
-};
-
-namespace
-{
-
-int watch_callback(lws* wsi, lws_callback_reasons reason, void* /*user*/, void* /*in*/,
-                   size_t /*len*/)
-{
-    auto* raw = static_cast<descriptor_watch::state*>(lws_get_opaque_user_data(wsi));
-    if (raw == nullptr)
-        return 0;
-    auto const s = raw->self; // lives until the end of the call
-    switch (reason)
-    {
-    case LWS_CALLBACK_RAW_RX_FILE:
-        s->in_callback = true;
-        if (!s->closing)
-            s->on.readable();
-        s->in_callback = false;
-        return s->closing ? -1 : 0;
-    case LWS_CALLBACK_RAW_WRITEABLE_FILE:
-        s->in_callback = true;
-        if (!s->closing && s->on.writable)
-            s->on.writable();
-        s->in_callback = false;
-        return s->closing ? -1 : 0;
-    case LWS_CALLBACK_RAW_CLOSE_FILE:
-        lws_set_opaque_user_data(wsi, nullptr);
-        s->wsi = nullptr;
-        s->fd = -1;
-        s->self.reset();
-        if (!std::exchange(s->closing, true) && s->on.closed)
-            s->on.closed();
-        return 0;
-    default:
-        return 0;
-    }
-}
+    bool reads = true;
+    bool writes = false;
 
-} // namespace
+    void handle(std::uint32_t events);
+    void follow() const; // tells the kernel what to look for
+    void close();
+};
 
 struct event_loop::impl
 {
@@ -118,28 +82,82 @@
     timer_service timers;
     std::vector<std::function<bool()>> hooks;
     std::deque<std::function<void()>> readers; // by descriptor; addresses stay
+    // The watched descriptors stand in a set of the kernel's, and libwebsockets polls
+    // only that: its own poll costs time for each descriptor, ready or not.
+    int epoll_fd = -1;
+    std::map<std::uint64_t, std::shared_ptr<descriptor_watch::state>> watches;
+    std::uint64_t next_watch = 1;
+
+    void serve_watches();
     bool precise = false;
     std::atomic<bool> stopped{false};
 };
 
+void event_loop::impl::serve_watches()
+{
+    std::array<epoll_event, events_at_once> events{};
+    int const count = ::epoll_wait(epoll_fd, events.data(), events_at_once, 0);
+    for (int i = 0; i < count; ++i)
+    {
+        // It may have been closed by a handler of this round.
+        auto const it = watches.find(events.at(i).data.u64);
+        if (it == watches.end())
+            continue;
+        auto const keep = it->second;
+        keep->handle(events.at(i).events);
+    }
+}
+
+void descriptor_watch::state::handle(std::uint32_t events)
+{
+    if ((events & EPOLLOUT) != 0 && std::exchange(writes, false))
+    {
+        follow();
+        if (on.writable)
+            on.writable();
+    }
+    if (fd >= 0 && reads && (events & (EPOLLIN | EPOLLHUP | EPOLLERR)) != 0)
+        on.readable();
+    // Both directions are over, and nobody reads that.
+    if (fd < 0 || (events & (EPOLLHUP | EPOLLERR)) == 0)
+        return;
+    close();
+    if (on.closed)
+        on.closed();
+}
+
+void descriptor_watch::state::follow() const
+{
+    epoll_event event{};
+    event.events = (reads ? EPOLLIN : 0U) | (writes ? EPOLLOUT : 0U);
+    event.data.u64 = id;
+    ::epoll_ctl(loop->epoll_fd, EPOLL_CTL_MOD, fd, &event);
+}
+
+void descriptor_watch::state::close()
+{
+    auto const keep = loop->watches.extract(id);
+    ::epoll_ctl(loop->epoll_fd, EPOLL_CTL_DEL, fd, nullptr);
+    ::close(std::exchange(fd, -1));
+}
+
 descriptor_watch::descriptor_watch(event_loop& loop, int fd, handlers h)
     : m_state(std::make_shared<state>())
 {
-    m_state->on = std::move(h);
-    lws_sock_file_fd_type descriptor{};
-    descriptor.filefd = fd;
-    auto* wsi = lws_adopt_descriptor_vhost(
-        loop.m_impl->wake_vhost, LWS_ADOPT_RAW_FILE_DESC, descriptor, "watch", nullptr);
-    if (wsi == nullptr)
+    auto& s = *m_state;
+    s.on = std::move(h);
+    s.loop = loop.m_impl.get();
+    s.id = s.loop->next_watch++;
+    epoll_event event{};
+    event.events = EPOLLIN;
+    event.data.u64 = s.id;
+    if (::epoll_ctl(s.loop->epoll_fd, EPOLL_CTL_ADD, fd, &event) != 0)
     {
         ::close(fd);
-        m_state->closing = true;
         return;
     }
-    m_state->wsi = wsi;
-    m_state->fd = fd;
-    m_state->self = m_state;
-    lws_set_opaque_user_data(wsi, m_state.get());
+    s.fd = fd;
+    s.loop->watches.emplace(s.id, m_state);
 }
 
 descriptor_watch& descriptor_watch::operator=(descriptor_watch&& other) noexcept
@@ -151,33 +169,30 @@
 
 bool descriptor_watch::is_open() const
 {
-    return m_state != nullptr && m_state->wsi != nullptr && !m_state->closing;
+    return fd() >= 0;
 }
 
 int descriptor_watch::fd() const
 {
-    return is_open() ? m_state->fd : -1;
+    return m_state == nullptr ? -1 : m_state->fd;
 }
 
 void descriptor_watch::request_write()
 {
-    if (is_open())
-        lws_callback_on_writable(m_state->wsi);
+    if (is_open() && !std::exchange(m_state->writes, true))
+        m_state->follow();
 }
 
 void descriptor_watch::pause_reading(bool paused)
 {
-    if (is_open())
-        lws_rx_flow_control(m_state->wsi, paused ? 0 : 1);
+    if (is_open() && std::exchange(m_state->reads, !paused) == paused)
+        m_state->follow();
 }
 
 void descriptor_watch::close()
 {
-    if (!is_open())
-        return;
-    m_state->closing = true;
-    if (!m_state->in_callback)
-        lws_set_timeout(m_state->wsi, PENDING_TIMEOUT_USER_OK, LWS_TO_KILL_SYNC);
+    if (is_open())
+        m_state->close();
 }
 
 event_loop::event_loop() : m_impl(std::make_unique<impl>())
@@ -199,10 +214,16 @@
     vhost.vhost_name = "wake";
     vhost.protocols = wake_protocols;
     m_impl->wake_vhost = lws_create_vhost(m_impl->context, &vhost);
+    m_impl->epoll_fd = ::epoll_create1(EPOLL_CLOEXEC);
+    if (m_impl->epoll_fd < 0 ||
+        !wake_on(m_impl->epoll_fd, [impl = m_impl.get()] { impl->serve_watches(); }))
+        throw std::runtime_error("event loop: cannot watch descriptors");
 }
 
 event_loop::~event_loop()
 {
+    for (auto const& entry : m_impl->watches)
+        ::close(std::exchange(entry.second->fd, -1));
     lws_sul_cancel(&m_impl->wake.sul);
     lws_context_destroy(m_impl->context);
 }
--- a/src/process/event_loop.hpp
+++ b/src/process/event_loop.hpp
@@ -49,7 +49,7 @@
     void pause_reading(bool paused);
     void close();
 
-    struct state; // shared with libwebsockets' callback
+    struct state; // shared with the loop
 
 private:
     std::shared_ptr<state> m_state;
@@ -86,9 +86,9 @@
 
 private:
     friend class descriptor_watch;
+    struct impl;
     void run_hooks();
 
-    struct impl;
     std::unique_ptr<impl> m_impl;
 };
 
