--- a/src/process/agent.cpp
+++ b/src/process/agent.cpp
@@ -41,7 +41,7 @@
 agent::agent(event_loop& loop, coordinator& coord, agent_options opts)
     : m_loop(loop), m_coordinator(&coord), m_options(opts), m_started(boot_now()),
       m_operations({.since = boot_now()}), m_sampler(sampled_per_second),
-      m_random(std::random_device{}())
+      m_random(std::random_device{}()), m_lag(opts.tick_period)
 {
 }
 
@@ -523,6 +523,7 @@
 
 void agent::tick(instant now)
 {
+    m_lag.on_turn(now);
     on_replica_changed(now); // the lease may have been renewed
     auto const waiting = m_waiting;
     for (auto const id : waiting)
--- a/src/process/agent.hpp
+++ b/src/process/agent.hpp
@@ -21,6 +21,7 @@
 #include "buckthornusher/upstream_queue.hpp"
 #include "connection/http_client.hpp"
 #include "connection/upstream_form.hpp"
+#include "process/loop_lag.hpp"
 #include "process/request_trail.hpp"
 #include "version/route_table.hpp"
 
@@ -86,6 +87,7 @@
     duration report_interval = 1s;   // at which upstreams report
     duration drain_limit = 30s;      // an upstream that leaves gets nothing new after it
     std::uint32_t connections = 110; // to an upstream that does not say how many it takes
+    duration tick_period = 20ms;     // between calls of tick()
 };
 
 class agent
@@ -128,6 +130,8 @@
     bool upstreams_ended() const;
 
     std::optional<upstream_load> load(std::string const& service, instant now) const;
+    // How far this process is behind its work.
+    duration lag() const { return m_lag.value(); }
     // What keyed services were asked for since the last call.
     std::vector<load_report> take_load_reports(instant now);
 
@@ -204,6 +208,7 @@
     request_sampler m_sampler;
     std::mt19937_64 m_random;
     order_id m_next_id = 1;
+    loop_lag m_lag;
     std::optional<planned_stop> m_stop;
     bool m_closing = false;
 };
--- a/src/process/operator_api.cpp
+++ b/src/process/operator_api.cpp
@@ -250,6 +250,7 @@
     m.set("configuration_version", m_parts.requests.config_number());
     auto const lease_left = std::max(coord.lease_until() - now, duration{0});
     m.set("lease_left_ms", static_cast<std::uint64_t>(lease_left / 1ms));
+    m.set("loop_lag_ms", static_cast<std::uint64_t>(m_parts.local.lag() / 1ms));
     if (routes != nullptr)
         for (auto const& service : routes->source().services)
             if (auto const load = m_parts.local.load(service.name, now))
--- a/tests/process_test.sh
+++ b/tests/process_test.sh
@@ -90,7 +90,7 @@
 check "the status command prints the fleet" \
   grep -q "lj-moste" <("$build_dir/buckthornusher" status --node 127.0.0.1:29011)
 for metric in requests_total latency_seconds_count configuration_version lease_left_ms \
-  upstream_slots upstream_waiting log_lines_total log_lines_limited_total; do
+  upstream_slots upstream_waiting loop_lag_ms log_lines_total log_lines_limited_total; do
   check "the metrics tell $metric" grep -q "^buckthornusher_$metric" \
     <(curl -s -m 5 127.0.0.1:29011/metrics)
 done
--- a/tests/request_parts_test.cpp
+++ b/tests/request_parts_test.cpp
@@ -2,6 +2,7 @@
 // operations and the clock that bounds the age of requests.
 #include "buckthornusher/operation_table.hpp"
 #include "buckthornusher/request_clock.hpp"
+#include "process/loop_lag.hpp"
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
@@ -145,6 +146,24 @@
 
 // Whatever the clocks' offsets and drifts, the stamp is never later than the receiver's
 // clock at the sending, so a deadline computed from it is never later than meant.
+TEST(loop_lag, is_the_worst_lateness_of_the_latest_turns)
+{
+    constexpr instant start{100s};
+    loop_lag lag(20ms);
+    lag.on_turn(start);
+    lag.on_turn(start + 20ms);
+    EXPECT_EQ(lag.value(), 0ms);
+    lag.on_turn(start + 340ms);
+    EXPECT_EQ(lag.value(), 300ms);
+    lag.on_turn(start + 360ms);
+    EXPECT_EQ(lag.value(), 240ms);
+    lag.on_turn(start + 780ms);
+    EXPECT_EQ(lag.value(), 400ms);
+    for (int turn = 1; turn <= 50; ++turn)
+        lag.on_turn(start + 780ms + turn * 20ms);
+    EXPECT_LT(lag.value(), 1ms);
+}
+
 RC_GTEST_PROP(request_clock, a_stamp_is_never_ahead_of_the_receiver, ())
 {
     request_clock clock({});
