A stop's end gives every order its last answer, and begins none

Cause: the end of a stop (callers have had their time, nothing is in work) ended callers' requests only. The agent went on taking peers' orders for the last 0.3 s; peers' orders in work got no answer; cancelling what ran let later orders of the queue start, to be given up a moment later; what waited in the queue and had not run was told as unknown. The stop also counted from when the loop noticed the signal. A single refusal by a stopping node forgot that peer's clock, though it still takes what ends in time; only its goodbye does so now.

Change: begin_ending() takes and sends nothing more, finish_all() answers peers, withdraw() takes an order back that has not been sent, so that its caller learns that it has not run.

Ruled out: closing the agent with begin_closing() only, as it starts what is queued.

--- a/src/process/agent.cpp
+++ b/src/process/agent.cpp
@@ -307,6 +307,8 @@
 
 void agent::start_queued(link& l, instant now)
 {
+    if (m_ending)
+        return;
     while (auto const id = l.queue.start_next(now))
         if (auto* w = find(*id))
             start(*w, now);
@@ -496,6 +498,42 @@
     finish(*w, order_refused{.why = reason::deadline});
 }
 
+bool agent::withdraw(order_id id)
+{
+    auto* w = find(id);
+    if (w == nullptr || w->at == work::state::running)
+        return false;
+    if (w->at == work::state::queued)
+        w->backend->queue.cancel(id);
+    w->done = nullptr;
+    finish(*w, order_refused{.why = reason::stopping});
+    return true;
+}
+
+void agent::begin_ending()
+{
+    m_closing = true;
+    m_ending = true;
+}
+
+void agent::finish_all()
+{
+    std::vector<order_id> all;
+    for (auto const& entry : m_works)
+        all.push_back(entry.first);
+    for (auto const id : all)
+    {
+        auto* w = find(id);
+        if (w == nullptr)
+            continue;
+        if (w->at == work::state::running)
+            finish(*w, order_unknown{.why = reason::stopping});
+        else
+            finish(*w, order_refused{.why = reason::stopping,
+                                     .retry_after = agent_wait_retry});
+    }
+}
+
 // ---- versions and time ----
 
 void agent::set_routes(std::shared_ptr<route_table const> routes)
--- a/src/process/agent.hpp
+++ b/src/process/agent.hpp
@@ -108,6 +108,9 @@
     // is cancelled; another goes on, so that its answer can be kept.
     void cancel(order_id id);
 
+    // Takes an order back that has not been sent. False: it may have begun.
+    bool withdraw(order_id id);
+
     // ---- the upstreams' lives ----
 
     struct report_answer
@@ -149,6 +152,10 @@
     void begin_stopping(planned_stop const& stop) { m_stop = stop; }
     // From now on nothing new is taken; what waits is refused.
     void begin_closing();
+    // From now on nothing new is taken, and what waits is not sent any more.
+    void begin_ending();
+    // Ends all orders: what has been sent may run.
+    void finish_all();
 
     std::size_t unfinished() const { return m_works.size(); }
     operation_table& operations() { return m_operations; }
@@ -211,6 +218,7 @@
     loop_lag m_lag;
     std::optional<planned_stop> m_stop;
     bool m_closing = false;
+    bool m_ending = false;
 };
 
 } // namespace buckthornusher
--- a/src/process/ingress.cpp
+++ b/src/process/ingress.cpp
@@ -503,8 +503,6 @@
     auto result = decode(in);
     if (auto const* refused = std::get_if<order_refused>(&result))
     {
-        if (refused->why == reason::stopping)
-            m_table.on_goodbye(node);
         if (refused->why == reason::stale)
             m_table.forget_clock(node);
         else
@@ -802,11 +800,15 @@
         auto* f = find(id);
         if (f == nullptr)
             continue;
-        cancel_sending(*f);
-        if (f->sent_to.empty() && !f->local)
+        bool const unsent =
+            f->sent_to.empty() && (!f->local || m_agent.withdraw(*f->local));
+        if (unsent)
+        {
             refuse(*f, reason::stopping, stopping_retry());
-        else
-            give_up(*f, reason::stopping);
+            continue;
+        }
+        cancel_sending(*f);
+        give_up(*f, reason::stopping);
     }
 }
 
--- a/src/process/node.cpp
+++ b/src/process/node.cpp
@@ -217,6 +217,7 @@
     std::uint64_t config_number = 0;
     std::uint64_t config_refused = 0; // the version of a document that was refused
     std::atomic<int> stops{0};
+    std::atomic<std::uint64_t> stop_asked_us{0}; // of boot_now(), at the first request
     std::atomic<bool> reload_asked{false};
     instant next_reload;
     std::optional<planned_stop> stop; // once it was asked for
@@ -601,7 +602,7 @@
         if (stops == 0 || ending)
             return;
         if (!stop)
-            begin_stop(now);
+            begin_stop(from_micros(stop_asked_us), now);
         bool const idle = requests.unfinished() == 0 && local.unfinished() == 0;
         switch (stop->phase({.left = left, .idle = idle, .times_asked = stops}, now))
         {
@@ -614,11 +615,13 @@
         }
     }
 
-    void begin_stop(instant now)
+    // It counts from the signal, which the loop may have noticed late.
+    void begin_stop(instant asked, instant now)
     {
-        stop.emplace(stop_options(), now);
+        stop.emplace(stop_options(), asked);
         log_event(log_level::info, "stopping",
                   {{"leaves", stop->leaves() ? "yes" : "no"},
+                   {"asked_before_ms", in_ms(now - asked)},
                    {"grace_ms", in_ms(settings.grace)},
                    {"requests", std::to_string(requests.unfinished())},
                    {"orders", std::to_string(local.unfinished())}});
@@ -653,7 +656,9 @@
                    {"requests", std::to_string(requests.unfinished())},
                    {"orders", std::to_string(local.unfinished())}});
         say_goodbye();
+        local.begin_ending();
         requests.finish_all();
+        local.finish_all();
         loop.timers().at(now + stop_grace, [this](instant) { loop.stop(); });
     }
 
@@ -703,6 +708,8 @@
 
 void node::request_stop()
 {
+    if (m_impl->stops == 0)
+        m_impl->stop_asked_us = to_micros(boot_now());
     ++m_impl->stops;
 }
 
