A member whose only other failure domain is lost goes on, and joins again though nobody is heard

What callers would see: with two failure domains and one of them lost, the survivors heard nobody outside of theirs, took themselves for cut off and evicted nobody for 5 s. One that had been evicted by members that are gone for good waited for a contact for ever.

Cause: silence was read as one's own cut also where the only other domain may have gone; the wait for a contact after an eviction had no end.

Change: with fewer than two other domains all members count as contacts; the wait ends after 15 s.

Before: survivors_of_one_of_two_domains_go_on_in_time and one_that_was_evicted_does_not_wait_for_ever fail on.

--- a/src/coordination/coordinator.cpp
+++ b/src/coordination/coordinator.cpp
@@ -434,10 +434,10 @@
     auto& last = m_impl->last_contact;
     if ((last && now - *last < grain) || !m_impl->is_far(peer))
         return;
-    bool const waited = m_impl->waits_for_contact();
+    bool const waited = m_impl->waits_for_contact(now);
     last = now;
-    if (waited)
-        m_impl->register_if_listed(now);
+    if (waited && m_impl->at == impl::phase::listing)
+        m_impl->register_self(now);
 }
 
 void coordinator::on_store_answer(std::uint64_t call_id, store_answer const& answer,
--- a/src/coordination/coordinator_impl.hpp
+++ b/src/coordination/coordinator_impl.hpp
@@ -216,14 +216,15 @@
     // watches, replace its watchers as soon as they are about to evict it, and come back
     // in a new incarnation once they have, each time with shards that it cannot serve.
 
-    // Live members outside of this one's failure domain, or all if there are none.
+    // Live members outside of this one's failure domain, or all others if there are less
+    // than two other domains.
     std::vector<member_id> const& far_members();
     bool is_far(std::string const& node);
     // No member outside of the failure domain was heard for a while. After a long one
     // this member takes itself for the only one left.
     bool seems_cut_off(instant now);
-    // It was evicted, and may still be cut off.
-    bool waits_for_contact();
+    // It was evicted, and may still be cut off. Not for ever.
+    bool waits_for_contact(instant now);
     // Asks some members, in turn, so that one that can be reached is heard.
     void probe_members(instant now);
 
--- a/src/coordination/coordinator_membership.cpp
+++ b/src/coordination/coordinator_membership.cpp
@@ -4,6 +4,8 @@
 #include "coordination/roles.hpp"
 
 #include <algorithm>
+#include <set>
+#include <string>
 #include <utility>
 
 namespace buckthornusher
@@ -19,6 +21,10 @@
 constexpr std::size_t probed_at_once = 3;
 // Others have evicted a member that is cut off by then, if there are any.
 constexpr duration longest_isolation = 5s;
+// Whoever was evicted and has heard nobody for so long joins again all the same: those
+// who evicted it may be gone for good.
+constexpr duration longest_unheard = 15s;
+constexpr std::size_t least_far_domains = 2;
 } // namespace
 
 void coordinator::impl::end_membership(bool planned)
@@ -40,7 +46,7 @@
     // The same name elsewhere: that member has to be ended by those who watch it.
     if (!over && before->endpoint != opts.endpoint)
         return;
-    if (writer.busy(name) || waits_for_contact())
+    if (writer.busy(name) || waits_for_contact(now))
         return;
     member_record self{.id = opts.self,
                        .tenure = opts.self.incarnation,
@@ -152,12 +158,21 @@
         return far;
     far_generation = copy.member_generation();
     far.clear();
-    std::vector<member_id> near;
+    std::vector<member_id> all;
+    std::set<std::string> domains;
     for (auto const& [id, m] : copy.members())
-        if (m.state == member_state::live && id.node != opts.self.node)
-            (m.domain == opts.domain ? near : far).push_back(id);
-    if (far.empty())
-        far = std::move(near);
+    {
+        if (m.state != member_state::live || id.node == opts.self.node)
+            continue;
+        all.push_back(id);
+        if (m.domain == opts.domain)
+            continue;
+        far.push_back(id);
+        domains.insert(m.domain);
+    }
+    // The silence of a single domain may be its own loss.
+    if (domains.size() < least_far_domains)
+        far = std::move(all);
     return far;
 }
 
@@ -175,14 +190,15 @@
            !far_members().empty();
 }
 
-bool coordinator::impl::waits_for_contact()
+bool coordinator::impl::waits_for_contact(instant now)
 {
-    return resumed && !last_contact && !far_members().empty();
+    return resumed && !last_contact && now - started < longest_unheard &&
+           !far_members().empty();
 }
 
 void coordinator::impl::probe_members(instant now)
 {
-    if (now < next_probe || !(waits_for_contact() || seems_cut_off(now)))
+    if (now < next_probe || !(waits_for_contact(now) || seems_cut_off(now)))
         return;
     next_probe = now + probe_interval;
     auto const& asked = far_members();
--- a/tests/coordinator_property_test.cpp
+++ b/tests/coordinator_property_test.cpp
@@ -181,6 +181,27 @@
                 }
 }
 
+// With a single other domain its silence may be its own loss.
+TEST(coordinator_property, survivors_of_one_of_two_domains_go_on_in_time)
+{
+    constexpr true_time target = 5s;
+    for (std::uint64_t seed = 1; seed <= 20; ++seed)
+    {
+        fake_fleet fleet({.members = 6,
+                          .domains = 2,
+                          .regions = 1,
+                          .seed = seed,
+                          .faults_end = 16s,
+                          .end = 20s});
+        EXPECT_EQ(fleet.run({fault_at(fault::kill, 8'000, 1, 20'000),
+                             fault_at(fault::kill, 8'000, 3, 20'000),
+                             fault_at(fault::kill, 8'000, 5, 20'000)}),
+                  std::nullopt)
+            << "seed " << seed;
+        EXPECT_LE(fleet.longest_gap().count(), target.count()) << "seed " << seed;
+    }
+}
+
 RC_GTEST_PROP(coordinator_property, six_members_in_four_domains, ())
 {
     check_case({.members = 6, .domains = 4});
--- a/tests/coordinator_test.cpp
+++ b/tests/coordinator_test.cpp
@@ -269,44 +269,88 @@
     EXPECT_TRUE(m.sent<deltas>().contains("p"));
 }
 
+// The next incarnation in the process of a member that was evicted; the lists of the
+// store have come.
+struct evicted_member
+{
+    evicted_member()
+        : next({.self = {"n", 6},
+                .endpoint = "tcp://n:1",
+                .region = "r",
+                .domain = "d-n",
+                .known = evict()})
+    {
+        next.start(at_ms(30));
+        next.tick(at_ms(35));
+        auto const effects = next.take_effects();
+        asked = count_of<send_message>(effects);
+        next.on_store_answer(list_call(effects, object_kind::configuration),
+                             store_objects{.revision = 5, .objects = {}}, at_ms(40));
+        next.on_store_answer(list_call(effects, object_kind::fleet),
+                             store_objects{.revision = 5, .objects = records()},
+                             at_ms(40));
+    }
+
+    static object own_record()
+    {
+        return {.name = member_object("n"),
+                .version = joined_revision + 1,
+                .value = member_record{.id = {"n", 5},
+                                       .tenure = 5,
+                                       .endpoint = "tcp://n:1",
+                                       .region = "r",
+                                       .domain = "d-n",
+                                       .state = member_state::evicting}};
+    }
+
+    static std::vector<object> records()
+    {
+        std::vector<object> all{own_record()};
+        for (auto const* node : {"p", "q"})
+            all.push_back(
+                {.name = member_object(node), .version = 3, .value = peer_record(node)});
+        return all;
+    }
+
+    static replica evict()
+    {
+        joined_member m;
+        m.c.on_message({"p", 7},
+                       deltas{.from = joined_revision,
+                              .to = joined_revision + 1,
+                              .objects = {own_record()}},
+                       at_ms(20));
+        EXPECT_EQ(count_of<membership_ended>(m.c.take_effects()), 1U);
+        return m.c.take_copy();
+    }
+
+    bool registers() { return written_members(next).contains(member_object("n")); }
+
+    coordinator next;
+    std::size_t asked = 0;
+};
+
 TEST(coordinator, one_that_was_evicted_registers_again_once_it_is_heard)
 {
-    joined_member m;
-    member_record own{.id = {"n", 5},
-                      .tenure = 5,
-                      .endpoint = "tcp://n:1",
-                      .region = "r",
-                      .domain = "d-n",
-                      .state = member_state::evicting};
-    m.c.on_message({"p", 7},
-                   deltas{.from = joined_revision,
-                          .to = joined_revision + 1,
-                          .objects = {{.name = member_object("n"),
-                                       .version = joined_revision + 1,
-                                       .value = own}}},
-                   at_ms(20));
-    ASSERT_EQ(count_of<membership_ended>(m.c.take_effects()), 1U);
-    coordinator next({.self = {"n", 6},
-                      .endpoint = "tcp://n:1",
-                      .region = "r",
-                      .domain = "d-n",
-                      .known = m.c.take_copy()});
-    next.start(at_ms(30));
-    next.tick(at_ms(35));
-    auto const effects = next.take_effects();
-    EXPECT_EQ(count_of<send_message>(effects), 2U) << "p and q are asked";
-    next.on_store_answer(list_call(effects, object_kind::configuration),
-                         store_objects{.revision = 5, .objects = {}}, at_ms(40));
-    std::vector<object> records{
-        {.name = member_object("n"), .version = joined_revision + 1, .value = own}};
-    for (auto const* node : {"p", "q"})
-        records.push_back(
-            {.name = member_object(node), .version = 3, .value = peer_record(node)});
-    next.on_store_answer(list_call(effects, object_kind::fleet),
-                         store_objects{.revision = 5, .objects = records}, at_ms(40));
-    EXPECT_TRUE(written_members(next).empty());
-    next.note_contact("q", at_ms(50));
-    EXPECT_TRUE(written_members(next).contains(member_object("n")));
+    evicted_member m;
+    EXPECT_EQ(m.asked, 2U) << "p and q are asked";
+    EXPECT_FALSE(m.registers());
+    m.next.note_contact("q", at_ms(50));
+    EXPECT_TRUE(m.registers());
+}
+
+TEST(coordinator, one_that_was_evicted_does_not_wait_for_ever)
+{
+    evicted_member m;
+    constexpr int long_after_ms = 16'000;
+    m.next.tick(at_ms(long_after_ms)); // asks for the list again
+    m.next.tick(at_ms(long_after_ms + 1));
+    auto const effects = m.next.take_effects();
+    m.next.on_store_answer(
+        list_call(effects, object_kind::fleet),
+        store_objects{.revision = 5, .objects = evicted_member::records()},
+        at_ms(long_after_ms + 5));
+    EXPECT_TRUE(m.registers());
 }
 
 } // namespace
