Watchers that cannot be a majority are worth replacing

Cause: watchers are replaced only if the new set is worth more than the old one by the sum over its live members. One live watcher of three, and the one other member, are worth the same, so nothing changed, though one of three is no majority and gives no lease.

Change: a set without a live majority is worth nothing. Ruled out: lowering the margin for a change, which would make all sets change more often.

--- a/src/coordination/roles.cpp
+++ b/src/coordination/roles.cpp
@@ -98,16 +98,19 @@
 {
     constexpr int per_watcher = 100;
     int value = 0;
+    std::size_t able = 0;
     std::set<std::string> domains;
     for (auto const& id : watchers)
     {
         auto const* m = copy.member(id);
         if (m == nullptr || !live(*m) || contains(suspects, id))
             continue;
+        ++able;
         value += per_watcher - watcher_cost(self, *m, domains);
         domains.insert(m->domain);
     }
-    return value;
+    // Without a majority there is no lease.
+    return watchers.empty() || able < majority_of(watchers.size()) ? 0 : value;
 }
 
 bool is_listener(replica const& copy, member_record const& self, object_kind kind)
--- a/tests/coordinator_property_test.cpp
+++ b/tests/coordinator_property_test.cpp
@@ -202,6 +202,20 @@
     }
 }
 
+// Watchers that cannot be a majority any more are replaced, though there is only one
+// left.
+TEST(coordinator_property, two_members_that_are_left_get_leases)
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed)
+    {
+        fake_fleet fleet({.members = 4, .domains = 4, .seed = seed, .end = 30s});
+        EXPECT_EQ(fleet.run({fault_at(fault::kill, 8'000, 2, 60'000),
+                             fault_at(fault::kill, 11'000, 3, 60'000)}),
+                  std::nullopt)
+            << "seed " << seed;
+    }
+}
+
 RC_GTEST_PROP(coordinator_property, six_members_in_four_domains, ())
 {
     check_case({.members = 6, .domains = 4});
