An unfenced upstream is waited for though its owner has joined again

9403 n5/2 evicting 9755 gone 9905 live again as tenure 10 9948 the keeper gives shard 10 of n5/2 to n4, 0.19 s after its end; the wait is 1.05 s 9997 both run it

Cause: a keeper counted the wait from when it saw the record of the tenure as gone. One that missed that version and learnt of the later tenure at once knew that the earlier one is over, and had no time for it, so it did not wait at all. Older code has the same fault; news came late enough to hide it.

Change: the keeper takes the time for each owner of a shard whose tenure is over, from when it first sees that, whatever record shows it. Ruled out: the time of the eviction's end itself (the lease was over before 9755), and the length of the wait.

Before: an_unfenced_upstream_is_waited_for_though_its_owner_has_joined_again fails.

--- a/src/coordination/coordinator_chunks.cpp
+++ b/src/coordination/coordinator_chunks.cpp
@@ -23,13 +23,23 @@
 constexpr std::size_t load_keepers = 2; // of a chunk that are told
 } // namespace
 
-std::set<owner_id> coordinator::impl::held_owners(instant now) const
+std::set<owner_id> coordinator::impl::held_owners(instant now)
 {
     std::set<owner_id> held;
-    if (opts.unfenced_wait > 0us)
-        for (auto const& [id, since] : gone_since)
+    if (opts.unfenced_wait == 0us)
+        return held;
+    for (auto const& service : opts.services)
+        for (std::uint32_t shard = 0; shard < service.shards; ++shard)
+        {
+            auto const* a = copy.find_assignment({service.name, shard});
+            if (a == nullptr || !copy.is_over(a->owner))
+                continue;
+            // Of a node that has joined again the record that was gone may not have been
+            // seen here.
+            auto const since = gone_since.try_emplace(a->owner, now).first->second;
             if (now - since < opts.unfenced_wait)
-                held.insert(id);
+                held.insert(a->owner);
+        }
     return held;
 }
 
--- a/src/coordination/coordinator_impl.hpp
+++ b/src/coordination/coordinator_impl.hpp
@@ -89,7 +89,7 @@
 
     std::map<member_id, eviction_work> evictions;
     std::map<member_id, instant> first_seen; // members in the replica
-    std::map<owner_id, instant> gone_since;  // tenures that are over, if still known
+    std::map<owner_id, instant> gone_since;  // tenures seen here to be over
     instant last_membership_change;
     instant last_planned_move;
 
@@ -263,8 +263,8 @@
 
     // ---- chunks ----
 
-    // Gone owners whose upstreams may still run a request.
-    std::set<owner_id> held_owners(instant now) const;
+    // Owners of shards that are gone and whose upstreams may still run a request.
+    std::set<owner_id> held_owners(instant now);
 
     // This member's places among the keepers of chunks, by chunk object.
     void refresh_roles();
--- a/tests/coordinator_test.cpp
+++ b/tests/coordinator_test.cpp
@@ -117,7 +117,14 @@
 // A member of one region with the peers p and q, as of `joined_revision`.
 struct joined_member
 {
-    joined_member()
+    explicit joined_member(std::vector<keyed_service> services = {},
+                           duration unfenced_wait = 0us)
+        : c({.self = {"n", 5},
+             .endpoint = "tcp://n:1",
+             .region = "r",
+             .domain = "d-n",
+             .services = std::move(services),
+             .unfenced_wait = unfenced_wait})
     {
         c.start(at_ms(0));
         auto const effects = c.take_effects();
@@ -149,8 +156,7 @@
         return found;
     }
 
-    coordinator c{
-        {.self = {"n", 5}, .endpoint = "tcp://n:1", .region = "r", .domain = "d-n"}};
+    coordinator c;
 };
 
 // The new owner of a moved shard has missed the news of the move; a request of a member
@@ -167,8 +173,6 @@
     EXPECT_TRUE(m.sent<pull>().empty()) << "asked a moment ago";
 }
 
-// ---- cut off, with the store in reach ----
-
 // Plays ticks from `from` on; `each` is called before each of them.
 template <class Function>
 void play(coordinator& c, int from_ms, int until_ms, Function const& each)
@@ -181,8 +185,8 @@
     }
 }
 
-// The members whose records were to be written since the last call.
-std::set<std::string> written_members(coordinator& c)
+// The names of the objects that were to be written since the last call.
+std::set<std::string> written_objects(coordinator& c)
 {
     std::set<std::string> names;
     for (auto const& e : c.take_effects())
@@ -192,6 +196,35 @@
     return names;
 }
 
+// p's earlier tenure owns the shard, and the record in which it was gone was missed: p
+// has joined again since, which is news here.
+TEST(coordinator, an_unfenced_upstream_is_waited_for_though_its_owner_has_joined_again)
+{
+    joined_member m({{.name = "orders", .shards = 1}}, 1s);
+    auto again = peer_record("p");
+    again.id.incarnation = again.tenure = 9;
+    again.watchers = {{"q", 7}};
+    again.targets = {{.service = "orders", .slots = 1}};
+    auto const to = joined_revision + 3;
+    m.c.on_message(
+        {"q", 7},
+        deltas{.from = joined_revision,
+               .to = to,
+               .objects = {{.name = chunk_object("orders", 0),
+                            .version = joined_revision + 1,
+                            .value = chunk_record{.service = "orders",
+                                                  .assignments = {{.owner = {"p", 7},
+                                                                   .epoch = 1}}}},
+                           {.name = member_object("p"), .version = to, .value = again}}},
+        at_ms(2'000));
+    play(m.c, 2'000, 2'950, [](int) {});
+    EXPECT_FALSE(written_objects(m.c).contains(chunk_object("orders", 0)));
+    play(m.c, 3'000, 5'000, [](int) {});
+    EXPECT_TRUE(written_objects(m.c).contains(chunk_object("orders", 0)));
+}
+
+// ---- cut off, with the store in reach ----
+
 // p is watched by n.
 void watch_p(coordinator& c)
 {
@@ -217,7 +250,7 @@
              if (ms % 500 == 0)
                  m.c.note_contact("q", at_ms(ms));
          });
-    EXPECT_TRUE(written_members(m.c).contains(member_object("p")));
+    EXPECT_TRUE(written_objects(m.c).contains(member_object("p")));
 }
 
 TEST(coordinator, one_that_hears_nobody_evicts_nobody_and_keeps_its_watchers)
@@ -225,7 +258,7 @@
     joined_member m;
     watch_p(m.c);
     play(m.c, 50, 3'000, [](int) {});
-    EXPECT_TRUE(written_members(m.c).empty());
+    EXPECT_TRUE(written_objects(m.c).empty());
 }
 
 TEST(coordinator, one_that_hears_only_its_own_failure_domain_evicts_nobody)
@@ -243,7 +276,7 @@
                    at_ms(20));
     m.c.take_effects();
     play(m.c, 50, 3'000, [&](int ms) { m.c.note_contact("neighbour", at_ms(ms)); });
-    EXPECT_FALSE(written_members(m.c).contains(member_object("p")));
+    EXPECT_FALSE(written_objects(m.c).contains(member_object("p")));
 }
 
 TEST(coordinator, one_that_hears_nobody_asks_and_the_answer_counts)
@@ -324,7 +357,7 @@
         return m.c.take_copy();
     }
 
-    bool registers() { return written_members(next).contains(member_object("n")); }
+    bool registers() { return written_objects(next).contains(member_object("n")); }
 
     coordinator next;
     std::size_t asked = 0;
