A late confirmation of an earlier release does not undo the later one

What callers would see: a shard without an owner for good. Its owner had released epoch 4 for a move and never told it.

Cause: two moves of one shard follow each other within milliseconds (the first was called off as its successor was evicted); the confirmations that its operations had been handed over came the other way round, and the table of confirmed releases kept the last that came, not the latest. The daemon's shard_handover confirms one at a time, so it shows there only if the library is embedded otherwise; the keepers' table had the same form, where a repeat healed it.

Change: note_release keeps the release of the latest epoch, in both tables.

--- a/src/coordination/coordinator.cpp
+++ b/src/coordination/coordinator.cpp
@@ -265,7 +265,7 @@
     {
         auto const* a = copy.find_assignment(r.shard);
         if (a != nullptr && a->epoch <= r.epoch)
-            announced[r.shard] = {.epoch = r.epoch, .handover = r.handover};
+            note_release(announced, r);
     }
     next_plan = now;
     keep_chunks(now);
@@ -574,8 +574,7 @@
 
 void coordinator::confirm_release(shard_release const& release, instant now)
 {
-    m_impl->confirmed[release.shard] = {.epoch = release.epoch,
-                                        .handover = release.handover};
+    note_release(m_impl->confirmed, release);
     m_impl->next_release_send = now;
     m_impl->send_releases(now);
 }
--- a/src/coordination/steward.cpp
+++ b/src/coordination/steward.cpp
@@ -119,6 +119,13 @@
     return input;
 }
 
+void note_release(release_table& releases, shard_release const& release)
+{
+    auto& noted = releases[release.shard];
+    if (release.epoch >= noted.epoch)
+        noted = {.epoch = release.epoch, .handover = release.handover};
+}
+
 std::optional<chunk_record>
 next_chunk(replica const& copy, keyed_service const& service, std::uint32_t first_shard,
            std::vector<plan_change> const& changes, release_table const& releases,
--- a/src/coordination/steward.hpp
+++ b/src/coordination/steward.hpp
@@ -29,6 +29,9 @@
 };
 using release_table = std::map<shard_id, noted_release>;
 
+// Releases may be heard of out of order: the table keeps that of the latest epoch.
+void note_release(release_table& releases, shard_release const& release);
+
 // What owners have reported of a service lately.
 struct service_load
 {
--- a/tests/coordinator_test.cpp
+++ b/tests/coordinator_test.cpp
@@ -223,6 +223,34 @@
     EXPECT_TRUE(written_objects(m.c).contains(chunk_object("orders", 0)));
 }
 
+// n owns the shard and is to give it to the successor.
+deltas move_away(std::uint64_t version, std::uint64_t epoch, owner_id const& successor)
+{
+    return {
+        .from = version - 1,
+        .to = version,
+        .objects = {{.name = chunk_object("orders", 0),
+                     .version = version,
+                     .value = chunk_record{.service = "orders",
+                                           .assignments = {{.owner = {"n", 5},
+                                                            .epoch = epoch,
+                                                            .successor = successor}}}}}};
+}
+
+TEST(coordinator, a_late_confirmation_of_an_earlier_release_does_not_undo_the_later_one)
+{
+    joined_member m({{.name = "orders", .shards = 1}});
+    m.c.on_message({"q", 7}, move_away(joined_revision + 1, 3, {"p", 7}), at_ms(10));
+    m.c.on_message({"q", 7}, move_away(joined_revision + 2, 4, {"q", 7}), at_ms(11));
+    m.c.confirm_release({.shard = {"orders", 0}, .epoch = 4}, at_ms(12));
+    m.c.take_effects();
+    m.c.confirm_release({.shard = {"orders", 0}, .epoch = 3}, at_ms(13));
+    play(m.c, 1'000, 3'000, [](int) {});
+    auto const told = m.sent<released>();
+    ASSERT_FALSE(told.empty()) << "the release is told until the shard has moved";
+    EXPECT_EQ(told.begin()->second.shards.at(0).epoch, 4U);
+}
+
 // ---- cut off, with the store in reach ----
 
 // p is watched by n.
