Tests of sockets listen where nobody else does

http_client.an_answer_to_another_request_is_never_delivered ended with a segmentation fault after 5.0 s, once, while copies of process_test ran on other ports (22000 to 26999). Its port, drawn from the process's id, belonged to another server, which took the connection and never answered; the test then read the value of a call that had timed out. Shown by a listener put on that port beforehand: the same test, the same 5 s, the same end. The product has no part in it.

Change: free_address() takes the first port at which it can listen; http_test and agent_test share it. After: all tests of http_test pass with a listener on the port that was drawn.

--- a/tests/agent_test.cpp
+++ b/tests/agent_test.cpp
@@ -1,14 +1,13 @@
 // An agent beside an upstream, with real sockets on loopback: what a planned stop does to
 // the orders that it has, and to those that still come.
 #include "connection/http_server.hpp"
+#include "free_port.hpp"
 #include "process/agent.hpp"
 #include "process/boot_clock.hpp"
 #include "process/event_loop.hpp"
 
 #include <gtest/gtest.h>
 
-#include <unistd.h>
-
 namespace buckthornusher
 {
 namespace
@@ -19,7 +18,7 @@
 {
 protected:
     stopping_agent()
-        : upstream(loop, {.address = {.ip = "127.0.0.1", .port = port()}},
+        : upstream(loop, {.address = test::free_address()},
                    [this](http_request const& request, http_reply const& reply)
                    {
                        arrived.push_back(request.target);
@@ -30,15 +29,13 @@
         upstream_report report;
         report.service = "s";
         report.life = {.id = "u", .started = 1};
-        report.ip = "127.0.0.1";
-        report.port = port();
+        report.ip = test::free_address().ip;
+        report.port = test::free_address().port;
         report.slots = 1;
         report.connections = 4;
         local.on_report(report, boot_now());
     }
 
-    static int port() { return 20'000 + static_cast<int>(::getpid() % 5'000); }
-
     agent::order_id send(std::string const& target, duration time_left = 5s)
     {
         order o;
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -1,6 +1,7 @@
 // The HTTP server and client against each other and against raw bytes, on one event loop.
 #include "connection/http_client.hpp"
 #include "connection/http_server.hpp"
+#include "free_port.hpp"
 #include "process/boot_clock.hpp"
 #include "process/event_loop.hpp"
 
@@ -19,16 +20,6 @@
 namespace
 {
 
-// Another port for each process: below those that the system gives to outgoing
-// connections (from 32,768) and those of process_test.sh (from 29,000), so that nobody
-// else has it.
-tcp_address test_address()
-{
-    constexpr int first_port = 10'000;
-    constexpr int ports = 18'000;
-    return {.ip = "127.0.0.1", .port = first_port + getpid() % ports};
-}
-
 std::string text_of(http_request const& request)
 {
     return request.method + " " + request.target + " " + request.body;
@@ -42,7 +33,7 @@
     std::vector<std::pair<std::string, http_reply>> later;
     int gone = 0;
     http_server server{loop,
-                       {.address = test_address(),
+                       {.address = test::free_address(),
                         .limits = {.read = {.header_bytes = 4'000, .body_bytes = 100'000},
                                    .header_timeout = 300ms,
                                    .idle_timeout = 2s},
@@ -56,7 +47,7 @@
                            else
                                reply.send(echo(request));
                        }};
-    http_client client{loop, {.peer = test_address(), .max_connections = 4}};
+    http_client client{loop, {.peer = test::free_address(), .max_connections = 4}};
 
     static http_response echo(http_request const& request)
     {
@@ -251,7 +242,7 @@
 TEST(http_server, answers_requests_that_were_sent_ahead_in_their_order)
 {
     echo_server echo;
-    raw_connection raw(echo.loop, test_address());
+    raw_connection raw(echo.loop, test::free_address());
     raw.write("GET /later HTTP/1.1\r\nHost: h\r\n\r\n"
               "GET /two HTTP/1.1\r\nHost: h\r\n\r\n"
               "POST /later HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\na"
@@ -276,7 +267,7 @@
 TEST(http_server, takes_requests_byte_by_byte_and_bodies_in_chunks)
 {
     echo_server echo;
-    raw_connection raw(echo.loop, test_address());
+    raw_connection raw(echo.loop, test::free_address());
     std::string const request =
         "\r\nPOST /c HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n"
         "Connection: X-Hop\r\nX-Hop: 1\r\nX-End: 2\r\n\r\n"
@@ -328,7 +319,7 @@
     for (auto const& bytes : cases)
     {
         echo_server echo;
-        raw_connection raw(echo.loop, test_address());
+        raw_connection raw(echo.loop, test::free_address());
         raw.write(bytes + hidden);
         auto const read = raw.read_all();
         EXPECT_TRUE(read.starts_with("HTTP/1.1 400") || read.starts_with("HTTP/1.1 505"))
@@ -342,7 +333,7 @@
 TEST(http_server, a_request_in_a_body_is_a_body)
 {
     echo_server echo;
-    raw_connection raw(echo.loop, test_address());
+    raw_connection raw(echo.loop, test::free_address());
     std::string const hidden = "GET /hidden HTTP/1.1\r\nHost: h\r\n\r\n";
     raw.write("POST /p HTTP/1.1\r\nHost: h\r\nContent-Length: " +
               std::to_string(hidden.size()) + "\r\n\r\n" + hidden);
@@ -355,30 +346,30 @@
 {
     echo_server echo;
     {
-        raw_connection raw(echo.loop, test_address());
+        raw_connection raw(echo.loop, test::free_address());
         raw.write("GET / HTTP/1.1\r\nHost: h\r\nX: " + std::string(5'000, 'x') +
                   "\r\n\r\n");
         EXPECT_TRUE(raw.read_all().starts_with("HTTP/1.1 431"));
     }
     {
-        raw_connection raw(echo.loop, test_address());
+        raw_connection raw(echo.loop, test::free_address());
         raw.write("GET / HTTP/1.1\r\nHost: h\r\n");
         EXPECT_TRUE(raw.read_all().starts_with("HTTP/1.1 408"));
     }
     {
-        raw_connection raw(echo.loop, test_address());
+        raw_connection raw(echo.loop, test::free_address());
         raw.write("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nab");
         EXPECT_TRUE(raw.read_all().starts_with("HTTP/1.1 408"));
     }
     {
-        raw_connection raw(echo.loop, test_address());
+        raw_connection raw(echo.loop, test::free_address());
         raw.write("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
                   "30000\r\n");
         raw.write(std::string(0x30000, 'x'));
         EXPECT_TRUE(raw.read_all().starts_with("HTTP/1.1 413"));
     }
     EXPECT_TRUE(echo.handled.empty());
-    raw_connection idle(echo.loop, test_address());
+    raw_connection idle(echo.loop, test::free_address());
     idle.write("GET /x HTTP/1.1\r\nHost: h\r\n\r\n");
     EXPECT_NE(idle.read_until("/x").find("Keep-Alive: timeout=2\r\n"), std::string::npos);
     idle.read_all();
@@ -391,7 +382,7 @@
     for (auto const* request : {"GET /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n",
                                 "GET /x HTTP/1.0\r\n\r\n"})
     {
-        raw_connection raw(echo.loop, test_address());
+        raw_connection raw(echo.loop, test::free_address());
         raw.write(request);
         auto const read = raw.read_all();
         EXPECT_NE(read.find("GET /x"), std::string::npos);
@@ -402,7 +393,7 @@
 TEST(http_server, asks_for_a_body_that_waits_for_it)
 {
     echo_server echo;
-    raw_connection raw(echo.loop, test_address());
+    raw_connection raw(echo.loop, test::free_address());
     raw.write("POST /w HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n"
               "Expect: 100-continue\r\n\r\n");
     raw.read_until("100 Continue\r\n\r\n");
@@ -413,7 +404,7 @@
 TEST(http_server, tells_of_callers_that_leave_and_goes_on)
 {
     echo_server echo;
-    raw_connection raw(echo.loop, test_address());
+    raw_connection raw(echo.loop, test::free_address());
     raw.write("GET /later HTTP/1.1\r\nHost: h\r\n\r\n");
     while (echo.later.empty())
         echo.loop.run_once();
@@ -428,7 +419,7 @@
 TEST(http_server, a_stop_answers_all_that_it_has_read)
 {
     echo_server echo;
-    raw_connection raw(echo.loop, test_address());
+    raw_connection raw(echo.loop, test::free_address());
     raw.write("GET /later HTTP/1.1\r\nHost: h\r\n\r\n"
               "GET /later HTTP/1.1\r\nHost: h\r\n\r\n");
     while (echo.later.size() < 2)
@@ -453,14 +444,14 @@
     std::function<std::string(int)> answer; // by the number of the request
     int requests = 0;
     descriptor_watch listener{loop,
-                              tcp_listen(test_address()),
+                              tcp_listen(test::free_address()),
                               {.readable = [this]
                                {
                                    accept();
                                }}};
     http_client client{
         loop,
-        {.peer = test_address(),
+        {.peer = test::free_address(),
          .max_connections = 2,
          .belongs = [](http_request const& request, http_response const& response)
          {
