What a peer is ahead by is fetched in time, also before a shard that a request is for

Trace: the new owner of a moved shard, n-lj-vic-0, has the change of the shard's chunk (version 67), but stays at revision 64 from 45.56 s to 46.38 s, as the push before it was lost; a shard is served only when nothing older than its chunk is missing. Requests wait there past their 0.8 s.

Change: a request at the same epoch asks as well if something is missing before the shard's chunk; and each tick asks the peer that was ahead once 0.3 s have passed, once for what it has told.

Before: a_request_for_a_shard_beyond_a_gap_fetches_what_is_missing and what_is_missing_is_fetched_though_nobody_speaks_again fail.

--- a/src/coordination/coordinator.cpp
+++ b/src/coordination/coordinator.cpp
@@ -178,20 +178,31 @@
     highest_config = std::max(highest_config, config_version);
     if (copy.revision() >= highest_revision && own_config >= highest_config)
         behind_since.reset();
-    if (!peer_ahead || now - *behind_since < pull_patience || now < next_pull)
+    if (peer_ahead)
+        ahead = peer;
+    fetch_news(now);
+}
+
+void coordinator::impl::fetch_news(instant now)
+{
+    bool const patient = !behind_since || now - *behind_since < pull_patience;
+    if (!ahead || patient || now < next_pull)
         return;
-    ask_for_changes(peer, now);
+    ask_for_changes(*ahead, now);
+    ahead.reset();
 }
 
 void coordinator::impl::note_epoch(std::string const& peer, shard_id const& shard,
                                    std::uint64_t epoch, instant now)
 {
-    auto const* a = copy.find_assignment(shard);
     auto const* m = copy.node(peer);
-    bool const known = epoch == 0 || (a != nullptr && a->epoch >= epoch);
-    if (known || m == nullptr || now < next_pull)
+    if (epoch == 0 || m == nullptr || now < next_pull)
         return;
-    ask_for_changes(m->id, now);
+    auto const* a = copy.find_assignment(shard);
+    bool const is_news = a == nullptr || a->epoch < epoch;
+    bool const beyond_gap = a != nullptr && a->epoch == epoch && misses_before(shard);
+    if (is_news || beyond_gap)
+        ask_for_changes(m->id, now);
 }
 
 void coordinator::impl::ask_for_changes(member_id const& peer, instant now)
@@ -382,17 +393,22 @@
                        { return t.service == service && t.life == life; });
 }
 
-bool coordinator::impl::has_caught_up(shard_id const& shard)
+std::uint64_t coordinator::impl::chunk_version(shard_id const& shard) const
 {
-    if (!knows_its_tenure())
-        return false;
-    // The owner before may have acted on any object that was older than this assignment:
-    // none of them may be missing here.
     auto const first = shard.index / shards_per_chunk * shards_per_chunk;
-    auto const version = copy.version_of(chunk_object(shard.service, first));
-    if (copy.revision() < version)
+    return copy.version_of(chunk_object(shard.service, first));
+}
+
+bool coordinator::impl::misses_before(shard_id const& shard) const
+{
+    return copy.revision() < chunk_version(shard);
+}
+
+bool coordinator::impl::has_caught_up(shard_id const& shard)
+{
+    if (!knows_its_tenure() || misses_before(shard))
         return false;
-    if (!opts.ordered_configuration || copy.config_revision() >= version)
+    if (!opts.ordered_configuration || copy.config_revision() >= chunk_version(shard))
         return true;
     config_reader.want_list();
     return false;
@@ -468,6 +484,7 @@
     }
     s.last_tick = now;
     s.read_store(now);
+    s.fetch_news(now);
     s.probe_members(now);
     if (s.at == impl::phase::listing && now >= s.next_registration)
         s.retry_registration(now);
--- a/src/coordination/coordinator_impl.hpp
+++ b/src/coordination/coordinator_impl.hpp
@@ -119,6 +119,7 @@
     instant config_confirmed; // when some member was last seen to watch it
 
     std::optional<instant> behind_since; // a peer's replica is ahead of ours
+    std::optional<member_id> ahead;      // the last such peer, unless it has been asked
     std::uint64_t highest_revision = 0;  // that a peer has had
     std::uint64_t highest_config = 0;    // the same of the configuration's version
     instant next_pull;
@@ -157,6 +158,12 @@
     // The present tenure is that of this run of the upstream.
     bool owns_for(std::string const& service, std::string const& life) const;
 
+    std::uint64_t chunk_version(shard_id const& shard) const; // of its assignment
+
+    // Objects are missing that are older than the shard's assignment: the owner before
+    // may have acted on any of them.
+    bool misses_before(shard_id const& shard) const;
+
     // Whether nothing is missing that an earlier owner of the shard may have acted on.
     bool has_caught_up(shard_id const& shard);
 
@@ -175,11 +182,14 @@
     void note_revision(member_id const& peer, std::uint64_t revision,
                        std::uint64_t config_version, instant now);
 
+    // Asks the peer that was ahead, once for what it told.
+    void fetch_news(instant now);
+
     // Nobody is asked again before `next_pull`.
     void ask_for_changes(member_id const& peer, instant now);
 
     // The peer knows of an assignment of the shard at that epoch: asks it for the
-    // assignment if it is news here.
+    // assignment if it is news here, or for what is missing before it.
     void note_epoch(std::string const& peer, shard_id const& shard, std::uint64_t epoch,
                     instant now);
 
--- a/tests/coordinator_test.cpp
+++ b/tests/coordinator_test.cpp
@@ -196,6 +196,45 @@
     return names;
 }
 
+// Changes of (joined_revision + 1, joined_revision + 2], so beyond a gap: n owns a shard.
+deltas move_beyond_a_gap()
+{
+    return {.from = joined_revision + 1,
+            .to = joined_revision + 2,
+            .objects = {{.name = chunk_object("orders", 0),
+                         .version = joined_revision + 2,
+                         .value = chunk_record{
+                             .service = "orders",
+                             .assignments = {{.owner = {"n", 5}, .epoch = 9}}}}}};
+}
+
+TEST(coordinator, a_request_for_a_shard_beyond_a_gap_fetches_what_is_missing)
+{
+    joined_member m;
+    m.c.on_message({"q", 7}, move_beyond_a_gap(), at_ms(10));
+    EXPECT_TRUE(m.sent<pull>().empty()) << "what is missing may be on its way";
+    m.c.note_epoch("p", {"orders", 0}, 8, at_ms(11));
+    EXPECT_TRUE(m.sent<pull>().empty()) << "p has not heard of the move";
+    m.c.note_epoch("p", {"orders", 0}, 9, at_ms(11));
+    EXPECT_EQ(m.sent<pull>().at("p").from, joined_revision);
+    m.c.on_message({"p", 7}, deltas{.from = joined_revision, .to = joined_revision + 2},
+                   at_ms(400));
+    m.c.note_epoch("p", {"orders", 0}, 9, at_ms(401));
+    EXPECT_TRUE(m.sent<pull>().empty()) << "nothing is missing any more";
+}
+
+TEST(coordinator, what_is_missing_is_fetched_though_nobody_speaks_again)
+{
+    joined_member m;
+    m.c.on_message({"q", 7}, move_beyond_a_gap(), at_ms(10));
+    play(m.c, 50, 250, [](int) {});
+    EXPECT_TRUE(m.sent<pull>().empty()) << "what is missing may be on its way";
+    play(m.c, 300, 350, [](int) {});
+    EXPECT_EQ(m.sent<pull>().at("q").from, joined_revision);
+    play(m.c, 400, 700, [](int) {});
+    EXPECT_TRUE(m.sent<pull>().empty()) << "asked once for what was told once";
+}
+
 // p's earlier tenure owns the shard, and the record in which it was gone was missed: p
 // has joined again since, which is news here.
 TEST(coordinator, an_unfenced_upstream_is_waited_for_though_its_owner_has_joined_again)
