Bytes without end from an upstream end the call, not the node

Announced by the users: bytes that are no answer may come without end, in a head or in a body.

Cause of what the new tests show: an answer's body was held up to 64 MiB for each of an upstream's connections, of a process that may have 160 MB; a chunk's line, or fields after a chunked body, were kept without any limit, read anew from their beginning with each byte, in callers' requests as well; interim answers and answers to other requests were read until the call's deadline.

Change: http_client counts the bytes of a call: beyond a header and 8 MiB it fails at once with the new step 'too-long'. All unfinished answers of an upstream together have 16 MiB; beyond, the longest fails, so that others get their answers. The readers keep at most header_bytes of a line.

Ruled out: a cap on bytes read in one turn of the loop, as the limits bound it already.

Before: bytes_without_end_end_the_call (4 of 8 forms last until the timeout), answers_without_end_leave_room_for_others (134 MB are taken) and lines_without_end_within_a_body_are_refused fail. After: they pass, with the other 19 of http_test.

--- a/src/connection/http_client.cpp
+++ b/src/connection/http_client.cpp
@@ -4,6 +4,7 @@
 #include "process/boot_clock.hpp"
 #include "process/event_loop.hpp"
 
+#include <algorithm>
 #include <array>
 #include <list>
 #include <map>
@@ -41,12 +42,14 @@
     std::map<connection*, std::shared_ptr<connection>> connections;
     std::list<connection*> idle;
     std::map<call_id, connection*> calls;
+    std::size_t unfinished_bytes = 0; // the sum over all connections
     call_id next_id = 1;
     std::uint64_t opened = 0;
     timer_service::timer_id sweep;
 
     connection* take_idle(instant now);
     connection* open(instant now);
+    void fail_longest();
     void sweep_idle(instant now);
 };
 
@@ -64,6 +67,7 @@
     bool stray = false; // a message arrived that was not the answer
     bool any_sent = false;
     bool any_received = false; // of the present call's answer
+    std::size_t taken = 0;     // bytes since the present call began
     instant idle_until;
 
     void start(running_call c);
@@ -71,6 +75,8 @@
     void on_readable();
     void flush();
     void take_bytes(std::string_view bytes);
+    bool count_bytes(std::size_t count);
+    void forget_bytes();
     bool take_answer(std::string_view rest);
     void finish(http_response response, bool keep);
     void fail(http_failure::step at);
@@ -147,8 +153,28 @@
     }
 }
 
+// False: they are too many.
+bool http_client::connection::count_bytes(std::size_t count)
+{
+    taken += count;
+    client->unfinished_bytes += count;
+    auto const& opts = client->opts;
+    if (taken > opts.limits.header_bytes + opts.limits.body_bytes)
+        return fail(http_failure::step::too_long), false;
+    if (client->unfinished_bytes > opts.unfinished_bytes)
+        client->fail_longest();
+    return watch.is_open();
+}
+
+void http_client::connection::forget_bytes()
+{
+    client->unfinished_bytes -= std::exchange(taken, 0);
+}
+
 void http_client::connection::take_bytes(std::string_view bytes)
 {
+    if (call && !count_bytes(bytes.size()))
+        return;
     while (!bytes.empty())
     {
         if (!call)
@@ -200,6 +226,7 @@
     auto finished = std::move(*call);
     call.reset();
     reader.reset();
+    forget_bytes();
     client->calls.erase(finished.id);
     if (finished.timer)
         client->loop->timers().cancel(*finished.timer);
@@ -218,6 +245,7 @@
     auto const self = shared_from_this();
     std::optional<running_call> failed;
     std::swap(failed, call);
+    forget_bytes();
     close();
     if (!failed)
         return;
@@ -296,6 +324,15 @@
     return raw;
 }
 
+void http_client::impl::fail_longest()
+{
+    auto const longest = std::max_element(connections.begin(), connections.end(),
+                                          [](auto const& a, auto const& b)
+                                          { return a.second->taken < b.second->taken; });
+    auto const keep = longest->second;
+    keep->fail(http_failure::step::too_long);
+}
+
 void http_client::impl::sweep_idle(instant now)
 {
     auto const all = connections; // closing changes it
@@ -392,6 +429,8 @@
         return "connect";
     case http_failure::step::answer:
         return "answer";
+    case http_failure::step::too_long:
+        return "too-long";
     case http_failure::step::timeout:
         return "timeout";
     case http_failure::step::cancelled:
--- a/src/connection/http_client.hpp
+++ b/src/connection/http_client.hpp
@@ -11,7 +11,11 @@
 // comes before the request has been written, the rest is not sent and the connection is
 // closed. A request without a Host header gets one that names the peer.
 //
-// Cost: O(bytes) for each call, O(1) to find a connection.
+// A peer that sends without end, in an answer or in messages that are none, has its call
+// failed (`too_long`) and its connection closed, at once.
+//
+// Cost: O(bytes) for each call, O(1) to find a connection; memory up to twice
+// `unfinished_bytes` for answers that are not whole yet.
 #ifndef BUCKTHORNUSHER_CONNECTION_HTTP_CLIENT_HPP
 #define BUCKTHORNUSHER_CONNECTION_HTTP_CLIENT_HPP
 
@@ -36,10 +40,11 @@
 {
     enum class step
     {
-        busy,    // no free connection
-        connect, // not sent
-        answer,  // sent, but no whole answer came
-        timeout, // sent or not: see `sent`
+        busy,     // no free connection
+        connect,  // not sent
+        answer,   // sent, but no whole answer came
+        too_long, // sent, and more bytes came than are taken
+        timeout,  // sent or not: see `sent`
         cancelled,
     };
     step at = step::connect;
@@ -69,7 +74,10 @@
         duration keep_idle = 20s; // unless the peer names a shorter time
         duration connect_timeout = 1s;
         duration unacknowledged = 3s; // bytes not taken for so long break a connection
-        http_read_limits limits = {.header_bytes = 65'536, .body_bytes = 67'108'864};
+        // Of an answer; what comes with it for other requests counts, too.
+        http_read_limits limits = {.header_bytes = 65'536, .body_bytes = 8'388'608};
+        // Of all answers that are not whole yet; beyond, the longest of them fails.
+        std::size_t unfinished_bytes = 16'777'216;
         // Whether a message is the answer to the request. Empty: it always is.
         std::function<bool(http_request const&, http_response const&)> belongs = {};
     };
--- a/src/connection/http_codec.cpp
+++ b/src/connection/http_codec.cpp
@@ -107,6 +107,7 @@
     http_headers headers;
     http_read_error error;
     std::string pending; // bytes that are no whole line yet
+    std::size_t longest_pending = 0;
     bool header_done = false;
     bool keep_length = false;
 
@@ -115,6 +116,7 @@
         parser.header_limit(limits.header_bytes);
         parser.body_limit(limits.body_bytes);
         parser.eager(false);
+        longest_pending = limits.header_bytes;
     }
 
     void fail(int status, std::string_view what)
@@ -174,6 +176,9 @@
         if (error.status != 0 || parser.is_done())
             return bytes.size() - left;
         pending = source.substr(source.size() - left);
+        // The header has its limit in the parser; the lines within a body have not.
+        if (pending.size() > longest_pending)
+            fail(headers_too_large, "a chunk's line or the fields after it are too long");
         return bytes.size();
     }
 };
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -12,6 +12,7 @@
 
 #include <array>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 
@@ -376,6 +377,22 @@
     EXPECT_TRUE(idle.closed());
 }
 
+TEST(http_server, lines_without_end_within_a_body_are_refused)
+{
+    constexpr std::uint32_t limit = 1'024;
+    for (std::string const last : {"4", "0\r\n"})
+    {
+        request_reader reader({.header_bytes = limit, .body_bytes = limit});
+        reader.put("POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n" +
+                   last);
+        std::string const unit = last == "4" ? ";an=extension" : "a: trailer\r\n";
+        for (std::size_t put = 0; put <= 2 * limit && !reader.failed();
+             put += unit.size())
+            reader.put(unit);
+        EXPECT_TRUE(reader.failed()) << last;
+    }
+}
+
 TEST(http_server, ends_the_connection_when_the_caller_asks_for_it)
 {
     echo_server echo;
@@ -438,10 +455,14 @@
 // An upstream whose answers the test writes itself.
 struct raw_server
 {
+    explicit raw_server(http_client::options opts = {}) : client(loop, adapt(opts)) {}
+
     event_loop loop;
     std::vector<std::shared_ptr<descriptor_watch>> connections;
     std::string read;
     std::function<std::string(int)> answer; // by the number of the request
+    std::string unit; // what "<endless>" sends, again and again, until it is closed
+    std::size_t units_sent = 0; // bytes
     int requests = 0;
     descriptor_watch listener{loop,
                               tcp_listen(test::free_address()),
@@ -449,15 +470,19 @@
                                {
                                    accept();
                                }}};
-    http_client client{
-        loop,
-        {.peer = test::free_address(),
-         .max_connections = 2,
-         .belongs = [](http_request const& request, http_response const& response)
-         {
-             return find_header(request.headers, "id") ==
-                    find_header(response.headers, "id");
-         }}};
+    http_client client;
+
+    static http_client::options adapt(http_client::options opts)
+    {
+        opts.peer = test::free_address();
+        opts.max_connections = 2;
+        opts.belongs = [](http_request const& request, http_response const& response)
+        {
+            return find_header(request.headers, "id") ==
+                   find_header(response.headers, "id");
+        };
+        return opts;
+    }
 
     void accept()
     {
@@ -467,12 +492,24 @@
         auto const n = connections.size();
         connections.push_back(std::make_shared<descriptor_watch>(
             loop, fd,
-            descriptor_watch::handlers{.readable = [this, n]
+            descriptor_watch::handlers{.readable = [this, n] { on_bytes(n); },
+                                       .writable =
+                                           [this, n]
                                        {
-                                           on_bytes(n);
+                                           send_units(*connections[n]);
                                        }}));
     }
 
+    void send_units(descriptor_watch& to)
+    {
+        auto const at = units_sent % unit.size();
+        auto const sent = tcp_write(to.fd(), std::string_view(unit).substr(at));
+        if (sent.status == io_status::broken)
+            return to.close();
+        units_sent += sent.bytes;
+        to.request_write();
+    }
+
     void on_bytes(std::size_t n)
     {
         std::array<char, 65'536> space{};
@@ -486,8 +523,11 @@
         auto const text = answer(requests++);
         constexpr std::string_view end_mark = "<end>";
         constexpr std::string_view reset_mark = "<reset>";
+        constexpr std::string_view endless_mark = "<endless>";
         auto const plain = text.substr(0, text.find('<'));
         tcp_write(c->fd(), plain);
+        if (text.ends_with(endless_mark))
+            c->request_write();
         if (text.ends_with(end_mark))
             c->close();
         if (text.ends_with(reset_mark))
@@ -515,6 +555,88 @@
            "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
+std::string repeated(std::string const& text, int times)
+{
+    std::string out;
+    for (int i = 0; i < times; ++i)
+        out += text;
+    return out;
+}
+
+TEST(http_client, bytes_without_end_end_the_call)
+{
+    struct endless
+    {
+        std::string begin;
+        std::string unit;
+    };
+    std::string const head = "HTTP/1.1 200 OK\r\nid: a\r\n";
+    std::vector<endless> const cases{
+        {"", "no answer in the protocol"},
+        {"HTTP/1.1 200 OK\r\n", "a: header\r\n"},
+        {head + "\r\n", "a body up to the end"},
+        {head + "Transfer-Encoding: chunked\r\n\r\n", "4\r\nabcd\r\n"},
+        {head + "Transfer-Encoding: chunked\r\n\r\n4", ";a-chunk=extension"},
+        {head + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "a: trailer\r\n"},
+        {"", "HTTP/1.1 103 Early Hints\r\n\r\n"},
+        {"", answer_text("another", "answer")}};
+    for (auto const& c : cases)
+    {
+        raw_server upstream({.limits = {.header_bytes = 65'536, .body_bytes = 262'144}});
+        constexpr int units_at_once = 1'000;
+        upstream.unit = repeated(c.unit, units_at_once);
+        upstream.answer = [&](int)
+        {
+            return c.begin + "<endless>";
+        };
+        auto const result = upstream.call("a");
+        ASSERT_TRUE(result.has_error()) << c.unit;
+        EXPECT_NE(result.error().at, http_failure::step::timeout) << c.unit;
+        EXPECT_TRUE(result.error().sent) << c.unit;
+        EXPECT_EQ(upstream.client.connections(), 0U) << c.unit;
+    }
+}
+
+// Held until the other call's answer has taken all the room there is.
+TEST(http_client, answers_without_end_leave_room_for_others)
+{
+    constexpr std::size_t longest_body = 134'217'728;
+    raw_server upstream({.limits = {.header_bytes = 65'536, .body_bytes = longest_body},
+                         .unfinished_bytes = 1'048'576});
+    constexpr std::size_t half = 100'000;
+    auto const body = repeated("x", 2 * half);
+    auto const modest = answer_text("modest", body);
+    upstream.unit = repeated("a body up to the end", 1'000);
+    upstream.answer = [&](int n)
+    {
+        return n == 0 ? modest.substr(0, modest.size() - half)
+                      : "HTTP/1.1 200 OK\r\nid: endless\r\n\r\n<endless>";
+    };
+    std::map<std::string, http_result> results;
+    auto const send = [&](std::string const& id)
+    {
+        upstream.client.call(
+            {.method = "GET", .target = "/", .headers = {{"id", id}}}, 5s,
+            [&, id](http_result r) { results.emplace(id, std::move(r)); });
+    };
+    auto const serve_until = [&](auto const& condition)
+    {
+        while (!condition())
+            upstream.loop.run_once();
+    };
+    send("modest");
+    serve_until([&] { return upstream.requests == 1; });
+    send("endless");
+    serve_until([&] { return !results.empty(); });
+    ASSERT_TRUE(results.contains("endless"));
+    EXPECT_EQ(results.at("endless").error().at, http_failure::step::too_long);
+    EXPECT_LT(upstream.units_sent, longest_body / 2) << "what sockets hold counts, too";
+    tcp_write(upstream.connections[0]->fd(), modest.substr(modest.size() - half));
+    serve_until([&] { return results.size() == 2; });
+    ASSERT_TRUE(results.at("modest").has_value());
+    EXPECT_EQ(results.at("modest").value().body, body);
+}
+
 TEST(http_client, takes_bodies_by_length_in_chunks_and_up_to_the_end)
 {
     raw_server upstream;
