The way to a node is learnt from what answers take beyond the time at the node

The choice took the way for a constant of the distance.

Change: a reply tells how long the order was held; what the sender waited beyond that and beyond the usual trip is the node's delay, a mean of the latest that halves each second without news. It counts in the expected answer.

Two tests that do not compile before.

--- a/include/buckthornusher/placement.hpp
+++ b/include/buckthornusher/placement.hpp
@@ -7,12 +7,16 @@
 // counts less and less, so that nobody is avoided for ever, nor flooded by all nodes that
 // saw it free at the same moment, as near-best choices are drawn at random.
 //
+// The way is what it is by distance, and what messages have lately waited at the node
+// beyond that: a node whose processor or link binds answers late though it tells of free
+// slots.
+//
 // An upstream of which nothing is known is taken for a little faster than the fastest
 // that is known, so that one that has just joined is tried soon and its speed learnt.
 //
 //   load it answers: upstreams of different speeds; one that turns slow, sheds or fails
 //   part of its requests; one that joins; a region whose slots are full while the other
-//   has room.
+//   has room; a node that is short of processor.
 //
 // Another region costs more than its delay, as the link between regions is narrow and
 // its bytes are paid for: the penalty grows with what the request and its answer weigh,
@@ -149,6 +153,8 @@
     // Its answer has come, or is not awaited any more. `failed`: the upstream, or the way
     // to it, failed it.
     void on_done(std::string const& node, bool failed, instant now);
+    // The way to the node and back has taken so long, without the time at the node.
+    void on_trip(std::string const& node, distance away, duration trip, instant now);
     // Nothing has been heard from the node for too long.
     void avoid(std::string const& node, instant until);
 
@@ -172,13 +178,16 @@
         instant told;
         std::uint32_t sent_since = 0; // of ours, not in the load that was told
         std::uint32_t awaited = 0;    // of ours, all
-        double failure = 0;           // share of late, 0 to 1
+        double delay = 0;             // of messages, seconds beyond the usual trip
+        instant delay_seen;
+        double failure = 0; // share of late, 0 to 1
         instant failure_seen;
         instant avoid_until;
     };
 
     duration guess(std::vector<placement_candidate> const& from) const;
-    // The way there and back, and what its bytes count as.
+    duration usual_trip(distance away) const;
+    // The usual trip, and what its distance and bytes count as.
     duration way(distance away, double exchange_bytes) const;
     std::optional<placement_choice> estimate(placement_candidate const& c,
                                              placement_request const& request,
--- a/src/process/ingress.cpp
+++ b/src/process/ingress.cpp
@@ -98,6 +98,8 @@
     owner_search search; // of the shard's owner
     std::string sent_to; // an answer is awaited from this node
     std::string endpoint;
+    distance away = distance::same_domain; // of the node that it was sent to
+    instant sent_at;
     std::uint64_t sending = 0; // of the answer that is awaited
     std::optional<agent::order_id> local;
     std::set<std::string> tried; // nodes without room or that failed it, in this round
@@ -269,7 +271,8 @@
                           {"told", *asked == by_replica ? "by-replica" : "by-node"},
                           {"replica", std::to_string(copy.revision())}});
     f.o.epoch = asked->epoch;
-    send_to(f, {.node = m->id.node, .endpoint = m->endpoint}, now);
+    send_to(f, {.node = m->id.node, .endpoint = m->endpoint, .away = distance_to(*m)},
+            now);
 }
 
 void ingress::dispatch_unkeyed(flight& f, instant now)
@@ -364,20 +367,24 @@
         nodes.push_back(id.node);
         if (id.node == m_options.self || m.draining)
             continue;
-        auto const away = m.region != m_options.region   ? distance::other_region
-                          : m.domain != m_options.domain ? distance::same_region
-                                                         : distance::same_domain;
         for (auto const& t : m.targets)
             if (!t.draining)
                 m_places[t.service].push_back({.node = id.node,
                                                .endpoint = m.endpoint,
-                                               .away = away,
+                                               .away = distance_to(m),
                                                .slots = t.slots});
     }
     m_placement.keep_only(nodes);
     m_retries.set_nodes(live);
 }
 
+distance ingress::distance_to(member_record const& m) const
+{
+    if (m.region != m_options.region)
+        return distance::other_region;
+    return m.domain != m_options.domain ? distance::same_region : distance::same_domain;
+}
+
 void ingress::send_to(flight& f, place const& where, instant now)
 {
     if (where.node == m_options.self)
@@ -408,6 +415,8 @@
     }
     f.sent_to = where.node;
     f.endpoint = where.endpoint;
+    f.away = where.away;
+    f.sent_at = now;
     f.trail.add("sent", {{"to", f.sent_to},
                          {"sending", std::to_string(f.sending)},
                          {"left_ms", in_ms(f.o.deadline - now)}});
@@ -500,6 +509,7 @@
     auto* f = it == m_sendings.end() ? nullptr : find(it->second);
     if (f == nullptr || f->sent_to != node)
         return; // late, doubled, or not ours
+    note_trip(*f, in, now);
     auto result = decode(in);
     if (auto const* refused = std::get_if<order_refused>(&result))
     {
@@ -545,6 +555,15 @@
                               {"epoch", std::to_string(m->epoch)}});
 }
 
+// The time on the way, and that the messages have waited at either node.
+void ingress::note_trip(flight const& f, wire::Reply const& reply, instant now)
+{
+    if (!reply.has_held())
+        return; // from an earlier version of the program
+    auto const held = duration(static_cast<duration::rep>(reply.held()));
+    m_placement.on_trip(f.sent_to, f.away, now - f.sent_at - held, now);
+}
+
 void ingress::note_offer(flight& f, order_result const& result)
 {
     auto const* refused = std::get_if<order_refused>(&result);
--- a/src/process/ingress.hpp
+++ b/src/process/ingress.hpp
@@ -42,6 +42,11 @@
 
 class event_loop;
 
+namespace wire
+{
+class Reply;
+} // namespace wire
+
 struct ingress_options
 {
     caller_form form;
@@ -106,6 +111,7 @@
     void wait(flight& f, instant now);
     void wait_too_long(flight& f, instant now);
     void note_offer(flight& f, order_result const& result);
+    void note_trip(flight const& f, wire::Reply const& reply, instant now);
     void on_result(flight& f, order_result result, instant now);
     void on_answered(flight& f, order_answered& result, instant now);
     void on_refused(flight& f, order_refused const& result, instant now);
@@ -133,6 +139,7 @@
     void finish(flight& f, http_response response, outcome_kind kind, reason why);
     void on_deadline(flight_id id);
     void refresh_places();
+    distance distance_to(member_record const& m) const;
     std::vector<placement_candidate> begin_last_round(flight& f);
     std::vector<placement_candidate> candidates(flight const& f) const;
     flight* find(flight_id id);
--- a/src/process/order_server.cpp
+++ b/src/process/order_server.cpp
@@ -26,28 +26,32 @@
     auto const attempt = in.attempt();
     auto const service = o.service;
     if (in.token().session() != m_table.session() || o.deadline <= now)
-        return reply(route, attempt, service, order_refused{.why = reason::stale});
+        return reply(route, attempt, service, now, order_refused{.why = reason::stale});
     order_key const key{route.identity, attempt};
     m_orders[key] = 0;
-    auto const id = m_agent.run(std::move(o),
-                                [this, route, key, service](order_result const& result)
-                                {
-                                    m_orders.erase(key);
-                                    reply(route, key.second, service, result);
-                                });
+    auto const id =
+        m_agent.run(std::move(o),
+                    [this, route, key, service, now](order_result const& result)
+                    {
+                        m_orders.erase(key);
+                        reply(route, key.second, service, now, result);
+                    });
     if (auto const it = m_orders.find(key); it != m_orders.end())
         it->second = id;
 }
 
 void order_server::reply(peer_route const& route, std::uint64_t attempt,
-                         std::string const& service, order_result const& result)
+                         std::string const& service, instant read,
+                         order_result const& result)
 {
+    auto const now = boot_now();
     wire::Envelope out;
     out.mutable_sender()->set_node(m_self);
     auto& w = *out.mutable_reply();
     w.set_attempt(attempt);
     encode(result, w);
-    if (auto const load = m_agent.load(service, boot_now()))
+    w.set_held(to_micros(now) - to_micros(read));
+    if (auto const load = m_agent.load(service, now))
         encode(*load, *w.mutable_load());
     m_peers.reply(route, out);
 }
--- a/src/process/order_server.hpp
+++ b/src/process/order_server.hpp
@@ -33,7 +33,7 @@
     using order_key = std::pair<std::string, std::uint64_t>; // connection and attempt
 
     void reply(peer_route const& route, std::uint64_t attempt, std::string const& service,
-               order_result const& result);
+               instant read, order_result const& result);
 
     agent& m_agent;
     peer_socket& m_peers;
--- a/src/request/placement.cpp
+++ b/src/request/placement.cpp
@@ -12,6 +12,8 @@
 {
 
 constexpr double failure_weight = 0.15;   // of the newest end
+constexpr double delay_weight = 0.3;      // of the newest trip
+constexpr double delay_half_life = 1.0;   // seconds without a trip
 constexpr double failure_half_life = 2.0; // seconds without an end
 constexpr double worst_failure = 0.9;
 constexpr auto any_rank = std::numeric_limits<std::uint32_t>::max();
@@ -68,6 +70,15 @@
     e.failure_seen = now;
 }
 
+void placement::on_trip(std::string const& node, distance away, duration trip,
+                        instant now)
+{
+    auto& e = m_entries[node];
+    auto const delay = std::max(0.0, seconds(trip - usual_trip(away)));
+    e.delay += delay_weight * (delay - e.delay);
+    e.delay_seen = now;
+}
+
 void placement::avoid(std::string const& node, instant until)
 {
     m_entries[node].avoid_until = until;
@@ -90,20 +101,26 @@
     return from_seconds(m_options.optimism * seconds(*fastest));
 }
 
+duration placement::usual_trip(distance away) const
+{
+    return away == distance::other_region ? m_options.far_trip : m_options.near_trip;
+}
+
 duration placement::way(distance away, double exchange_bytes) const
 {
+    auto const trip = usual_trip(away);
     switch (away)
     {
     case distance::same_domain:
         break;
     case distance::same_region:
-        return m_options.near_trip + m_options.domain_penalty;
+        return trip + m_options.domain_penalty;
     case distance::other_region:
-        return m_options.far_trip + m_options.region_penalty +
+        return trip + m_options.region_penalty +
                from_seconds(seconds(m_options.region_penalty_per_kib) * exchange_bytes /
                             bytes_per_kib);
     }
-    return m_options.near_trip;
+    return trip;
 }
 
 std::optional<placement_choice> placement::estimate(placement_candidate const& c,
@@ -142,11 +159,14 @@
     auto const beyond =
         wait > 0 ? e.sent_since : std::max(0.0, e.sent_since + 1.0 - free);
     wait += beyond * s / slots;
+    auto const delay =
+        e.delay * std::exp2(-seconds(now - e.delay_seen) / delay_half_life);
     auto const failing =
         std::min(worst_failure, e.failure * std::exp2(-seconds(now - e.failure_seen) /
                                                       failure_half_life));
     return placement_choice{.node = c.node,
-                            .expected = way + from_seconds((s + wait) / (1 - failing)),
+                            .expected =
+                                way + from_seconds(delay + (s + wait) / (1 - failing)),
                             .wait = from_seconds(wait),
                             .told = told,
                             .full = full};
--- a/tests/request_policy_test.cpp
+++ b/tests/request_policy_test.cpp
@@ -644,6 +644,39 @@
     EXPECT_EQ(p.choose(both, {}, 0, now)->node, "bad");
 }
 
+// Its upstream has free slots, but its messages wait.
+TEST(placement, a_node_that_answers_late_is_left_for_others_until_that_passes)
+{
+    placement p({});
+    std::vector const both{near_one("late"), near_one("prompt")};
+    auto now = at_ms(0);
+    auto const tell = [&]
+    {
+        p.on_load("late", busy(0, 0, 60ms), now);
+        p.on_load("prompt", busy(9, 1, 60ms), now);
+    };
+    tell();
+    EXPECT_EQ(p.choose(both, {}, 0, now)->node, "late");
+    for (int i = 0; i < 5; ++i)
+        p.on_trip("late", distance::same_domain, 120ms, now);
+    p.on_trip("prompt", distance::same_domain, 2ms, now);
+    EXPECT_EQ(p.choose(both, {}, 0, now)->node, "prompt");
+    now += 10s;
+    tell();
+    EXPECT_EQ(p.choose(both, {}, 0, now)->node, "late") << "it may have recovered";
+}
+
+TEST(placement, the_way_to_another_region_is_no_delay)
+{
+    placement p({});
+    std::vector<placement_candidate> const only{
+        {.node = "far", .away = distance::other_region, .slots = 10}};
+    p.on_load("far", busy(0, 0, 60ms), at_ms(0));
+    auto const before = p.choose(only, {}, 0, at_ms(0))->expected;
+    p.on_trip("far", distance::other_region, 42ms, at_ms(0));
+    EXPECT_EQ(p.choose(only, {}, 0, at_ms(0))->expected, before);
+}
+
 // Twelve nodes send requests to four upstreams of different speeds and hear of load only
 // with answers. Compared with a random choice, less time is spent waiting, and nobody is
 // flooded.
