A shard's late release by its upstream does not undo a later one

A move at epoch 4 is called off (epoch 5) and planned anew before the upstream's report that frees the shard at 4. In that one report the drain at 5 is noted, and in the next tick the release at 4, whose epoch differed, so the drain at 5 was forgotten: the shard was never announced as released, and had no service until its owner or its successor left.

Cause: shard_handover started a pending release anew at any other epoch, also at an earlier one.

Change: pending_releases, a part without sockets, keeps only the latest epoch of each shard; the daemon uses it. Four tests; with the rule as it was, what_is_late_of_an_earlier_epoch_does_not_undo_a_later_one fails. No run of the daemon has shown the case.

--- a/src/process/shard_handover.cpp
+++ b/src/process/shard_handover.cpp
@@ -64,14 +64,6 @@
 
 } // namespace
 
-shard_handover::pending& shard_handover::at(shard_id const& shard, std::uint64_t epoch)
-{
-    auto& p = m_pending[shard];
-    if (p.epoch != epoch)
-        p = {.epoch = epoch};
-    return p;
-}
-
 // False: there is nobody to send them to.
 bool shard_handover::send_operations(shard_drained const& drained, instant now)
 {
@@ -89,24 +81,17 @@
 void shard_handover::on_drained(shard_drained const& drained, instant now)
 {
     auto const& shard = drained.release.shard;
-    auto& p = at(shard, drained.release.epoch);
-    p.drained = true;
-    p.give_up = now + patience;
-    p.operations_gone = !m_operations || !send_operations(drained, now);
+    bool const gone = !m_operations || !send_operations(drained, now);
+    m_pending.on_drained(shard, drained.release.epoch,
+                         {.operations_gone = gone, .give_up = now + patience});
     confirm_if_done(shard, now);
 }
 
 void shard_handover::confirm_if_done(shard_id const& shard, instant now)
 {
-    auto const it = m_pending.find(shard);
-    auto const& p = it->second;
-    bool const upstream_done =
-        p.upstream_done || !m_agent.releases_by_report(shard.service);
-    if (!p.drained || !p.operations_gone || !upstream_done)
-        return;
-    shard_release const release{.shard = shard, .epoch = p.epoch, .handover = p.handover};
-    m_pending.erase(it);
-    m_coordinator->confirm_release(release, now);
+    bool const by_report = m_agent.releases_by_report(shard.service);
+    if (auto const release = m_pending.take_complete(shard, by_report))
+        m_coordinator->confirm_release(*release, now);
 }
 
 void shard_handover::on_handover(peer_route const& route, wire::Envelope const& message,
@@ -129,10 +114,7 @@
 {
     auto const& ack = message.handover_ack();
     shard_id const shard{.service = ack.service(), .index = ack.shard()};
-    auto const it = m_pending.find(shard);
-    if (it == m_pending.end() || it->second.epoch != ack.epoch())
-        return;
-    it->second.operations_gone = true;
+    m_pending.on_operations_gone(shard, ack.epoch());
     confirm_if_done(shard, now);
 }
 
@@ -141,20 +123,11 @@
     for (auto& [service, released] : m_agent.take_released(now))
     {
         shard_id const shard{.service = service, .index = released.index};
-        auto& p = at(shard, released.epoch);
-        p.upstream_done = true;
-        p.handover = std::move(released.handover);
+        m_pending.on_upstream_done(shard, released.epoch, std::move(released.handover));
         confirm_if_done(shard, now);
     }
-    std::vector<shard_id> late;
-    for (auto const& [shard, p] : m_pending)
-        if (p.drained && !p.operations_gone && now >= p.give_up)
-            late.push_back(shard);
-    for (auto const& shard : late)
-    {
-        m_pending[shard].operations_gone = true;
+    for (auto const& shard : m_pending.expire(now))
         confirm_if_done(shard, now);
-    }
 }
 
 void shard_handover::set_coordinator(coordinator& coord)
--- a/src/process/shard_handover.hpp
+++ b/src/process/shard_handover.hpp
@@ -12,11 +12,10 @@
 #define BUCKTHORNUSHER_PROCESS_SHARD_HANDOVER_HPP
 
 #include "buckthornusher/coordinator.hpp"
+#include "buckthornusher/pending_releases.hpp"
 #include "connection/peer_socket.hpp"
 #include "process/agent.hpp"
 
-#include <map>
-
 namespace buckthornusher
 {
 
@@ -40,18 +39,6 @@
     void set_coordinator(coordinator& coord);
 
 private:
-    // What is known of a shard's release at one epoch.
-    struct pending
-    {
-        std::uint64_t epoch = 0;
-        bool drained = false;         // no request of it is in work here
-        bool operations_gone = false; // the successor has them, or need not
-        bool upstream_done = false;   // it does not hold the keys
-        std::string handover;         // from the upstream
-        instant give_up;              // on the successor's confirmation
-    };
-
-    pending& at(shard_id const& shard, std::uint64_t epoch);
     bool send_operations(shard_drained const& drained, instant now);
     void confirm_if_done(shard_id const& shard, instant now);
 
@@ -59,7 +46,7 @@
     agent& m_agent;
     peer_socket& m_peers;
     bool m_operations;
-    std::map<shard_id, pending> m_pending;
+    pending_releases m_pending;
 };
 
 } // namespace buckthornusher
--- /dev/null
+++ b/tests/pending_releases_test.cpp
@@ -0,0 +1,63 @@
+// What is awaited before a shard is announced as released.
+#include "buckthornusher/pending_releases.hpp"
+
+#include <gtest/gtest.h>
+
+namespace buckthornusher
+{
+namespace
+{
+
+shard_id const shard{.service = "s", .index = 3};
+drained_options const done{.operations_gone = true, .give_up = {}};
+
+TEST(pending_releases, a_shard_is_released_once_all_that_belongs_to_it_has_gone)
+{
+    pending_releases p;
+    EXPECT_EQ(p.take_complete(shard, false), std::nullopt);
+    p.on_drained(shard, 4, {.operations_gone = false, .give_up = instant(1s)});
+    EXPECT_EQ(p.take_complete(shard, true), std::nullopt);
+    p.on_operations_gone(shard, 3);
+    EXPECT_EQ(p.take_complete(shard, false), std::nullopt);
+    p.on_operations_gone(shard, 4);
+    EXPECT_EQ(p.take_complete(shard, true), std::nullopt);
+    p.on_upstream_done(shard, 4, "token");
+    shard_release const expected{.shard = shard, .epoch = 4, .handover = "token"};
+    EXPECT_EQ(p.take_complete(shard, true), expected);
+    EXPECT_EQ(p.take_complete(shard, true), std::nullopt);
+}
+
+TEST(pending_releases, a_successor_that_does_not_confirm_costs_a_short_wait)
+{
+    pending_releases p;
+    p.on_drained(shard, 4, {.operations_gone = false, .give_up = instant(1s)});
+    EXPECT_TRUE(p.expire(instant(900ms)).empty());
+    EXPECT_EQ(p.expire(instant(1s)), std::vector<shard_id>{shard});
+    EXPECT_TRUE(p.expire(instant(2s)).empty());
+    EXPECT_TRUE(p.take_complete(shard, false));
+}
+
+TEST(pending_releases, what_is_late_of_an_earlier_epoch_does_not_undo_a_later_one)
+{
+    pending_releases p;
+    p.on_drained(shard, 5, done);
+    p.on_upstream_done(shard, 4, "earlier");
+    p.on_upstream_done(shard, 5, "later");
+    auto const release = p.take_complete(shard, true);
+    ASSERT_TRUE(release);
+    EXPECT_EQ(release->epoch, 5U);
+    EXPECT_EQ(release->handover, "later");
+}
+
+TEST(pending_releases, a_later_epoch_starts_anew)
+{
+    pending_releases p;
+    p.on_drained(shard, 4, done);
+    p.on_upstream_done(shard, 5, "later");
+    EXPECT_EQ(p.take_complete(shard, true), std::nullopt);
+    p.on_drained(shard, 5, done);
+    EXPECT_TRUE(p.take_complete(shard, true));
+}
+
+} // namespace
+} // namespace buckthornusher
