--- a/bench/judge.cpp
+++ b/bench/judge.cpp
@@ -4,7 +4,8 @@
 //
 // Prints the executions, the operations that were executed twice, and the overlaps: an
 // execution of a shard that ended after one at a later epoch had started. All upstreams
-// of a run share one machine, so their times are comparable. Exits 1 if it found any.
+// of a run share one machine, so their times are comparable. Exits with 1 if it found any,
+// with 2 if a journal cannot be read.
 #include "connection/http_client.hpp"
 #include "process/event_loop.hpp"
 
@@ -21,6 +22,9 @@
 
 using namespace buckthornusher;
 
+constexpr int unreadable = 2; // exit code
+constexpr std::size_t longest_journal = 256'000'000;
+
 struct execution
 {
     std::uint64_t epoch = 0;
@@ -31,18 +35,20 @@
 using shard_history =
     std::map<std::pair<std::string, std::string>, std::vector<execution>>;
 
-std::string fetch_journal(event_loop& loop, int port)
+std::optional<std::string> fetch_journal(event_loop& loop, int port)
 {
     http_client client(loop, {.peer = {.ip = "127.0.0.1", .port = port},
                               .max_connections = 1,
-                              .limits = {.body_bytes = 256'000'000}});
-    std::optional<std::string> body;
+                              .limits = {.body_bytes = longest_journal},
+                              .unfinished_bytes = longest_journal});
+    std::optional<http_result> result;
     client.call({.method = "GET", .target = "/journal"}, 10s,
-                [&](http_result r)
-                { body = r.has_value() ? r.value().body : std::string(); });
-    while (!body)
+                [&](http_result r) { result = std::move(r); });
+    while (!result)
         loop.run_once();
-    return *body;
+    if (result->has_error())
+        return std::nullopt;
+    return result->value().body;
 }
 
 // Executions that ended after one of a later epoch began.
@@ -81,7 +87,14 @@
     std::uint64_t executions = 0;
     for (auto const port : ports)
     {
-        std::istringstream journal(fetch_journal(loop, port));
+        auto const text = fetch_journal(loop, port);
+        if (!text)
+        {
+            std::cerr << "the journal of the upstream at port " << port
+                      << " cannot be read\n";
+            return unreadable;
+        }
+        std::istringstream journal(*text);
         std::string operation;
         std::string service;
         std::string shard;
