A call that fails for want of room is told only once what was read has been taken

Whoever was told could make a call at once, on a connection that had stray bytes and a reset, whose reading overwrote them: the other answer was delivered with those bytes in it.

Change: the bound is kept after the bytes have been taken. Ruled out: a space for each connection, 64 KiB each.

Before: an_answer_is_whole_though_another_call_fails_while_it_is_read fails with 60,000 bytes of another connection in the body.

--- a/src/connection/http_client.cpp
+++ b/src/connection/http_client.cpp
@@ -49,7 +49,7 @@
 
     connection* take_idle(instant now);
     connection* open(instant now);
-    void fail_longest();
+    void keep_bound();
     void sweep_idle(instant now);
 };
 
@@ -148,6 +148,9 @@
         if (got.status == io_status::broken)
             return fail(http_failure::step::answer);
         take_bytes({space.data(), got.bytes});
+        // Only now, as whoever is told of a failure may read into the same space.
+        if (watch.is_open())
+            client->keep_bound();
         if (got.bytes < space.size())
             return;
     }
@@ -158,12 +161,10 @@
 {
     taken += count;
     client->unfinished_bytes += count;
-    auto const& opts = client->opts;
-    if (taken > opts.limits.header_bytes + opts.limits.body_bytes)
+    auto const& limits = client->opts.limits;
+    if (taken > limits.header_bytes + limits.body_bytes)
         return fail(http_failure::step::too_long), false;
-    if (client->unfinished_bytes > opts.unfinished_bytes)
-        client->fail_longest();
-    return watch.is_open();
+    return true;
 }
 
 void http_client::connection::forget_bytes()
@@ -324,8 +325,10 @@
     return raw;
 }
 
-void http_client::impl::fail_longest()
+void http_client::impl::keep_bound()
 {
+    if (unfinished_bytes <= opts.unfinished_bytes)
+        return;
     auto const longest = std::max_element(connections.begin(), connections.end(),
                                           [](auto const& a, auto const& b)
                                           { return a.second->taken < b.second->taken; });
@@ -409,6 +412,11 @@
         it->second->fail(http_failure::step::cancelled);
 }
 
+std::size_t http_client::unfinished_bytes() const
+{
+    return m_impl->unfinished_bytes;
+}
+
 std::size_t http_client::connections() const
 {
     return m_impl->connections.size();
--- a/src/connection/http_client.hpp
+++ b/src/connection/http_client.hpp
@@ -95,6 +95,7 @@
     void cancel(call_id id);
 
     std::size_t connections() const;
+    std::size_t unfinished_bytes() const; // of answers that are not whole yet
     std::uint64_t connections_opened() const;
 
 private:
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -455,7 +455,10 @@
 // An upstream whose answers the test writes itself.
 struct raw_server
 {
-    explicit raw_server(http_client::options opts = {}) : client(loop, adapt(opts)) {}
+    explicit raw_server(http_client::options opts = {.max_connections = 2})
+        : client(loop, adapt(opts))
+    {
+    }
 
     event_loop loop;
     std::vector<std::shared_ptr<descriptor_watch>> connections;
@@ -475,7 +478,6 @@
     static http_client::options adapt(http_client::options opts)
     {
         opts.peer = test::free_address();
-        opts.max_connections = 2;
         opts.belongs = [](http_request const& request, http_response const& response)
         {
             return find_header(request.headers, "id") ==
@@ -582,7 +584,8 @@
         {"", answer_text("another", "answer")}};
     for (auto const& c : cases)
     {
-        raw_server upstream({.limits = {.header_bytes = 65'536, .body_bytes = 262'144}});
+        raw_server upstream({.max_connections = 2,
+                             .limits = {.header_bytes = 65'536, .body_bytes = 262'144}});
         constexpr int units_at_once = 1'000;
         upstream.unit = repeated(c.unit, units_at_once);
         upstream.answer = [&](int)
@@ -601,7 +604,8 @@
 TEST(http_client, answers_without_end_leave_room_for_others)
 {
     constexpr std::size_t longest_body = 134'217'728;
-    raw_server upstream({.limits = {.header_bytes = 65'536, .body_bytes = longest_body},
+    raw_server upstream({.max_connections = 2,
+                         .limits = {.header_bytes = 65'536, .body_bytes = longest_body},
                          .unfinished_bytes = 1'048'576});
     constexpr std::size_t half = 100'000;
     auto const body = repeated("x", 2 * half);
@@ -637,6 +641,72 @@
     EXPECT_EQ(results.at("modest").value().body, body);
 }
 
+// The call that fails for want of room makes another one at once, on a connection that
+// has stray bytes and was reset.
+TEST(http_client, an_answer_is_whole_though_another_call_fails_while_it_is_read)
+{
+    raw_server upstream({.max_connections = 3, .unfinished_bytes = 1'048'576});
+    upstream.answer = [](int)
+    {
+        return std::string();
+    };
+    std::map<std::string, http_result> results;
+    std::function<void()> on_long = [] {
+    };
+    auto const send = [&](std::string const& id)
+    {
+        upstream.client.call({.method = "GET", .target = "/", .headers = {{"id", id}}},
+                             5s,
+                             [&, id](http_result r)
+                             {
+                                 results.emplace(id, std::move(r));
+                                 if (id == "long")
+                                     on_long();
+                             });
+        auto const before = upstream.requests;
+        while (upstream.requests == before && !results.contains("long"))
+            upstream.loop.run_once();
+    };
+    auto const write = [&](std::size_t connection, std::string_view bytes)
+    {
+        while (!bytes.empty())
+        {
+            auto const put = tcp_write(upstream.connections[connection]->fd(), bytes);
+            bytes.remove_prefix(put.bytes);
+            upstream.loop.run_once();
+        }
+    };
+    send("long");
+    send("whole");
+    send("idle");
+    write(2, answer_text("idle", ""));
+    while (!results.contains("idle"))
+        upstream.loop.run_once();
+    constexpr std::size_t part = 900'000;
+    write(0, "HTTP/1.1 200 OK\r\nid: long\r\nContent-Length: 2000000\r\n\r\n" +
+                 std::string(part, 'l'));
+    while (upstream.client.unfinished_bytes() < part)
+        upstream.loop.run_once();
+    on_long = [&]
+    {
+        constexpr std::size_t stray = 60'000;
+        auto& idle = *upstream.connections[2];
+        tcp_write(idle.fd(), std::string(stray, 'z'));
+        linger const hard{.l_onoff = 1, .l_linger = 0};
+        ::setsockopt(idle.fd(), SOL_SOCKET, SO_LINGER, &hard, sizeof(hard));
+        idle.close();
+        upstream.client.call({.method = "GET", .target = "/"}, 5s,
+                             [](http_result const&) {});
+    };
+    std::string const body(200'000, 'w');
+    write(1, answer_text("whole", body));
+    while (!results.contains("whole"))
+        upstream.loop.run_once();
+    EXPECT_EQ(results.at("long").error().at, http_failure::step::too_long);
+    ASSERT_TRUE(results.at("whole").has_value());
+    EXPECT_TRUE(results.at("whole").value().body == body);
+}
+
 TEST(http_client, takes_bodies_by_length_in_chunks_and_up_to_the_end)
 {
     raw_server upstream;
