--- a/include/buckthornusher/retry_budget.hpp
+++ b/include/buckthornusher/retry_budget.hpp
@@ -1,10 +1,11 @@
 // Bounds repeats to a share of real traffic, so that a fault does not multiply load.
 //
 // The bound is on the whole fleet: in any window, repeats for a service are at most
-// `ratio` times its requests, and a reserve. Nodes do not ask each other. Each counts the
-// requests that it took from callers and the repeats that it made, and keeps to the ratio
-// of its own and to its part of the reserve; the parts add up to no more than the whole,
-// also while nodes cannot talk.
+// `ratio` times the requests of that window and of the one before it, and a reserve; with
+// half of it used or less, at most `ratio` times the requests of the busier of the two.
+// Nodes do not ask each other. Each counts the requests that it took from callers and the
+// repeats that it made, and keeps to the ratio of its own and to its part of the reserve;
+// the parts add up to no more than the whole, also while nodes cannot talk.
 //
 // A repeat counts from when it is allowed; a window slides in steps of an eighth.
 //
