A good answer after a silence does not make a node look worse

Found by review: the means of failures and of delays fade while nothing comes, but a new sample was mixed into the unfaded value. A node with a delay of 200 ms, 5 s silent, was expected after 75 ms, and after one good trip after 185 ms, so nodes that had recovered stayed avoided.

Change: fading_mean, one place for both, fades before it adds. a_good_end_after_a_while_never_makes_a_node_look_worse fails before.

--- a/bench/judge.cpp
+++ b/bench/judge.cpp
@@ -4,8 +4,8 @@
 //
 // Prints the executions, the operations that were executed twice, and the overlaps: an
 // execution of a shard that ended after one at a later epoch had started. All upstreams
-// of a run share one machine, so their times are comparable. Exits with 1 if it found any,
-// with 2 if a journal cannot be read.
+// of a run share one machine, so their times are comparable. Exits with 1 if it found
+// any, with 2 if a journal cannot be read.
 #include "connection/http_client.hpp"
 #include "process/event_loop.hpp"
 
--- a/include/buckthornusher/placement.hpp
+++ b/include/buckthornusher/placement.hpp
@@ -172,16 +172,24 @@
     void keep_only(std::vector<std::string> const& nodes);
 
 private:
+    // A mean of the latest samples that fades while none come.
+    struct fading_mean
+    {
+        double value = 0;
+        instant seen;
+
+        double at(instant now, double half_life) const;
+        void add(double sample, double weight, double half_life, instant now);
+    };
+
     struct entry
     {
         std::optional<upstream_load> load;
         instant told;
         std::uint32_t sent_since = 0; // of ours, not in the load that was told
         std::uint32_t awaited = 0;    // of ours, all
-        double delay = 0;             // of messages, seconds beyond the usual trip
-        instant delay_seen;
-        double failure = 0; // share of late, 0 to 1
-        instant failure_seen;
+        fading_mean delay;            // of messages, seconds beyond the usual trip
+        fading_mean failure;          // share of late, 0 to 1
         instant avoid_until;
     };
 
--- a/src/request/placement.cpp
+++ b/src/request/placement.cpp
@@ -44,6 +44,19 @@
 
 } // namespace
 
+double placement::fading_mean::at(instant now, double half_life) const
+{
+    return value * std::exp2(-seconds(now - seen) / half_life);
+}
+
+void placement::fading_mean::add(double sample, double weight, double half_life,
+                                 instant now)
+{
+    auto const faded = at(now, half_life);
+    value = faded + weight * (sample - faded);
+    seen = now;
+}
+
 void placement::on_load(std::string const& node, upstream_load const& load, instant now)
 {
     auto& e = m_entries[node];
@@ -66,17 +79,14 @@
         --e.awaited;
     if (!e.load && e.sent_since > 0)
         --e.sent_since;
-    e.failure += failure_weight * ((failed ? 1.0 : 0.0) - e.failure);
-    e.failure_seen = now;
+    e.failure.add(failed ? 1.0 : 0.0, failure_weight, failure_half_life, now);
 }
 
 void placement::on_trip(std::string const& node, distance away, duration trip,
                         instant now)
 {
-    auto& e = m_entries[node];
     auto const delay = std::max(0.0, seconds(trip - usual_trip(away)));
-    e.delay += delay_weight * (delay - e.delay);
-    e.delay_seen = now;
+    m_entries[node].delay.add(delay, delay_weight, delay_half_life, now);
 }
 
 void placement::avoid(std::string const& node, instant until)
@@ -159,11 +169,8 @@
     auto const beyond =
         wait > 0 ? e.sent_since : std::max(0.0, e.sent_since + 1.0 - free);
     wait += beyond * s / slots;
-    auto const delay =
-        e.delay * std::exp2(-seconds(now - e.delay_seen) / delay_half_life);
-    auto const failing =
-        std::min(worst_failure, e.failure * std::exp2(-seconds(now - e.failure_seen) /
-                                                      failure_half_life));
+    auto const delay = e.delay.at(now, delay_half_life);
+    auto const failing = std::min(worst_failure, e.failure.at(now, failure_half_life));
     return placement_choice{.node = c.node,
                             .expected =
                                 way + from_seconds(delay + (s + wait) / (1 - failing)),
--- a/tests/request_policy_test.cpp
+++ b/tests/request_policy_test.cpp
@@ -714,6 +714,26 @@
     EXPECT_EQ(p.choose(both, {}, 0, now)->node, "late") << "it may have recovered";
 }
 
+TEST(placement, a_good_end_after_a_while_never_makes_a_node_look_worse)
+{
+    placement p({});
+    std::vector const only{near_one("n")};
+    auto now = at_ms(0);
+    for (int i = 0; i < 5; ++i)
+    {
+        p.on_trip("n", distance::same_domain, 200ms, now);
+        p.on_done("n", true, now);
+    }
+    now += 5s;
+    p.on_load("n", busy(0, 0, 60ms), now);
+    auto const before = p.choose(only, {}, 0, now)->expected;
+    p.on_trip("n", distance::same_domain, 1ms, now);
+    auto const after_trip = p.choose(only, {}, 0, now)->expected;
+    EXPECT_LE(after_trip, before);
+    p.on_done("n", false, now);
+    EXPECT_LE(p.choose(only, {}, 0, now)->expected, after_trip);
+}
+
 TEST(placement, the_way_to_another_region_is_no_delay)
 {
     placement p({});
