The wait for an unfenced upstream's requests is as long as any of them may take

Found by review: the wait was the service's own deadline (at most 1.5 s), but a route's timeout goes before it and may be up to 60 s. An upstream that checks no epochs could run such a request beside the next owner.

Change: longest_request, of the service's deadline and the timeouts of all routes to it. Ruled out: to cut routes' timeouts at the service's deadline, as the platform's routes name theirs.

Test: a_routes_timeout_makes_its_services_requests_longer (700 ms were waited where a request has 5 s).

--- a/src/process/node.cpp
+++ b/src/process/node.cpp
@@ -398,7 +398,7 @@
             services.push_back({.name = service.name, .shards = service.shards});
             // Such an upstream may go on with a request for as long as any may take.
             if (!service.fenced)
-                unfenced_wait = std::max(unfenced_wait, service.deadline);
+                unfenced_wait = std::max(unfenced_wait, longest_request(doc, service));
         }
         coord->set_services(services, unfenced_wait, ordered_configuration);
     }
--- a/src/version/config.cpp
+++ b/src/version/config.cpp
@@ -472,6 +472,16 @@
     return errors;
 }
 
+duration longest_request(document const& doc, service_config const& service)
+{
+    auto longest = service.deadline;
+    for (auto const& route : doc.routes)
+        for (auto const& to : route.services)
+            if (to.service == service.name)
+                longest = std::max(longest, route.timeout);
+    return longest;
+}
+
 checked<document> parse_document(std::string_view text)
 {
     std::vector<config_error> errors;
--- a/src/version/config.hpp
+++ b/src/version/config.hpp
@@ -140,6 +140,9 @@
 
 checked<document> parse_document(std::string_view text);
 
+// The longest time that a request of the service may have.
+duration longest_request(document const& doc, service_config const& service);
+
 // What is wrong between the parts of a document: routes to services that it lacks, the
 // same place twice, a split without weight.
 std::vector<config_error> check_document(document const& doc);
--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -269,5 +269,19 @@
     EXPECT_FALSE(routes.is_old("b", "xy1"));
 }
 
+TEST(config, a_routes_timeout_makes_its_services_requests_longer)
+{
+    auto const doc =
+        parse_document("environment = \"t\"\n"
+                       "[service.a]\ndeadline_ms = 700\n"
+                       "[[service.a.route]]\nprefix = \"/a/\"\n"
+                       "[[service.a.route]]\nprefix = \"/b/\"\ntimeout_ms = 5000\n"
+                       "[service.b]\ndeadline_ms = 900\n"
+                       "[[service.b.route]]\nprefix = \"/c/\"\ntimeout_ms = 100\n");
+    ASSERT_TRUE(doc);
+    EXPECT_EQ(longest_request(doc.value(), doc.value().services[0]), 5s);
+    EXPECT_EQ(longest_request(doc.value(), doc.value().services[1]), 900ms);
+}
+
 } // namespace
 } // namespace buckthornusher
