A tenure outlasts the earlier process's lease though an upstream has not reported

Found by review, for nodes with several upstreams. A restarted process inherits its predecessor's tenure, and releases no shard before that one's lease and the wait for unfenced upstreams are over. But if the upstream of service a reports before that of service b, b counts as lost, nothing is in work (the predecessor's orders are not counted), and the tenure is raised at once: keepers give b's shards away while b may still begin what the predecessor sent it, within up to 2.4 s.

Change: until the same time as for releases the tenure goes on, with the targets that it had; the node takes no orders while one of them is missing, as before. Upstreams that are granted their keys are not concerned: their holds bound them.

Ruled out: to wait for all upstreams' first reports before registering, as one may be gone.

a_tenure_goes_on_for_the_earlier_processs_lease_though_an_upstream_is_silent fails before, at registration and after it.

--- a/src/coordination/coordinator_impl.hpp
+++ b/src/coordination/coordinator_impl.hpp
@@ -84,8 +84,10 @@
     // Of the record by which this process took over a tenure: what its predecessor may
     // have acted on is known once the replica has come so far.
     std::uint64_t takeover_version = 0;
-    owner_id served_as;    // the present tenure; none before the first
-    instant releases_from; // no shard is released before
+    owner_id served_as; // the present tenure; none before the first
+    // The earlier process's upstreams may run what it sent them: no shard is released
+    // before, and the tenure does not end.
+    instant releases_from;
 
     std::map<member_id, eviction_work> evictions;
     std::map<member_id, instant> first_seen; // members in the replica
--- a/src/coordination/coordinator_membership.cpp
+++ b/src/coordination/coordinator_membership.cpp
@@ -64,10 +64,11 @@
     {
         self.tenure = before->tenure;
         self.inherited = true;
-        if (!targets_known)
-            self.targets = before->targets;
-        else if (upstream_lost(*before))
+        bool const lost = targets_known && upstream_lost(*before);
+        if (lost && opts.granted_upstreams)
             self.tenure = std::max(opts.self.incarnation, before->tenure + 1);
+        else if (lost || !targets_known)
+            self.targets = before->targets; // a lost one ends the tenure later
     }
     self.watchers = choose_watchers(copy, self, opts.lease.watchers, {});
     at = phase::registering;
@@ -232,7 +233,8 @@
         next.targets = opts.targets;
         if (upstream_lost(*current))
         {
-            if (shards.running() > 0 && !opts.granted_upstreams)
+            bool const may_run = shards.running() > 0 || now < releases_from;
+            if (may_run && !opts.granted_upstreams)
                 next.targets = current->targets;
             else
             {
--- a/tests/coordinator_test.cpp
+++ b/tests/coordinator_test.cpp
@@ -235,6 +235,77 @@
     EXPECT_TRUE(m.sent<pull>().empty()) << "asked once for what was told once";
 }
 
+// A process that follows another of its node, which had the upstreams a and b.
+struct restarted_member
+{
+    restarted_member()
+        : c({.self = {"n", 5}, .endpoint = "tcp://n:1", .region = "r", .domain = "d-n"})
+    {
+        member_record const before{
+            .id = {"n", 4},
+            .tenure = 4,
+            .endpoint = "tcp://n:1",
+            .region = "r",
+            .domain = "d-n",
+            .targets = {{.service = "a", .life = "a1"}, {.service = "b", .life = "b1"}}};
+        c.start(at_ms(0));
+        effects = c.take_effects();
+        c.on_store_answer(list_call(effects, object_kind::configuration),
+                          store_objects{.revision = 3, .objects = {}}, at_ms(1));
+        fleet = {
+            .revision = 3,
+            .objects = {
+                {.name = member_object("n"), .version = 3, .value = before},
+                {.name = member_object("p"), .version = 3, .value = peer_record("p")}}};
+    }
+
+    void list()
+    {
+        c.on_store_answer(list_call(effects, object_kind::fleet), fleet, at_ms(1));
+    }
+
+    // Accepts all writes, and returns the last own record.
+    member_record accept_writes(int ms)
+    {
+        for (auto const& e : c.take_effects())
+            if (auto const* call = std::get_if<call_store>(&e))
+                if (auto const* w = std::get_if<store_write>(&call->operation))
+                {
+                    record = std::get<member_record>(*w->value);
+                    c.on_store_answer(call->id, store_written{.version = ++version},
+                                      at_ms(ms));
+                }
+        return record;
+    }
+
+    coordinator c;
+    std::vector<effect> effects;
+    store_objects fleet;
+    member_record record;
+    std::uint64_t version = 3;
+};
+
+// The upstream b may still run what the earlier process sent it.
+TEST(coordinator,
+     a_tenure_goes_on_for_the_earlier_processs_lease_though_an_upstream_is_silent)
+{
+    for (bool const known_before : {false, true})
+    {
+        restarted_member m;
+        if (known_before)
+            m.c.set_targets({{.service = "a", .life = "a1"}});
+        m.list();
+        EXPECT_EQ(m.accept_writes(2).tenure, 4U);
+        m.c.set_targets({{.service = "a", .life = "a1"}});
+        auto const longest = lease_options{}.longest_lease();
+        auto const last_ms = static_cast<int>(longest / 1ms);
+        play(m.c, 50, last_ms, [&](int ms) { m.accept_writes(ms); });
+        EXPECT_EQ(m.record.tenure, 4U);
+        play(m.c, last_ms + 50, last_ms + 500, [&](int ms) { m.accept_writes(ms); });
+        EXPECT_EQ(m.record.tenure, 5U) << "it is lost";
+    }
+}
+
 // p's earlier tenure owns the shard, and the record in which it was gone was missed: p
 // has joined again since, which is news here.
 TEST(coordinator, an_unfenced_upstream_is_waited_for_though_its_owner_has_joined_again)
