--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -379,7 +379,7 @@
 
 TEST(http_server, lines_without_end_within_a_body_are_refused)
 {
-    constexpr std::uint32_t limit = 1'024;
+    constexpr std::size_t limit = 1'024;
     for (std::string const last : {"4", "0\r\n"})
     {
         request_reader reader({.header_bytes = limit, .body_bytes = limit});
