--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -4,13 +4,12 @@
 #include "free_port.hpp"
 #include "process/boot_clock.hpp"
 #include "process/event_loop.hpp"
+#include "raw_peers.hpp"
 
 #include <gtest/gtest.h>
 
 #include <sys/socket.h>
-#include <unistd.h>
 
-#include <array>
 #include <functional>
 #include <map>
 #include <memory>
@@ -21,6 +20,8 @@
 namespace
 {
 
+using test::raw_connection;
+
 std::string text_of(http_request const& request)
 {
     return request.method + " " + request.target + " " + request.body;
@@ -71,67 +72,6 @@
     }
 };
 
-// A connection whose bytes the test writes and reads itself.
-class raw_connection
-{
-public:
-    raw_connection(event_loop& loop, tcp_address const& to)
-        : m_loop(loop), m_watch(loop, tcp_connect(to, 5s),
-                                {.readable = [this] { read(); },
-                                 .writable =
-                                     [this]
-                                 {
-                                     m_connected = true;
-                                 }})
-    {
-        m_watch.request_write();
-        run_until([this] { return m_connected; });
-    }
-
-    void write(std::string_view bytes) { tcp_write(m_watch.fd(), bytes); }
-
-    // Runs the loop until the peer has sent so much, or has closed.
-    std::string read_until(std::string_view end)
-    {
-        run_until([&] { return m_closed || m_read.find(end) != std::string::npos; });
-        return m_read;
-    }
-    std::string read_all()
-    {
-        run_until([this] { return m_closed; });
-        return m_read;
-    }
-    bool closed() const { return m_closed; }
-    void close() { m_watch.close(); }
-
-private:
-    template <class Done>
-    void run_until(Done done)
-    {
-        auto const give_up = boot_now() + 20s;
-        while (!done() && boot_now() < give_up)
-            m_loop.run_once();
-    }
-
-    void read()
-    {
-        std::array<char, 4'096> space{};
-        auto const got = tcp_read(m_watch.fd(), space.data(), space.size());
-        m_read.append(space.data(), got.bytes);
-        if (got.status == io_status::ended || got.status == io_status::broken)
-        {
-            m_closed = true;
-            m_watch.close();
-        }
-    }
-
-    event_loop& m_loop;
-    std::string m_read;
-    bool m_connected = false;
-    bool m_closed = false;
-    descriptor_watch m_watch;
-};
-
 std::size_t count_of(std::string const& text, std::string const& part)
 {
     std::size_t count = 0;
@@ -452,27 +392,19 @@
 
 // ---- the client against raw bytes ----
 
-// An upstream whose answers the test writes itself.
-struct raw_server
+struct loop_of_its_own
+{
+    event_loop loop;
+};
+
+// An upstream whose answers the test writes itself, and its client.
+struct raw_server : loop_of_its_own, test::raw_upstream
 {
     explicit raw_server(http_client::options opts = {.max_connections = 2})
-        : client(loop, adapt(opts))
+        : raw_upstream(loop), client(loop, adapt(opts))
     {
     }
 
-    event_loop loop;
-    std::vector<std::shared_ptr<descriptor_watch>> connections;
-    std::string read;
-    std::function<std::string(int)> answer; // by the number of the request
-    std::string unit; // what "<endless>" sends, again and again, until it is closed
-    std::size_t units_sent = 0; // bytes
-    int requests = 0;
-    descriptor_watch listener{loop,
-                              tcp_listen(test::free_address()),
-                              {.readable = [this]
-                               {
-                                   accept();
-                               }}};
     http_client client;
 
     static http_client::options adapt(http_client::options opts)
@@ -486,60 +418,6 @@
         return opts;
     }
 
-    void accept()
-    {
-        int const fd = tcp_accept(listener.fd());
-        if (fd < 0)
-            return;
-        auto const n = connections.size();
-        connections.push_back(std::make_shared<descriptor_watch>(
-            loop, fd,
-            descriptor_watch::handlers{.readable = [this, n] { on_bytes(n); },
-                                       .writable =
-                                           [this, n]
-                                       {
-                                           send_units(*connections[n]);
-                                       }}));
-    }
-
-    void send_units(descriptor_watch& to)
-    {
-        auto const at = units_sent % unit.size();
-        auto const sent = tcp_write(to.fd(), std::string_view(unit).substr(at));
-        if (sent.status == io_status::broken)
-            return to.close();
-        units_sent += sent.bytes;
-        to.request_write();
-    }
-
-    void on_bytes(std::size_t n)
-    {
-        std::array<char, 65'536> space{};
-        auto const c = connections[n];
-        auto const got = tcp_read(c->fd(), space.data(), space.size());
-        if (got.status != io_status::done)
-            return c->close();
-        read.append(space.data(), got.bytes);
-        if (!read.ends_with("\r\n\r\n"))
-            return;
-        auto const text = answer(requests++);
-        constexpr std::string_view end_mark = "<end>";
-        constexpr std::string_view reset_mark = "<reset>";
-        constexpr std::string_view endless_mark = "<endless>";
-        auto const plain = text.substr(0, text.find('<'));
-        tcp_write(c->fd(), plain);
-        if (text.ends_with(endless_mark))
-            c->request_write();
-        if (text.ends_with(end_mark))
-            c->close();
-        if (text.ends_with(reset_mark))
-        {
-            linger const hard{.l_onoff = 1, .l_linger = 0};
-            ::setsockopt(c->fd(), SOL_SOCKET, SO_LINGER, &hard, sizeof(hard));
-            c->close();
-        }
-    }
-
     http_result call(std::string const& id)
     {
         std::optional<http_result> result;
--- /dev/null
+++ b/tests/raw_peers.hpp
@@ -0,0 +1,167 @@
+// A caller and an upstream whose bytes the test writes and reads itself.
+#ifndef BUCKTHORNUSHER_TESTS_RAW_PEERS_HPP
+#define BUCKTHORNUSHER_TESTS_RAW_PEERS_HPP
+
+#include "connection/tcp_socket.hpp"
+#include "free_port.hpp"
+#include "process/boot_clock.hpp"
+#include "process/event_loop.hpp"
+
+#include <sys/socket.h>
+
+#include <array>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace buckthornusher::test
+{
+
+// A connection whose bytes the test writes and reads itself.
+class raw_connection
+{
+public:
+    raw_connection(event_loop& loop, tcp_address const& to)
+        : m_loop(loop), m_watch(loop, tcp_connect(to, 5s),
+                                {.readable = [this] { read(); },
+                                 .writable =
+                                     [this]
+                                 {
+                                     m_connected = true;
+                                 }})
+    {
+        m_watch.request_write();
+        run_until([this] { return m_connected; });
+    }
+
+    void write(std::string_view bytes) { tcp_write(m_watch.fd(), bytes); }
+
+    // Runs the loop until the peer has sent so much, or has closed.
+    std::string read_until(std::string_view end)
+    {
+        run_until([&] { return m_closed || m_read.find(end) != std::string::npos; });
+        return m_read;
+    }
+    std::string read_all()
+    {
+        run_until([this] { return m_closed; });
+        return m_read;
+    }
+    bool closed() const { return m_closed; }
+    void close() { m_watch.close(); }
+
+private:
+    template <class Done>
+    void run_until(Done done)
+    {
+        auto const give_up = boot_now() + 20s;
+        while (!done() && boot_now() < give_up)
+            m_loop.run_once();
+    }
+
+    void read()
+    {
+        std::array<char, 4'096> space{};
+        auto const got = tcp_read(m_watch.fd(), space.data(), space.size());
+        m_read.append(space.data(), got.bytes);
+        if (got.status == io_status::ended || got.status == io_status::broken)
+        {
+            m_closed = true;
+            m_watch.close();
+        }
+    }
+
+    event_loop& m_loop;
+    std::string m_read;
+    bool m_connected = false;
+    bool m_closed = false;
+    descriptor_watch m_watch;
+};
+
+// Listens at free_address(), and answers each request (without a body) with what
+// `answer` returns. What follows a mark in it is not sent:
+//   <end>      closes the connection in good order
+//   <reset>    resets it
+//   <endless>  sends `unit` again and again, until the peer closes
+struct raw_upstream
+{
+    explicit raw_upstream(event_loop& on)
+        : listener_loop(on), listener(on, tcp_listen(free_address()),
+                                      {.readable = [this]
+                                       {
+                                           accept();
+                                       }})
+    {
+    }
+
+    event_loop& listener_loop;
+    std::vector<std::shared_ptr<descriptor_watch>> connections;
+    std::vector<int> requests_on; // by connection
+    std::string read;
+    std::function<std::string(int)> answer; // by the number of the request
+    std::string unit;
+    std::size_t units_sent = 0; // bytes
+    int requests = 0;
+    descriptor_watch listener;
+
+    void accept()
+    {
+        int const fd = tcp_accept(listener.fd());
+        if (fd < 0)
+            return;
+        auto const n = connections.size();
+        requests_on.push_back(0);
+        connections.push_back(std::make_shared<descriptor_watch>(
+            listener_loop, fd,
+            descriptor_watch::handlers{.readable = [this, n] { on_bytes(n); },
+                                       .writable =
+                                           [this, n]
+                                       {
+                                           send_units(*connections[n]);
+                                       }}));
+    }
+
+    void send_units(descriptor_watch& to)
+    {
+        auto const at = units_sent % unit.size();
+        auto const sent = tcp_write(to.fd(), std::string_view(unit).substr(at));
+        if (sent.status == io_status::broken)
+            return to.close();
+        units_sent += sent.bytes;
+        to.request_write();
+    }
+
+    void on_bytes(std::size_t n)
+    {
+        std::array<char, 65'536> space{};
+        auto const c = connections[n];
+        auto const got = tcp_read(c->fd(), space.data(), space.size());
+        if (got.status != io_status::done)
+            return c->close();
+        read.append(space.data(), got.bytes);
+        if (!read.ends_with("\r\n\r\n"))
+            return;
+        ++requests_on[n];
+        auto const text = answer(requests++);
+        constexpr std::string_view end_mark = "<end>";
+        constexpr std::string_view reset_mark = "<reset>";
+        constexpr std::string_view endless_mark = "<endless>";
+        auto const plain = text.substr(0, text.find('<'));
+        tcp_write(c->fd(), plain);
+        if (text.ends_with(endless_mark))
+            c->request_write();
+        if (text.ends_with(end_mark))
+            c->close();
+        if (text.ends_with(reset_mark))
+        {
+            linger const hard{.l_onoff = 1, .l_linger = 0};
+            ::setsockopt(c->fd(), SOL_SOCKET, SO_LINGER, &hard, sizeof(hard));
+            c->close();
+        }
+    }
+};
+
+} // namespace buckthornusher::test
+
+#endif
