A request whose caller has closed by the time it is read is not begun (GONE)

Cause: the server handed on what it had read before it looked for the end behind it. On a node that is behind its work a request waits unread, its caller gives up and closes, and the node then reads it, counts its time from that moment, and passes it on.

Ruled out: the way to the second node and its queue alone, as the deadline in the record passes before the run and is checked there; it can only have been reckoned too late.

Fix: the server reads what is there up to the end before it handles any of it; one more read a request. The test failed before: 4 requests begun in place of 1.

--- a/src/connection/http_server.cpp
+++ b/src/connection/http_server.cpp
@@ -111,15 +111,16 @@
     static thread_local std::array<char, read_space> space;
     while (watch.is_open() && !reading_paused)
     {
-        auto const got = tcp_read(watch.fd(), space.data(), space.size());
-        if (got.status == io_status::not_ready)
-            return;
-        if (got.status != io_status::done)
+        auto const got = tcp_read_all(watch.fd(), space.data(), space.size());
+        // Nobody awaits the answers to what came before the end.
+        if (got.status != io_status::done && got.status != io_status::not_ready)
             return close();
+        if (got.bytes == 0)
+            return;
         last_progress = boot_now();
         if (!last_read)
             take_bytes({space.data(), got.bytes});
-        if (got.bytes < space.size())
+        if (got.status == io_status::not_ready)
             return;
     }
 }
--- a/src/connection/http_server.hpp
+++ b/src/connection/http_server.hpp
@@ -3,7 +3,8 @@
 // Each request is read whole, within its limits, before the handler sees it, and each
 // answer is written whole. A handler may answer later: it keeps the `http_reply` and
 // calls send() once. A reply whose connection has gone is dropped, and `on_gone` is
-// called so that the work can be cancelled.
+// called so that the work can be cancelled. A request whose caller has closed the
+// connection by the time it is read is not handed to the handler at all.
 //
 // A caller may send further requests before the first is answered; they are handled side
 // by side, and answered in their order. Bytes that are not a request get 400, 413 or 431,
--- a/src/connection/tcp_socket.cpp
+++ b/src/connection/tcp_socket.cpp
@@ -108,6 +108,19 @@
     return {.status = later ? io_status::not_ready : io_status::broken};
 }
 
+io_result tcp_read_all(int fd, char* space, std::size_t size)
+{
+    std::size_t filled = 0;
+    while (filled < size)
+    {
+        auto const got = tcp_read(fd, space + filled, size - filled);
+        filled += got.bytes;
+        if (got.status != io_status::done)
+            return {.status = got.status, .bytes = filled};
+    }
+    return {.status = io_status::done, .bytes = filled};
+}
+
 io_result tcp_write(int fd, std::string_view bytes)
 {
     auto const put = ::send(fd, bytes.data(), bytes.size(), MSG_NOSIGNAL);
--- a/src/connection/tcp_socket.hpp
+++ b/src/connection/tcp_socket.hpp
@@ -49,6 +49,9 @@
 int tcp_connect_error(int fd);
 
 io_result tcp_read(int fd, char* space, std::size_t size);
+// Reads until nothing is left (`not_ready`), the space is full (`done`) or the peer's end
+// shows; `bytes` were read before that.
+io_result tcp_read_all(int fd, char* space, std::size_t size);
 io_result tcp_write(int fd, std::string_view bytes);
 // Ends our side; the peer's bytes can still be read.
 void tcp_end(int fd);
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -372,6 +372,28 @@
     EXPECT_TRUE(echo.call({.method = "GET", .target = "/get"}).has_value());
 }
 
+// The caller's close waits in the socket behind its request.
+TEST(http_server, a_request_whose_caller_has_left_is_not_begun)
+{
+    echo_server echo;
+    std::string const request = "GET /get HTTP/1.1\r\nHost: h\r\n\r\n";
+    raw_connection kept(echo.loop, test::free_address());
+    kept.write(request);
+    kept.read_until("GET /get");
+    raw_connection fresh(echo.loop, test::free_address());
+    while (echo.server.connections() < 2)
+        echo.loop.run_once();
+    kept.write(request + request);
+    kept.close();
+    fresh.write(request);
+    fresh.close();
+    while (echo.server.connections() > 0)
+        echo.loop.run_once();
+    EXPECT_EQ(echo.handled.size(), 1U);
+    EXPECT_EQ(echo.gone, 0);
+    EXPECT_TRUE(echo.call({.method = "GET", .target = "/get"}).has_value());
+}
+
 // A stop answers what has been read, also what was sent ahead, and then ends.
 TEST(http_server, a_stop_answers_all_that_it_has_read)
 {
