A round of the loop reads a bounded number of peers' messages

Cause: after each round all hooks ran until none did anything, and the peers' hook read until its socket was empty. While messages come as fast as they are handled, timers and callers' sockets wait without bound: callers give up, and their closes are not read.

Now a hook reads 32 messages and hooks have 8 passes; then timers and descriptors have their turn without waiting.

--- a/src/connection/peer_socket.cpp
+++ b/src/connection/peer_socket.cpp
@@ -18,6 +18,7 @@
 namespace
 {
 constexpr int queue_length = 4'000; // messages for each peer
+constexpr int messages_at_once = 32;
 constexpr int largest_message = 16'777'216;
 constexpr int reconnect_ms = 100;
 constexpr int longest_reconnect_ms = 1'000;
@@ -39,7 +40,8 @@
     bool may_be_ready = true;
 
     bool send_to(std::string const& identity, wire::Envelope const& message);
-    bool drain(); // whether it looked
+    bool read_some(); // whether it looked
+    bool read_one();  // false: there is none
 };
 
 bool peer_socket::impl::send_to(std::string const& identity,
@@ -68,31 +70,39 @@
     return true;
 }
 
-bool peer_socket::impl::drain()
+bool peer_socket::impl::read_some()
+{
+    if (!may_be_ready)
+        return false;
+    for (int i = 0; i < messages_at_once; ++i)
+        if (!read_one())
+        {
+            may_be_ready = false; // answers sent above came before the last look
+            break;
+        }
+    return true;
+}
+
+bool peer_socket::impl::read_one()
 {
     zmq::message_t identity;
     zmq::message_t body;
-    if (!may_be_ready)
+    if (!socket.recv(identity, zmq::recv_flags::dontwait))
         return false;
-    while (socket.recv(identity, zmq::recv_flags::dontwait))
+    bool const whole = identity.more() && socket.recv(body, zmq::recv_flags::dontwait);
+    wire::Envelope envelope;
+    if (!whole || body.more() ||
+        !envelope.ParseFromArray(body.data(), static_cast<int>(body.size())))
     {
-        bool const whole =
-            identity.more() && socket.recv(body, zmq::recv_flags::dontwait);
-        wire::Envelope envelope;
-        if (!whole || body.more() ||
-            !envelope.ParseFromArray(body.data(), static_cast<int>(body.size())))
+        ++counts.malformed;
+        while (whole && body.more() && socket.recv(body, zmq::recv_flags::dontwait))
         {
-            ++counts.malformed;
-            while (whole && body.more() && socket.recv(body, zmq::recv_flags::dontwait))
-            {
-            }
-            continue;
         }
-        ++counts.received;
-        counts.received_bytes += body.size();
-        on_message({.identity = identity.to_string()}, envelope);
+        return true;
     }
-    may_be_ready = false; // answers sent above came before the last look
+    ++counts.received;
+    counts.received_bytes += body.size();
+    on_message({.identity = identity.to_string()}, envelope);
     return true;
 }
 
@@ -120,7 +130,7 @@
     }
     loop.wake_on(socket.get(zmq::sockopt::fd),
                  [impl = m_impl.get()] { impl->may_be_ready = true; });
-    loop.after_round([impl = m_impl.get()] { return impl->drain(); });
+    loop.after_round([impl = m_impl.get()] { return impl->read_some(); });
 }
 
 peer_socket::~peer_socket() = default;
--- a/src/connection/peer_socket.hpp
+++ b/src/connection/peer_socket.hpp
@@ -3,6 +3,7 @@
 // A node connects to a peer when it first sends to it, and answers requests down the
 // connection that they came by. Queues are bounded. A message may wait in a queue while
 // its peer is away and arrive late; receivers must bear that (see request_clock.hpp).
+// Between two looks at its other descriptors the loop reads a bounded number of messages.
 #ifndef BUCKTHORNUSHER_CONNECTION_PEER_SOCKET_HPP
 #define BUCKTHORNUSHER_CONNECTION_PEER_SOCKET_HPP
 
--- a/src/process/event_loop.cpp
+++ b/src/process/event_loop.cpp
@@ -25,6 +25,7 @@
 
 constexpr duration longest_wait = 1s;
 constexpr int events_at_once = 64;
+constexpr int most_hook_passes = 8; // within a round
 
 int wake_callback(lws* wsi, lws_callback_reasons reason, void* /*user*/, void* /*in*/,
                   size_t /*len*/)
@@ -81,6 +82,7 @@
     wake_timer wake;
     timer_service timers;
     std::vector<std::function<bool()>> hooks;
+    bool hooks_have_more = false;              // to do, when they last ran
     std::deque<std::function<void()>> readers; // by descriptor; addresses stay
     // The watched descriptors stand in a set of the kernel's, and libwebsockets polls
     // only that: its own poll costs time for each descriptor, ready or not.
@@ -269,7 +271,7 @@
     if (auto const due = m_impl->timers.next_due())
         wait = std::clamp(std::chrono::duration_cast<duration>(*due - boot_now()),
                           duration{0}, duration{longest_wait});
-    if (m_impl->precise && wait < 2 * poll_step)
+    if (m_impl->hooks_have_more || (m_impl->precise && wait < 2 * poll_step))
         wait = 0us;
     if (wait > 0us)
     {
@@ -284,10 +286,14 @@
 
 void event_loop::run_hooks()
 {
-    bool again = true;
-    while (std::exchange(again, false))
+    auto& more = m_impl->hooks_have_more;
+    more = true;
+    for (int pass = 0; more && pass < most_hook_passes; ++pass)
+    {
+        more = false;
         for (auto const& hook : m_impl->hooks)
-            again = hook() || again;
+            more = hook() || more;
+    }
 }
 
 void event_loop::run()
--- a/src/process/event_loop.hpp
+++ b/src/process/event_loop.hpp
@@ -81,7 +81,8 @@
     void run_timers_precisely();
 
     // Runs `fn` after each round of the loop, before it waits again. `fn` returns whether
-    // it did something; all hooks run until none does.
+    // it did something; all hooks run until none does, up to a bound: then timers and
+    // descriptors have their turn first, without waiting.
     void after_round(std::function<bool()> fn);
 
 private:
