--- a/src/process/node.cpp
+++ b/src/process/node.cpp
@@ -694,6 +694,7 @@
                               flush_log();
                               s.carry_out();
                           });
+    s.loop.after_round([&s] { return s.served.begin_arrived(); });
     // Ends of requests may release shards.
     s.loop.after_round([&s] { return s.carry_out(); });
     log_event(log_level::info, "started", {{"member", impl::to_text(s.coord->self())}});
--- a/src/process/order_server.cpp
+++ b/src/process/order_server.cpp
@@ -12,7 +12,6 @@
 void order_server::on_forward(peer_route const& route, wire::Envelope const& message)
 {
     auto const& in = message.forward();
-    auto const now = boot_now();
     auto o = decode(in);
     o.sender = message.sender().node();
     auto const sent_at = from_micros(in.token().sent_at());
@@ -23,19 +22,40 @@
     o.deadline = later(in.budget());
     o.due = later(in.due());
     o.start_until = later(in.start_within());
-    auto const attempt = in.attempt();
-    auto const service = o.service;
-    if (in.token().session() != m_table.session() || o.deadline <= now)
-        return reply(route, attempt, service, now, order_refused{.why = reason::stale});
+    m_orders[{route.identity, in.attempt()}] = 0;
+    m_arrived.push_back({.route = route,
+                         .attempt = in.attempt(),
+                         .session = in.token().session(),
+                         .what = std::move(o),
+                         .read = boot_now()});
+}
+
+bool order_server::begin_arrived()
+{
+    auto arrived = std::exchange(m_arrived, {});
+    for (auto& a : arrived)
+        if (m_orders.contains({a.route.identity, a.attempt}))
+            begin(std::move(a));
+    return !arrived.empty();
+}
+
+void order_server::begin(arrived_order arrived)
+{
+    auto const& [route, attempt, session, what, read] = arrived;
     order_key const key{route.identity, attempt};
-    m_orders[key] = 0;
-    auto const id =
-        m_agent.run(std::move(o),
-                    [this, route, key, service, now](order_result const& result)
-                    {
-                        m_orders.erase(key);
-                        reply(route, key.second, service, now, result);
-                    });
+    auto const service = what.service;
+    if (session != m_table.session() || what.deadline <= boot_now())
+    {
+        m_orders.erase(key);
+        return reply(route, attempt, service, read, order_refused{.why = reason::stale});
+    }
+    auto const id = m_agent.run(
+        std::move(arrived.what),
+        [this, route = route, key, service, read = read](order_result const& result)
+        {
+            m_orders.erase(key);
+            reply(route, key.second, service, read, result);
+        });
     if (auto const it = m_orders.find(key); it != m_orders.end())
         it->second = id;
 }
@@ -63,7 +83,8 @@
         return;
     auto const id = it->second;
     m_orders.erase(it);
-    m_agent.cancel(id);
+    if (id != 0)
+        m_agent.cancel(id);
 }
 
 } // namespace buckthornusher
--- a/src/process/order_server.hpp
+++ b/src/process/order_server.hpp
@@ -2,6 +2,9 @@
 //
 // An order that has waited too long on its way, or was meant for an earlier process at
 // this place, is refused. Each reply tells how busy the upstream is.
+//
+// Orders begin once all messages that have arrived with them are read: after a long round
+// of the loop the cancel of an order waits behind it, and what is cancelled never begins.
 #ifndef BUCKTHORNUSHER_PROCESS_ORDER_SERVER_HPP
 #define BUCKTHORNUSHER_PROCESS_ORDER_SERVER_HPP
 
@@ -11,6 +14,7 @@
 
 #include <map>
 #include <utility>
+#include <vector>
 
 namespace buckthornusher
 {
@@ -26,12 +30,24 @@
 
     void on_forward(peer_route const& route, wire::Envelope const& message);
     void on_cancel(peer_route const& route, wire::Envelope const& message);
+    // Begins the orders that have arrived since the last call. Returns whether any did.
+    bool begin_arrived();
 
     std::size_t unfinished() const { return m_orders.size(); }
 
 private:
     using order_key = std::pair<std::string, std::uint64_t>; // connection and attempt
 
+    struct arrived_order
+    {
+        peer_route route;
+        std::uint64_t attempt = 0;
+        std::uint64_t session = 0; // of the process that it was meant for
+        order what;
+        instant read;
+    };
+
+    void begin(arrived_order arrived);
     void reply(peer_route const& route, std::uint64_t attempt, std::string const& service,
                instant read, order_result const& result);
 
@@ -39,6 +55,8 @@
     peer_socket& m_peers;
     peer_table const& m_table;
     std::string m_self;
+    std::vector<arrived_order> m_arrived;
+    // Unfinished; 0: not begun yet.
     std::map<order_key, agent::order_id> m_orders;
 };
 
--- a/tests/agent_test.cpp
+++ b/tests/agent_test.cpp
@@ -1,10 +1,16 @@
-// An agent beside an upstream, with real sockets on loopback: what a planned stop does to
-// the orders that it has, and to those that still come.
+// An agent beside an upstream, with real sockets on loopback: what a planned stop and
+// callers that leave do to the orders that it has, and to those that still come.
 #include "connection/http_server.hpp"
+#include "connection/peer_socket.hpp"
 #include "free_port.hpp"
 #include "process/agent.hpp"
 #include "process/boot_clock.hpp"
 #include "process/event_loop.hpp"
+#include "process/order_server.hpp"
+#include "process/peer_table.hpp"
+#include "process/request_wire.hpp"
+
+#include "wire.pb.h"
 
 #include <gtest/gtest.h>
 
@@ -14,10 +20,10 @@
 {
 
 // An upstream with one slot that answers when it is told to, and the agent beside it.
-class stopping_agent : public testing::Test
+class agent_test : public testing::Test
 {
 protected:
-    stopping_agent()
+    agent_test()
         : upstream(loop, {.address = test::free_address()},
                    [this](http_request const& request, http_reply const& reply)
                    {
@@ -36,12 +42,19 @@
         local.on_report(report, boot_now());
     }
 
-    agent::order_id send(std::string const& target, duration time_left = 5s)
+    static order make_order(std::string const& target, bool repeatable)
     {
         order o;
         o.service = "s";
         o.request = {.method = "GET", .target = target};
-        o.repeatable = true;
+        o.repeatable = repeatable;
+        return o;
+    }
+
+    agent::order_id send(std::string const& target, duration time_left = 5s,
+                         bool repeatable = true)
+    {
+        auto o = make_order(target, repeatable);
         o.deadline = o.due = o.start_until = boot_now() + time_left;
         return local.run(std::move(o), [this, target](order_result result)
                          { results.emplace(target, std::move(result)); });
@@ -72,6 +85,10 @@
     std::map<std::string, order_result> results;
 };
 
+class stopping_agent : public agent_test
+{
+};
+
 TEST_F(stopping_agent, takes_late_only_what_ends_before_the_last_answers)
 {
     local.begin_stopping(planned_stop({.grace = 3s}, boot_now()));
@@ -122,5 +139,63 @@
     EXPECT_EQ(arrived.size(), 1U);
 }
 
+class leaving_callers : public agent_test
+{
+protected:
+    leaving_callers()
+    {
+        route.identity = "caller";
+        served.emplace(local, peers, table, "n");
+    }
+
+    wire::Envelope forward(std::uint64_t attempt, std::string const& target)
+    {
+        wire::Envelope message;
+        auto& out = *message.mutable_forward();
+        encode(make_order(target, false), out);
+        out.set_attempt(attempt);
+        out.mutable_token()->set_session(table.session());
+        out.mutable_token()->set_sent_at(to_micros(boot_now()));
+        constexpr std::uint64_t time_left = 5'000'000;
+        out.set_budget(time_left);
+        out.set_due(time_left);
+        out.set_start_within(time_left);
+        return message;
+    }
+
+    static wire::Envelope cancel(std::uint64_t attempt)
+    {
+        wire::Envelope message;
+        message.mutable_cancel()->set_attempt(attempt);
+        return message;
+    }
+
+    peer_socket peers{loop, "tcp://127.0.0.1:*",
+                      [](peer_route const&, wire::Envelope const&) {
+                      }};
+    peer_table table{peers, "n", 7, {}};
+    std::optional<order_server> served;
+    peer_route route;
+};
+
+TEST_F(leaving_callers, an_order_whose_cancel_has_arrived_with_it_never_begins)
+{
+    served->on_forward(route, forward(1, "/cancelled"));
+    served->on_forward(route, forward(2, "/wanted"));
+    served->on_cancel(route, cancel(1));
+    served->begin_arrived();
+    serve_until([&] { return !arrived.empty(); });
+    EXPECT_EQ(arrived, std::vector<std::string>{"/wanted"});
+    EXPECT_EQ(served->unfinished(), 1U);
+}
+
+TEST_F(leaving_callers, an_order_that_may_have_begun_and_runs_once_only_goes_on)
+{
+    auto const first = send("/first", 5s, false);
+    serve_until([&] { return arrived.size() == 1; });
+    local.cancel(first);
+    EXPECT_EQ(local.unfinished(), 1U);
+}
+
 } // namespace
 } // namespace buckthornusher
