An order that waits for a connection is not sent once its caller has left (GONE)

The client can now take a call back of which nothing has left; cancel() and withdraw() of the agent use it.

--- a/src/connection/http_client.cpp
+++ b/src/connection/http_client.cpp
@@ -412,6 +412,15 @@
         it->second->fail(http_failure::step::cancelled);
 }
 
+bool http_client::withdraw(call_id id)
+{
+    auto const it = m_impl->calls.find(id);
+    if (it == m_impl->calls.end() || it->second->any_sent)
+        return false;
+    it->second->fail(http_failure::step::cancelled);
+    return true;
+}
+
 std::size_t http_client::unfinished_bytes() const
 {
     return m_impl->unfinished_bytes;
--- a/src/connection/http_client.hpp
+++ b/src/connection/http_client.hpp
@@ -94,6 +94,10 @@
     // answer.
     void cancel(call_id id);
 
+    // Cancels the call if nothing of it has left this process. False: something has, or
+    // the call has ended.
+    bool withdraw(call_id id);
+
     std::size_t connections() const;
     std::size_t unfinished_bytes() const; // of answers that are not whole yet
     std::uint64_t connections_opened() const;
--- a/src/process/agent.cpp
+++ b/src/process/agent.cpp
@@ -491,6 +491,8 @@
     {
         if (w->call && w->o.repeatable)
             w->backend->http.cancel(*w->call);
+        else if (w->call)
+            w->backend->http.withdraw(*w->call);
         return;
     }
     if (w->at == work::state::queued)
@@ -501,11 +503,18 @@
 bool agent::withdraw(order_id id)
 {
     auto* w = find(id);
-    if (w == nullptr || w->at == work::state::running)
+    if (w == nullptr)
+        return false;
+    auto done = std::exchange(w->done, nullptr);
+    if (w->at == work::state::running)
+    {
+        if (w->call && w->backend->http.withdraw(*w->call))
+            return true;
+        w->done = std::move(done);
         return false;
+    }
     if (w->at == work::state::queued)
         w->backend->queue.cancel(id);
-    w->done = nullptr;
     finish(*w, order_refused{.why = reason::stopping});
     return true;
 }
--- a/src/process/agent.hpp
+++ b/src/process/agent.hpp
@@ -104,8 +104,9 @@
     // Calls `done` once, perhaps at once.
     order_id run(order o, callback done);
 
-    // The caller has gone: a waiting order is dropped, a running one that may be repeated
-    // is cancelled; another goes on, so that its answer can be kept.
+    // The caller has gone: an order of which nothing has left this process is dropped, a
+    // running one that may be repeated is cancelled; another goes on, so that its answer
+    // can be kept.
     void cancel(order_id id);
 
     // Takes an order back that has not been sent. False: it may have begun.
--- a/tests/agent_test.cpp
+++ b/tests/agent_test.cpp
@@ -139,6 +139,16 @@
     EXPECT_EQ(arrived.size(), 1U);
 }
 
+// The connection to the upstream is not made yet.
+TEST_F(stopping_agent, gives_back_what_waits_for_a_connection)
+{
+    auto const first = send("/first", 5s, false);
+    EXPECT_TRUE(local.withdraw(first));
+    send("/second");
+    serve_until([&] { return !arrived.empty(); });
+    EXPECT_EQ(arrived, std::vector<std::string>{"/second"});
+}
+
 class leaving_callers : public agent_test
 {
 protected:
@@ -189,6 +199,16 @@
     EXPECT_EQ(served->unfinished(), 1U);
 }
 
+TEST_F(leaving_callers, an_order_that_waits_for_a_connection_is_not_sent_any_more)
+{
+    auto const first = send("/first", 5s, false);
+    local.cancel(first);
+    EXPECT_EQ(local.unfinished(), 0U);
+    send("/second");
+    serve_until([&] { return !arrived.empty(); });
+    EXPECT_EQ(arrived, std::vector<std::string>{"/second"});
+}
+
 TEST_F(leaving_callers, an_order_that_may_have_begun_and_runs_once_only_goes_on)
 {
     auto const first = send("/first", 5s, false);
