--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -654,6 +654,31 @@
     }
 }
 
+TEST(http_client, an_answer_whose_head_is_cut_anywhere_is_none)
+{
+    for (std::string const length : {"Content-Length: 0\r\n", "Content-Length: 4\r\n",
+                                     "Transfer-Encoding: chunked\r\n", ""})
+        for (auto const* mark : {"<end>", "<reset>"})
+        {
+            auto const head = "HTTP/1.1 200 OK\r\nid: a\r\nContent-Type: text/plain\r\n" +
+                              length + "\r\n";
+            for (std::size_t size = 0; size < head.size(); ++size)
+            {
+                raw_server upstream;
+                upstream.answer = [&](int n)
+                {
+                    return n == 0 ? answer_text("first", "one")
+                                  : head.substr(0, size) + mark;
+                };
+                ASSERT_TRUE(upstream.call("first").has_value());
+                auto const result = upstream.call("a");
+                ASSERT_TRUE(result.has_error()) << head.substr(0, size) << mark;
+                EXPECT_EQ(result.error().at, http_failure::step::answer);
+                EXPECT_TRUE(result.error().sent);
+            }
+        }
+}
+
 // A second answer may come at once, or late, where the next one is expected. Its id tells
 // it apart, and the connection is not used any further.
 TEST(http_client, an_answer_to_another_request_is_never_delivered)
