A refusal that an upstream writes again is not taken for that of a later sending

It could happen here: a request that was refused and is sent to the same upstream again (the owner of its shard, or in a last round of offers) carries the same id, mostly on the same connection. The id tells answers of other requests apart, not those of an earlier turn.

Fix: an agent remembers which requests its upstream has answered without a final answer, until they are over (answered_memory, 65,536 at most); such a request goes on a connection that has carried nothing. Others keep the connection, so refusals cost none. In our own form each sending has a number that the upstream repeats; a refusal that does not name it counts as an answer that was lost.

Test: faulty_upstream.a_refusal_written_again_is_not_the_answer_to_the_next_sending; without the memory the second sending ends as refused.

--- a/src/connection/http_client.cpp
+++ b/src/connection/http_client.cpp
@@ -49,6 +49,7 @@
 
     connection* take_idle(instant now);
     connection* open(instant now);
+    void make_room();
     void keep_bound();
     void sweep_idle(instant now);
 };
@@ -301,6 +302,12 @@
     return nullptr;
 }
 
+void http_client::impl::make_room()
+{
+    if (connections.size() >= opts.max_connections && !idle.empty())
+        idle.front()->close(); // removes it
+}
+
 http_client::connection* http_client::impl::open(instant now)
 {
     int const fd = tcp_connect(opts.peer, opts.unacknowledged);
@@ -372,7 +379,7 @@
 }
 
 http_client::call_id http_client::call(http_request request, duration timeout,
-                                       callback done)
+                                       callback done, call_connection on)
 {
     auto const id = m_impl->next_id++;
     auto const now = boot_now();
@@ -381,7 +388,11 @@
         done(http_failure{.at = at, .sent = false, .peer = to_string(m_impl->opts.peer)});
         return id;
     };
-    auto* c = m_impl->take_idle(now);
+    connection* c = nullptr;
+    if (on == call_connection::any)
+        c = m_impl->take_idle(now);
+    else
+        m_impl->make_room();
     if (c == nullptr && m_impl->connections.size() >= m_impl->opts.max_connections)
         return fail_at(http_failure::step::busy);
     if (c == nullptr)
--- a/src/connection/http_client.hpp
+++ b/src/connection/http_client.hpp
@@ -2,7 +2,8 @@
 //
 // The client holds up to `max_connections` connections, each with one call at a time. A
 // call takes the connection that was used last, opens a new one, or fails at once with
-// `busy`: queueing is the caller's business, who knows deadlines. An answer is delivered
+// `busy`; one that wants an unused connection closes another that is idle, if there is no
+// room. Queueing is the caller's business, who knows deadlines. An answer is delivered
 // whole or not at all.
 //
 // What arrives on a connection is taken for the answer only if the option `belongs` says
@@ -57,6 +58,13 @@
 
 char const* to_string(http_failure::step at);
 
+// The connection that a call takes.
+enum class call_connection
+{
+    any,
+    unused, // one that has carried no call: what still comes on others is not its answer
+};
+
 using http_result =
     boost::outcome_v2::basic_result<http_response, http_failure,
                                     boost::outcome_v2::policy::all_narrow>;
@@ -88,7 +96,8 @@
     http_client& operator=(http_client const&) = delete;
 
     // Calls `done` once, from the loop or at once. A timeout of zero means none.
-    call_id call(http_request request, duration timeout, callback done);
+    call_id call(http_request request, duration timeout, callback done,
+                 call_connection on = call_connection::any);
 
     // Closes the call's connection; `done` gets `cancelled`. Does nothing after the
     // answer.
--- a/src/connection/upstream_form.cpp
+++ b/src/connection/upstream_form.cpp
@@ -7,6 +7,7 @@
 namespace
 {
 
+constexpr std::string_view sending_header = "buckthornusher-sending";
 constexpr int conflict = 409;
 constexpr int first_server_error = 500;
 
@@ -29,18 +30,24 @@
     }
     if (!order.operation.empty())
         headers.push_back({"buckthornusher-operation", order.operation});
+    headers.push_back({std::string(sending_header), std::to_string(order.sending)});
     return request;
 }
 
-bool native_upstream_form::belongs(http_request const& /*request*/,
-                                   http_response const& /*response*/) const
+bool native_upstream_form::belongs(http_request const& request,
+                                   http_response const& response) const
 {
-    return true;
+    auto const* answered = header_value(response.headers, sending_header);
+    return answered == nullptr ||
+           *answered == find_header(request.headers, sending_header);
 }
 
 answer_meaning native_upstream_form::meaning(http_response const& response) const
 {
-    if (find_header(response.headers, "buckthornusher-ran") == "no")
+    bool const refused = find_header(response.headers, "buckthornusher-ran") == "no";
+    if (refused && header_value(response.headers, sending_header) == nullptr)
+        return answer_meaning::spoilt;
+    if (refused)
         return response.status == conflict ? answer_meaning::not_held
                                            : answer_meaning::no_room;
     return response.status >= first_server_error ? answer_meaning::failed
--- a/src/connection/upstream_form.hpp
+++ b/src/connection/upstream_form.hpp
@@ -2,8 +2,11 @@
 // answer means.
 //
 // Our own form tells the epoch and the end of the lease; an upstream that checks them
-// refuses an order that is too old. In the platform's form the upstream holds granted
-// keys, and is told which run of it is meant. Inside, both are the same types.
+// refuses an order that is too old. It names each sending (buckthornusher-sending); an
+// upstream repeats that in its answer, and a refusal that does not name it is not taken
+// for one, as it may be an earlier one that was written again. In the platform's form the
+// upstream holds granted keys, and is told which run of it is meant. Inside, both are the
+// same types.
 #ifndef BUCKTHORNUSHER_CONNECTION_UPSTREAM_FORM_HPP
 #define BUCKTHORNUSHER_CONNECTION_UPSTREAM_FORM_HPP
 
--- a/src/connection/upstream_order.hpp
+++ b/src/connection/upstream_order.hpp
@@ -20,7 +20,8 @@
     std::optional<std::uint32_t> shard; // of a keyed service
     std::uint64_t epoch = 0;
     instant lease_until;
-    std::string operation; // an operation id, or empty
+    std::string operation;     // an operation id, or empty
+    std::uint64_t sending = 0; // another one for each order that is sent to the upstream
     friend bool operator==(upstream_order const&, upstream_order const&) = default;
 };
 
--- a/src/process/agent.cpp
+++ b/src/process/agent.cpp
@@ -257,7 +257,8 @@
         .shard = w.o.shard,
         .epoch = w.epoch,
         .lease_until = w.o.shard ? m_coordinator->lease_until() : instant{},
-        .operation = w.operation ? to_string(*w.operation) : std::string()};
+        .operation = w.operation ? to_string(*w.operation) : std::string(),
+        .sending = w.id};
     return std::visit([&](auto const& form) { return form.order(w.o.request, told); },
                       m_options.form);
 }
@@ -298,9 +299,11 @@
                          ? in_ms(l->holds->held_until(*w.o.shard, w.epoch) - now)
                          : "-"}});
     auto const id = w.id;
-    auto const call = l->http.call(upstream_request(w, *l, until - now), until - now,
-                                   [this, id, now](http_result r)
-                                   { on_upstream(id, now, std::move(r)); });
+    auto const on = l->answered.contains(w.o.id, now) ? call_connection::unused
+                                                      : call_connection::any;
+    auto const call = l->http.call(
+        upstream_request(w, *l, until - now), until - now,
+        [this, id, now](http_result r) { on_upstream(id, now, std::move(r)); }, on);
     if (auto* still = find(id))
         still->call = call;
 }
@@ -358,6 +361,8 @@
     w.trail.add("upstream", {{"outcome", meaning_name(meaning)},
                              {"status", std::to_string(result.value().status)},
                              {"took_ms", in_ms(took)}});
+    if (meaning != answer_meaning::answered)
+        l.answered.note(w.o.id, w.o.deadline, now);
     switch (meaning)
     {
     case answer_meaning::answered:
--- a/src/process/agent_impl.hpp
+++ b/src/process/agent_impl.hpp
@@ -2,6 +2,7 @@
 #ifndef BUCKTHORNUSHER_PROCESS_AGENT_IMPL_HPP
 #define BUCKTHORNUSHER_PROCESS_AGENT_IMPL_HPP
 
+#include "buckthornusher/answered_memory.hpp"
 #include "process/agent.hpp"
 #include "process/state_log.hpp"
 
@@ -22,6 +23,7 @@
     instant draining_since;
     http_client http;
     upstream_queue queue;
+    answered_memory answered = answered_memory({});
     std::optional<hold_ledger> holds; // of an upstream that serves granted keys only
     std::size_t granted_shards = 0;   // in the last answer to a report
     std::optional<instant> expecting; // shards on their way here, since
--- a/standins/upstream.cpp
+++ b/standins/upstream.cpp
@@ -28,6 +28,8 @@
 namespace
 {
 
+constexpr char const* sending_header = "buckthornusher-sending";
+
 struct upstream_options
 {
     int port = 0;
@@ -95,22 +97,25 @@
             return reply.send({.body = "ok\n"});
         }
         if (m_draining)
-            return refuse(reply, 503, "draining");
+            return refuse(request, reply, 503, "draining");
         if (m_running >= m_options.slots)
-            return refuse(reply, 503, "shed");
+            return refuse(request, reply, 503, "shed");
         if (boot_now() - m_started < duration(m_options.cold_start_ms * 1'000))
-            return refuse(reply, 503, "cold");
+            return refuse(request, reply, 503, "cold");
         if (m_options.fenced && !accepts(request))
-            return refuse(reply, 409, "fenced");
+            return refuse(request, reply, 409, "fenced");
         run(std::move(request), reply);
     }
 
-    void refuse(http_reply const& reply, int status, std::string const& why)
+    void refuse(http_request const& request, http_reply const& reply, int status,
+                std::string const& why)
     {
         ++m_refused[why];
-        reply.send({.status = status,
-                    .headers = {{"buckthornusher-ran", "no"}},
-                    .body = why + "\n"});
+        reply.send(
+            {.status = status,
+             .headers = {{"buckthornusher-ran", "no"},
+                         {sending_header, header_or_dash(request, sending_header)}},
+             .body = why + "\n"});
     }
 
     bool accepts(http_request const& request)
@@ -179,10 +184,11 @@
                          std::to_string(to_micros(start)) + " " +
                          std::to_string(to_micros(boot_now())) + "\n";
         auto const size = find_query(request.query(), "size");
-        reply.send({.body = size.empty()
-                                ? m_options.service + " " + std::string(request.path()) +
-                                      "\n" + request.body
-                                : std::string(number_of(size), 'x')});
+        reply.send(
+            {.headers = {{sending_header, header_or_dash(request, sending_header)}},
+             .body = size.empty() ? m_options.service + " " +
+                                        std::string(request.path()) + "\n" + request.body
+                                  : std::string(number_of(size), 'x')});
     }
 
     std::string stats() const
--- a/tests/agent_test.cpp
+++ b/tests/agent_test.cpp
@@ -9,6 +9,7 @@
 #include "process/order_server.hpp"
 #include "process/peer_table.hpp"
 #include "process/request_wire.hpp"
+#include "raw_peers.hpp"
 
 #include "wire.pb.h"
 
@@ -217,5 +218,99 @@
     EXPECT_EQ(local.unfinished(), 1U);
 }
 
+// An upstream in the platform's form whose answers the test writes itself.
+class faulty_upstream : public testing::Test
+{
+protected:
+    faulty_upstream()
+        : upstream(loop), coord({.self = {"n", 1}, .endpoint = "tcp://n:1"}),
+          local(loop, coord, {.form = platform::upstream_form{}})
+    {
+        upstream_report report;
+        report.service = "s";
+        report.life = {.id = "u", .started = 1};
+        report.ip = test::free_address().ip;
+        report.port = test::free_address().port;
+        report.slots = 4;
+        report.connections = 4;
+        local.on_report(report, boot_now());
+    }
+
+    order_result run(std::string const& id)
+    {
+        order o;
+        o.service = "s";
+        o.id = id;
+        o.request = {.method = "GET",
+                     .target = "/",
+                     .headers = {{"X-Buckthornusher-Request-Id", id}}};
+        o.deadline = o.due = o.start_until = boot_now() + 5s;
+        std::optional<order_result> result;
+        local.run(std::move(o), [&](order_result r) { result = std::move(r); });
+        while (!result)
+            loop.run_once();
+        return std::move(*result);
+    }
+
+    static std::string answer(std::string const& id, std::string const& status,
+                              std::string const& header)
+    {
+        return "HTTP/1.1 " + status + "\r\nX-Buckthornusher-Request-Id: " + id + "\r\n" +
+               header + "\r\nContent-Length: 0\r\n\r\n";
+    }
+    static std::string refusal(std::string const& id)
+    {
+        return answer(id, "503 Busy", "X-Buckthornusher-Not-Executed: 1");
+    }
+    static std::string success(std::string const& id)
+    {
+        return answer(id, "200 OK", "X-Buckthornusher-Response-Signature: s");
+    }
+
+    event_loop loop;
+    test::raw_upstream upstream;
+    coordinator coord;
+    agent local;
+};
+
+TEST_F(faulty_upstream, a_refusal_written_again_is_not_the_answer_to_the_next_sending)
+{
+    upstream.answer = [&](int n)
+    {
+        if (n == 0)
+            return refusal("a");
+        bool const same_connection = upstream.requests_on.back() > 1;
+        return (same_connection ? refusal("a") : std::string()) + success("a");
+    };
+    EXPECT_TRUE(std::holds_alternative<order_refused>(run("a")));
+    EXPECT_TRUE(std::holds_alternative<order_answered>(run("a")));
+    EXPECT_EQ(upstream.requests, 2);
+}
+
+TEST_F(faulty_upstream, other_requests_go_on_the_connection_that_brought_a_refusal)
+{
+    upstream.answer = [&](int n)
+    {
+        return n == 0 ? refusal("a") : success("b");
+    };
+    EXPECT_TRUE(std::holds_alternative<order_refused>(run("a")));
+    EXPECT_TRUE(std::holds_alternative<order_answered>(run("b")));
+    EXPECT_EQ(upstream.connections.size(), 1U);
+}
+
+TEST(native_upstreams, a_refusal_counts_only_if_it_names_the_sending)
+{
+    native_upstream_form const form;
+    auto const request = form.order({.method = "GET", .target = "/"}, {.sending = 12});
+    http_response refused{.status = 503, .headers = {{"buckthornusher-ran", "no"}}};
+    EXPECT_EQ(form.meaning(refused), answer_meaning::spoilt);
+    refused.headers.push_back({"buckthornusher-sending", "12"});
+    EXPECT_EQ(form.meaning(refused), answer_meaning::no_room);
+    EXPECT_TRUE(form.belongs(request, refused));
+    refused.headers.back().value = "11";
+    EXPECT_FALSE(form.belongs(request, refused));
+    EXPECT_TRUE(form.belongs(request, {.status = 200})) << "from one that names none";
+}
+
 } // namespace
 } // namespace buckthornusher
--- a/tests/request_parts_test.cpp
+++ b/tests/request_parts_test.cpp
@@ -1,5 +1,6 @@
 // Parts that live for a request, against slow and obvious references: the table of
 // operations and the clock that bounds the age of requests.
+#include "buckthornusher/answered_memory.hpp"
 #include "buckthornusher/operation_table.hpp"
 #include "buckthornusher/request_clock.hpp"
 #include "process/loop_lag.hpp"
@@ -146,6 +147,25 @@
 
 // Whatever the clocks' offsets and drifts, the stamp is never later than the receiver's
 // clock at the sending, so a deadline computed from it is never later than meant.
+TEST(answered_memory, keeps_a_request_until_it_is_over_and_no_more_than_fit)
+{
+    answered_memory memory({.max_entries = 2, .margin = 1s});
+    instant const now{100s};
+    memory.note("a", now + 5s, now);
+    EXPECT_TRUE(memory.contains("a", now + 5999ms));
+    EXPECT_FALSE(memory.contains("a", now + 6s));
+    memory.note("", now + 5s, now);
+    EXPECT_EQ(memory.size(), 1U) << "without an id";
+    memory.note("a", now + 8s, now);
+    memory.note("b", now + 5s, now);
+    memory.note("c", now + 9s, now);
+    EXPECT_EQ(memory.size(), 2U);
+    EXPECT_FALSE(memory.contains("b", now)) << "it is over first";
+    EXPECT_TRUE(memory.contains("a", now + 8s));
+    memory.note("d", now + 20s, now + 12s);
+    EXPECT_EQ(memory.size(), 1U);
+}
+
 TEST(loop_lag, is_the_worst_lateness_of_the_latest_turns)
 {
     constexpr instant start{100s};
