A request goes to another node while the clock of the first is not known

What callers saw: 503 or a wait of up to 40% of their time, on nodes that are behind.

Causes: (1) a node whose peer is silent, or whose clock is not known, had its request wait for just that peer; (2) whatever waits was placed again in each tick of 20 ms, which takes the processor's time when it is scarcest; (3) an order that was refused as late because it had waited on its way cost the peer its clock, and so all others a wait.

Now the next best node with a known clock takes the request (they wait if there is none), waiters are tried with news or each 100 ms, and a clock is doubted only if the request's time is not over by our own.

--- a/src/process/ingress.cpp
+++ b/src/process/ingress.cpp
@@ -307,7 +307,7 @@
 {
     auto const waiting = m_waiting;
     for (auto const id : waiting)
-        if (auto* f = find(id))
+        if (auto* f = find(id); f != nullptr && now >= f->retry_at)
             dispatch(*f, now);
     auto const still = m_waiting;
     for (auto const id : still)
--- a/src/process/ingress.hpp
+++ b/src/process/ingress.hpp
@@ -98,6 +98,7 @@
 private:
     struct flight; // a caller's request and how far it has come
     struct place;  // a node beside an upstream
+    struct placed_offer;
     using flight_id = std::uint64_t;
 
     flight& begin(http_request request, http_reply const& reply, caller_facts facts,
@@ -106,6 +107,11 @@
     void dispatch(flight& f, instant now);
     void dispatch_keyed(flight& f, instant now);
     void dispatch_unkeyed(flight& f, instant now);
+    placed_offer next_place(flight& f, std::vector<placement_candidate>& from,
+                            instant now);
+    place place_of(std::string const& service, std::string const& node) const;
+    void make_offer(flight& f, placement_choice const& choice, place const& where,
+                    std::size_t of, instant now);
     void send_to(flight& f, place const& where, instant now);
     void run_here(flight& f);
     void wait(flight& f, instant now);
--- a/src/process/ingress_impl.hpp
+++ b/src/process/ingress_impl.hpp
@@ -20,6 +20,13 @@
     std::uint32_t slots = 1;
 };
 
+// What the next offer of a request is to be; no choice: no node is known that takes it.
+struct ingress::placed_offer
+{
+    std::optional<placement_choice> choice;
+    offer_step step = offer_step::ask;
+};
+
 // Invariant: at most one of `local` and `sent_to` is set; each is cleared before the
 // request is dispatched again.
 struct ingress::flight
@@ -44,6 +51,7 @@
     bool offered_full = false;   // the present offer is to a node that said it is full
     duration retry_after{0};     // the shortest that a node named
     std::optional<instant> waiting_since;
+    instant retry_at; // while it waits, unless there is news
     timer_service::timer_id timer;
     request_trail trail;
 };
--- a/src/process/ingress_results.cpp
+++ b/src/process/ingress_results.cpp
@@ -35,7 +35,7 @@
     if (auto const* refused = std::get_if<order_refused>(&result))
     {
         if (refused->why == reason::stale)
-            m_table.forget_clock(node);
+            m_table.on_refused_as_stale(node, f->o.deadline, now);
         else
             f->tried.insert(node);
     }
--- a/src/process/ingress_sending.cpp
+++ b/src/process/ingress_sending.cpp
@@ -14,6 +14,8 @@
 namespace
 {
 constexpr duration retry_pause = 20ms;
+// A request that waits is tried again so often without news.
+constexpr duration waiting_retry = 100ms;
 constexpr offer_options offers{};
 // The part of its time that a request waits for an owner before its caller is told to
 // come back.
@@ -65,47 +67,78 @@
     auto from = candidates(f);
     if (from.empty() && !f.tried.empty() && !f.last_round)
         from = begin_last_round(f);
+    for (;;)
+    {
+        auto const offer = next_place(f, from, now);
+        if (!offer.choice && !f.tried.empty())
+            return refuse(f, reason::overloaded, f.retry_after);
+        if (!offer.choice)
+            return wait(f, now);
+        if (offer.step == offer_step::refuse)
+            return refuse(f, reason::overloaded,
+                          std::max(f.retry_after, offer.choice->wait));
+        auto const& node = offer.choice->node;
+        auto const where = place_of(f.o.service, node);
+        if (node == m_options.self || m_table.stamp(node, where.endpoint, now))
+            return make_offer(f, *offer.choice, where, from.size(), now);
+        // Its clock is being asked for: another one can take the request meanwhile.
+        std::erase_if(from, [&](auto const& c) { return c.node == node; });
+        if (from.empty())
+            return wait(f, now);
+    }
+}
+
+// The node to offer the request to, of those given. Begins the last round, with all nodes
+// again, if that is the next step.
+ingress::placed_offer
+ingress::next_place(flight& f, std::vector<placement_candidate>& from, instant now)
+{
     placement_request const request{.exchange_bytes = exchange_bytes(f),
                                     .rank = f.o.rank};
-    auto const step_for = [&](placement_choice const& c)
-    {
-        return next_offer(c,
-                          {.last_round = f.last_round,
-                           .refused_by = f.tried.size(),
-                           .refused = f.refused,
-                           .full_pays = m_offers.pays(f.o.request_class, m_random())},
-                          f.o.deadline - now, offers);
-    };
-    auto choice = m_placement.choose(from, request, m_random(), now);
-    auto step = choice ? step_for(*choice) : offer_step::ask;
-    if (step == offer_step::last_round)
+    for (;;)
     {
+        auto choice = m_placement.choose(from, request, m_random(), now);
+        if (!choice)
+            return {};
+        auto const step =
+            next_offer(*choice,
+                       {.last_round = f.last_round,
+                        .refused_by = f.tried.size(),
+                        .refused = f.refused,
+                        .full_pays = m_offers.pays(f.o.request_class, m_random())},
+                       f.o.deadline - now, offers);
+        if (step != offer_step::last_round)
+            return {.choice = std::move(choice), .step = step};
         from = begin_last_round(f);
-        choice = m_placement.choose(from, request, m_random(), now);
-        step = choice ? step_for(*choice) : offer_step::ask;
     }
-    if (choice && step == offer_step::refuse)
-        return refuse(f, reason::overloaded, std::max(f.retry_after, choice->wait));
-    if (!choice && !f.tried.empty())
-        return refuse(f, reason::overloaded, f.retry_after);
-    if (!choice)
-        return wait(f, now);
-    f.offered_full = choice->full;
-    bool const others = from.size() > 1;
+}
+
+ingress::place ingress::place_of(std::string const& service,
+                                 std::string const& node) const
+{
+    auto const it = m_places.find(service);
+    if (it != m_places.end())
+        for (auto const& p : it->second)
+            if (p.node == node)
+                return p;
+    return {.node = node, .endpoint = {}};
+}
+
+void ingress::make_offer(flight& f, placement_choice const& choice, place const& where,
+                         std::size_t of, instant now)
+{
+    f.offered_full = choice.full;
+    bool const others = of > 1;
     f.o.start_until = others && !f.last_round ? now + offers.patience : f.o.deadline;
-    f.trail.add("placed", {{"to", choice->node},
-                           {"expected_ms", in_ms(choice->expected)},
-                           {"of", std::to_string(from.size())},
+    f.trail.add("placed", {{"to", choice.node},
+                           {"expected_ms", in_ms(choice.expected)},
+                           {"of", std::to_string(of)},
                            {"had_no_room", std::to_string(f.tried.size())},
                            {"round", f.last_round ? "last" : "first"},
-                           {"full", choice->full ? "yes" : "no"},
+                           {"full", choice.full ? "yes" : "no"},
                            {"patience_ms", in_ms(f.o.start_until - now)},
-                           {"load", m_placement.describe(choice->node, now)}});
-    if (choice->node == m_options.self)
-        return send_to(f, {.node = m_options.self, .endpoint = {}}, now);
-    for (auto const& p : m_places[f.o.service])
-        if (p.node == choice->node)
-            return send_to(f, p, now);
+                           {"load", m_placement.describe(choice.node, now)}});
+    send_to(f, where, now);
 }
 
 std::vector<placement_candidate> ingress::begin_last_round(flight& f)
@@ -241,6 +274,7 @@
     if (!takes(f.o.deadline, now))
         return refuse(f, reason::stopping, stopping_retry());
     m_waiting.insert(f.id);
+    f.retry_at = now + waiting_retry;
     if (f.waiting_since)
         return;
     f.waiting_since = now;
--- a/src/process/peer_table.hpp
+++ b/src/process/peer_table.hpp
@@ -44,7 +44,14 @@
     // the peer is silent.
     std::optional<request_clock::stamp_value>
     stamp(std::string const& node, std::string const& endpoint, instant now);
-    void forget_clock(std::string const& node) { m_clocks.forget(node); }
+    // The peer has refused a request as too late, or as meant for an earlier process; by
+    // our clock its time ends at `deadline`. If that is still to come, what is known of
+    // the peer's clock is wrong; otherwise the request has waited on its way.
+    void on_refused_as_stale(std::string const& node, instant deadline, instant now)
+    {
+        if (now < deadline)
+            m_clocks.forget(node);
+    }
 
     // An answer is awaited from the peer from now on, or no longer.
     void await(std::string const& node, std::string const& endpoint, instant now);
--- a/tests/free_port.hpp
+++ b/tests/free_port.hpp
@@ -6,29 +6,33 @@
 
 #include <unistd.h>
 
+#include <cstddef>
+#include <vector>
+
 namespace buckthornusher::test
 {
 
-// An address on loopback at which nobody listens; the same one for the whole process.
-// Below the ports that the system gives to outgoing connections (from 32,768) and those
-// of the scripts beside this file (from 28,000). Processes begin at different ports.
-inline tcp_address free_address()
+// An address on loopback at which nobody listens; for each number the same one for the
+// whole process. Below the ports that the system gives to outgoing connections (from
+// 32,768) and those of the scripts beside this file (from 28,000). Processes begin at
+// different ports.
+inline tcp_address free_address(std::size_t number = 0)
 {
     constexpr int first_port = 10'000;
     constexpr int ports = 18'000;
-    static tcp_address const found = []
+    static std::vector<tcp_address> found;
+    static int tried = 0;
+    while (found.size() <= number && tried < ports)
     {
         tcp_address address{.ip = "127.0.0.1", .port = 0};
-        int fd = -1;
-        for (int tried = 0; fd < 0 && tried < ports; ++tried)
-        {
-            address.port = first_port + (::getpid() + tried) % ports;
-            fd = tcp_listen(address);
-        }
+        address.port = first_port + (::getpid() + tried++) % ports;
+        int const fd = tcp_listen(address);
+        if (fd < 0)
+            continue;
         ::close(fd);
-        return address;
-    }();
-    return found;
+        found.push_back(address);
+    }
+    return found.at(number);
 }
 
 } // namespace buckthornusher::test
--- /dev/null
+++ b/tests/ingress_test.cpp
@@ -0,0 +1,176 @@
+// The ingress between a caller and two nodes whose messages the test answers itself.
+#include "connection/http_client.hpp"
+#include "connection/http_server.hpp"
+#include "free_port.hpp"
+#include "process/agent.hpp"
+#include "process/boot_clock.hpp"
+#include "process/event_loop.hpp"
+#include "process/ingress.hpp"
+#include "process/order_server.hpp"
+#include "process/request_wire.hpp"
+
+#include "wire.pb.h"
+
+#include <gtest/gtest.h>
+
+namespace buckthornusher
+{
+namespace
+{
+
+std::string endpoint_of(std::size_t number)
+{
+    return "tcp://" + to_string(test::free_address(number));
+}
+
+// A node beside an upstream of "s". It answers each request with its name.
+struct other_node
+{
+    other_node(event_loop& loop, std::string own_name, std::size_t address)
+        : name(std::move(own_name)),
+          peers(loop, endpoint_of(address),
+                [this](peer_route const& route, wire::Envelope const& message)
+                { on_message(route, message); })
+    {
+    }
+
+    void on_message(peer_route const& route, wire::Envelope const& message)
+    {
+        wire::Envelope out;
+        out.mutable_sender()->set_node(name);
+        if (message.has_hello() && tells_clock)
+        {
+            out.mutable_hello_ack()->set_now(to_micros(boot_now()));
+            out.mutable_hello_ack()->set_session(1);
+            peers.reply(route, out);
+        }
+        if (!message.has_forward())
+            return;
+        order_answered const answer{.response = {.status = 200, .body = name}};
+        out.mutable_reply()->set_attempt(message.forward().attempt());
+        encode(answer, *out.mutable_reply());
+        peers.reply(route, out);
+    }
+
+    std::string name;
+    bool tells_clock = true;
+    peer_socket peers;
+};
+
+member_record record_of(std::string const& node, std::string const& region,
+                        std::size_t address)
+{
+    return {.id = {.node = node, .incarnation = 1},
+            .tenure = 1,
+            .endpoint = endpoint_of(address),
+            .region = region,
+            .domain = region + "-1",
+            .targets = {{.service = "s", .slots = 4, .life = "u"}}};
+}
+
+replica two_nodes()
+{
+    replica known;
+    known.apply({.name = member_object("near"),
+                 .version = 1,
+                 .value = record_of("near", "here", 1)});
+    known.apply({.name = member_object("far"),
+                 .version = 2,
+                 .value = record_of("far", "there", 2)});
+    return known;
+}
+
+class ingress_test : public testing::Test
+{
+protected:
+    ingress_test()
+        : peers(loop, endpoint_of(0),
+                [this](peer_route const&, wire::Envelope const& m) { on_message(m); }),
+          table(peers, "own", 7, {}), coord({.self = {"own", 1},
+                                             .endpoint = endpoint_of(0),
+                                             .region = "here",
+                                             .domain = "here-1",
+                                             .known = two_nodes()}),
+          local(loop, coord, {}),
+          requests(loop, coord, local, peers, table, counts,
+                   {.form = {}, .self = "own", .region = "here", .domain = "here-1"}),
+          near_node(loop, "near", 1), far_node(loop, "far", 2),
+          callers(loop, {.address = test::free_address(3)},
+                  [this](http_request request, http_reply const& reply)
+                  { requests.on_request(std::move(request), reply); }),
+          client(loop, {.peer = test::free_address(3)})
+    {
+        auto parsed = parse_document("environment = \"t\"\n[service.s]\nkeyed = false\n"
+                                     "[[service.s.route]]\nprefix = \"/s/\"\n");
+        requests.set_routes(
+            std::make_shared<route_table const>(std::move(parsed).value()), 1);
+        loop.timers().every(boot_now(), 20ms, [this](instant t) { requests.tick(t); });
+    }
+
+    void on_message(wire::Envelope const& message)
+    {
+        auto const now = boot_now();
+        auto const& node = message.sender().node();
+        table.heard(node, now);
+        if (message.has_reply())
+            requests.on_reply(message);
+        if (message.has_hello_ack())
+            requests.on_clock(node, table.on_hello_ack(message, now), now);
+    }
+
+    void learn_clock(std::string const& node, std::size_t address)
+    {
+        while (!table.stamp(node, endpoint_of(address), boot_now()))
+            loop.run_once();
+    }
+
+    http_response call()
+    {
+        std::optional<http_result> result;
+        client.call({.method = "GET", .target = "/s/x"}, 10s,
+                    [&](http_result r) { result = std::move(r); });
+        while (!result)
+            loop.run_once();
+        return std::move(*result).value();
+    }
+
+    event_loop loop;
+    peer_socket peers;
+    peer_table table;
+    metrics counts;
+    coordinator coord;
+    agent local;
+    ingress requests;
+    other_node near_node;
+    other_node far_node;
+    http_server callers;
+    http_client client;
+};
+
+TEST_F(ingress_test, the_nearest_node_is_asked)
+{
+    learn_clock("near", 1);
+    learn_clock("far", 2);
+    EXPECT_EQ(call().body, "near");
+}
+
+TEST_F(ingress_test, another_node_takes_what_a_node_without_a_known_clock_would_get)
+{
+    near_node.tells_clock = false;
+    auto const response = call();
+    EXPECT_EQ(response.status, 200);
+    EXPECT_EQ(response.body, "far");
+}
+
+TEST_F(ingress_test, a_request_that_waited_on_its_way_does_not_cost_the_nodes_clock)
+{
+    learn_clock("near", 1);
+    auto const now = boot_now();
+    table.on_refused_as_stale("near", now, now);
+    EXPECT_TRUE(table.stamp("near", endpoint_of(1), now));
+    table.on_refused_as_stale("near", now + 1us, now);
+    EXPECT_FALSE(table.stamp("near", endpoint_of(1), now));
+}
+
+} // namespace
+} // namespace buckthornusher
