What a caller sent while the loop was held up has come in time

Cause: timers run before descriptors are read, so a connection whose next request, or the rest of a header, waits unread was closed or answered with 408 for its silence. The close resets the connection: the request ends without an answer.

--- a/src/connection/http_server.cpp
+++ b/src/connection/http_server.cpp
@@ -98,6 +98,14 @@
     void write_answers();
     void flush();
     void begin_lingering();
+    enum class late_part
+    {
+        none,
+        header,
+        body,
+        next_request,
+    };
+    late_part late(instant now) const;
     void check_time(instant now);
     void resume();
     void close();
@@ -327,29 +335,44 @@
     }
 }
 
-void http_server::connection::check_time(instant now)
+// For which part of a request the caller has taken longer than it may.
+http_server::connection::late_part http_server::connection::late(instant now) const
 {
     auto const& limits = server->opts.limits;
+    auto const quiet = now - last_progress;
+    if (reader && !reader->header_complete())
+        return now - header_since > limits.header_timeout ? late_part::header
+                                                          : late_part::none;
+    if (reader)
+        return quiet > limits.idle_timeout ? late_part::body : late_part::none;
+    auto const idle = std::max(limits.idle_timeout, idle_timeout) + idle_grace;
+    return exchanges.empty() && quiet > idle ? late_part::next_request : late_part::none;
+}
+
+void http_server::connection::check_time(instant now)
+{
     if (lingering)
     {
         if (now >= linger_until)
             close();
         return;
     }
-    auto const quiet = now - last_progress;
-    if (reader && !reader->header_complete())
-    {
-        if (now - header_since > limits.header_timeout)
-            reject(408, "the header did not come in time");
-    }
-    else if (reader)
+    if (late(now) == late_part::none)
+        return;
+    on_readable(); // after a long round of the loop it may have come and wait unread
+    if (!watch.is_open())
+        return;
+    switch (late(now))
     {
-        if (quiet > limits.idle_timeout)
-            reject(408, "the body did not come in time");
+    case late_part::none:
+        return;
+    case late_part::header:
+        return reject(408, "the header did not come in time");
+    case late_part::body:
+        return reject(408, "the body did not come in time");
+    case late_part::next_request:
+        return close(); // also one that does not read its answer
     }
-    else if (exchanges.empty() &&
-             quiet > std::max(limits.idle_timeout, idle_timeout) + idle_grace)
-        close(); // also one that does not read its answer
 }
 
 // ---- the server ----
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -394,6 +394,22 @@
     EXPECT_TRUE(echo.call({.method = "GET", .target = "/get"}).has_value());
 }
 
+// The loop was held up for longer than the caller may take, and looks at its timers
+// first.
+TEST(http_server, a_header_that_came_while_the_loop_was_held_up_came_in_time)
+{
+    echo_server echo;
+    raw_connection raw(echo.loop, test::free_address());
+    raw.write("GET /get HTTP/1.1\r\n");
+    EXPECT_TRUE(echo.call({.method = "GET", .target = "/get"}).has_value());
+    raw.write("Host: h\r\n\r\n");
+    auto const held_up_until = boot_now() + 400ms;
+    while (boot_now() < held_up_until)
+    {
+    }
+    EXPECT_TRUE(raw.read_until("\r\n\r\n").starts_with("HTTP/1.1 200"));
+}
+
 // A stop answers what has been read, also what was sent ahead, and then ends.
 TEST(http_server, a_stop_answers_all_that_it_has_read)
 {
