--- a/src/connection/http_server.cpp
+++ b/src/connection/http_server.cpp
@@ -58,6 +58,7 @@
     descriptor_watch listener;
     std::map<connection*, std::shared_ptr<connection>> connections;
     std::size_t exchanges = 0;
+    std::uint64_t left_unread = 0;
     bool stopping = false;
     timer_service::timer_id sweep;
 
@@ -122,7 +123,10 @@
         auto const got = tcp_read_all(watch.fd(), space.data(), space.size());
         // Nobody awaits the answers to what came before the end.
         if (got.status != io_status::done && got.status != io_status::not_ready)
+        {
+            server->left_unread += got.bytes > 0 ? 1 : 0;
             return close();
+        }
         if (got.bytes == 0)
             return;
         last_progress = boot_now();
@@ -482,6 +486,11 @@
     m_impl->stopping = true;
 }
 
+std::uint64_t http_server::left_unread() const
+{
+    return m_impl->left_unread;
+}
+
 std::size_t http_server::connections() const
 {
     return m_impl->connections.size();
--- a/src/connection/http_server.hpp
+++ b/src/connection/http_server.hpp
@@ -84,6 +84,8 @@
     void begin_stopping();
 
     std::size_t connections() const;
+    // Connections whose callers had closed before all that they sent was read.
+    std::uint64_t left_unread() const;
 
 private:
     struct impl;
--- a/src/process/node.cpp
+++ b/src/process/node.cpp
@@ -520,6 +520,7 @@
         if (now >= next_load_report)
         {
             next_load_report = now + load_report_period;
+            counts.set("callers_left_unread_total", callers.left_unread());
             for (auto const& report : local.take_load_reports(now))
                 coord->report_load(report, now);
         }
--- a/tests/agent_test.cpp
+++ b/tests/agent_test.cpp
@@ -20,6 +20,19 @@
 namespace
 {
 
+// Of the upstream that each of these tests has.
+upstream_report report_of(std::uint32_t slots)
+{
+    upstream_report report;
+    report.service = "s";
+    report.life = {.id = "u", .started = 1};
+    report.ip = test::free_address().ip;
+    report.port = test::free_address().port;
+    report.slots = slots;
+    report.connections = 4;
+    return report;
+}
+
 // An upstream with one slot that answers when it is told to, and the agent beside it.
 class agent_test : public testing::Test
 {
@@ -33,14 +46,7 @@
                    }),
           coord({.self = {"n", 1}, .endpoint = "tcp://n:1"}), local(loop, coord, {})
     {
-        upstream_report report;
-        report.service = "s";
-        report.life = {.id = "u", .started = 1};
-        report.ip = test::free_address().ip;
-        report.port = test::free_address().port;
-        report.slots = 1;
-        report.connections = 4;
-        local.on_report(report, boot_now());
+        local.on_report(report_of(1), boot_now());
     }
 
     static order make_order(std::string const& target, bool repeatable)
@@ -226,14 +232,7 @@
         : upstream(loop), coord({.self = {"n", 1}, .endpoint = "tcp://n:1"}),
           local(loop, coord, {.form = platform::upstream_form{}})
     {
-        upstream_report report;
-        report.service = "s";
-        report.life = {.id = "u", .started = 1};
-        report.ip = test::free_address().ip;
-        report.port = test::free_address().port;
-        report.slots = 4;
-        report.connections = 4;
-        local.on_report(report, boot_now());
+        local.on_report(report_of(4), boot_now());
     }
 
     order_result run(std::string const& id)
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -391,6 +391,7 @@
         echo.loop.run_once();
     EXPECT_EQ(echo.handled.size(), 1U);
     EXPECT_EQ(echo.gone, 0);
+    EXPECT_EQ(echo.server.left_unread(), 2U);
     EXPECT_TRUE(echo.call({.method = "GET", .target = "/get"}).has_value());
 }
 
