A node that is behind its work refuses at once what has waited unread

A node whose processor binds neither answered nor refused: it worked through what had come, all of it too late.

The loop now knows for how long what it reads may have waited: since it last saw all that was ready. `taken` lines tell `unread_ms`.

Ruled out as a signal: the lateness of timers, which is one round while a socket may wait for many. Tests: intake_test, with a processor under three times its load.

--- a/include/buckthornusher/outcome.hpp
+++ b/include/buckthornusher/outcome.hpp
@@ -37,6 +37,7 @@
     owner_lost,        // sent to the owner, but no answer came
     stopping,          // the node is stopping
     no_configuration,  // the node knows no configuration yet
+    behind,            // the node's processor is behind its work
 };
 
 // "no-route" and so on.
--- a/src/process/event_loop.cpp
+++ b/src/process/event_loop.cpp
@@ -89,6 +89,10 @@
     int epoll_fd = -1;
     std::map<std::uint64_t, std::shared_ptr<descriptor_watch::state>> watches;
     std::uint64_t next_watch = 1;
+    // What is ready now has become so after `all_seen`; what becomes ready from now on,
+    // after `all_seen_next`.
+    instant all_seen;
+    instant all_seen_next;
 
     void serve_watches();
     bool precise = false;
@@ -98,7 +102,11 @@
 void event_loop::impl::serve_watches()
 {
     std::array<epoll_event, events_at_once> events{};
+    auto const now = boot_now();
+    all_seen = all_seen_next;
     int const count = ::epoll_wait(epoll_fd, events.data(), events_at_once, 0);
+    if (count < events_at_once)
+        all_seen_next = now;
     for (int i = 0; i < count; ++i)
     {
         // It may have been closed by a handler of this round.
@@ -199,6 +207,7 @@
 
 event_loop::event_loop() : m_impl(std::make_unique<impl>())
 {
+    m_impl->all_seen = m_impl->all_seen_next = boot_now();
     std::signal(SIGPIPE, SIG_IGN);
     lws_set_log_level(LLL_ERR, nullptr);
     lws_context_creation_info info{};
@@ -235,6 +244,11 @@
     return m_impl->context;
 }
 
+duration event_loop::unread_for(instant now) const
+{
+    return now - m_impl->all_seen;
+}
+
 timer_service& event_loop::timers()
 {
     return m_impl->timers;
@@ -281,6 +295,7 @@
                          (wait + poll_step).count());
     }
     lws_service(m_impl->context, wait > 0us ? 0 : -1);
+    m_impl->serve_watches(); // also if nothing is ready, to know that
     run_hooks();
 }
 
--- a/src/process/event_loop.hpp
+++ b/src/process/event_loop.hpp
@@ -80,6 +80,10 @@
     // Timers run when they are due rather than up to a millisecond late; costs a core.
     void run_timers_precisely();
 
+    // For how long what a descriptor's handler reads now may have waited, at the most:
+    // since the loop last saw all descriptors that were ready.
+    duration unread_for(instant now) const;
+
     // Runs `fn` after each round of the loop, before it waits again. `fn` returns whether
     // it did something; all hooks run until none does, up to a bound: then timers and
     // descriptors have their turn first, without waiting.
--- a/src/process/explain.cpp
+++ b/src/process/explain.cpp
@@ -151,6 +151,8 @@
     if (why == to_string(reason::answer_lost) || why == to_string(reason::owner_lost) ||
         why == to_string(reason::deadline))
         return lost_answer(records) + repeats(records);
+    if (why == to_string(reason::behind))
+        return "the node's processor was behind its work";
     if (why == to_string(reason::stopping))
         return "the node was stopping";
     if (why == to_string(reason::no_configuration))
--- a/src/process/ingress.cpp
+++ b/src/process/ingress.cpp
@@ -1,6 +1,7 @@
 // Takes callers' requests and brings back the answers: see the header.
 #include "process/ingress_impl.hpp"
 
+#include "buckthornusher/intake.hpp"
 #include "process/boot_clock.hpp"
 #include "process/event_loop.hpp"
 
@@ -31,6 +32,12 @@
     return std::min(*facts.patience, service.keyed ? service.deadline : longest_deadline);
 }
 
+duration objective_of(route_match const& match)
+{
+    auto const latency = match.route->latency;
+    return latency > 0us ? latency : match.service->latency;
+}
+
 // Requests of one route need about the same time.
 std::string class_of(route_config const& route)
 {
@@ -112,8 +119,13 @@
         return refuse_now(service, reason::no_key, 0us);
     auto facts =
         std::visit([&](auto const& form) { return form.read(request); }, m_options.form);
-    if (!takes(now + deadline_of(facts, *match), now))
+    auto const unread = m_loop.unread_for(now);
+    auto const patience = deadline_of(facts, *match);
+    if (!takes(now + patience, now))
         return refuse_now(service, reason::stopping, stopping_retry());
+    if (auto const after = refused_for(
+            {.unread = unread, .patience = patience, .rank = match->route->rank}, {}))
+        return refuse_now(service, reason::behind, *after);
     auto& f = begin(std::move(request), reply, std::move(facts), *match, now);
     f.trail.add("taken", {{"service", f.o.service},
                           {"class", f.o.request_class},
@@ -122,6 +134,7 @@
                           {"repeatable", f.o.repeatable ? "yes" : "no"},
                           {"wait_ms", in_ms(f.o.deadline - now)},
                           {"objective_ms", in_ms(f.latency_bound)},
+                          {"unread_ms", in_ms(unread)},
                           {"config", std::to_string(m_config_number)}});
     m_retries.on_request(f.o.service, now);
     dispatch(f, now);
@@ -136,7 +149,7 @@
     auto const& route = *match.route;
     f.id = id;
     f.arrived = now;
-    f.latency_bound = route.latency > 0us ? route.latency : service.latency;
+    f.latency_bound = objective_of(match);
     f.max_attempts = route.max_attempts;
     auto& o = f.o;
     o.service = service.name;
--- a/src/process/request_wire.cpp
+++ b/src/process/request_wire.cpp
@@ -57,7 +57,7 @@
 
 order_result decode(wire::Reply const& in)
 {
-    auto const why = in.reason() <= static_cast<std::uint32_t>(reason::no_configuration)
+    auto const why = in.reason() <= static_cast<std::uint32_t>(reason::behind)
                          ? static_cast<reason>(in.reason())
                          : reason::none;
     switch (in.outcome())
--- a/src/request/outcome.cpp
+++ b/src/request/outcome.cpp
@@ -44,6 +44,8 @@
         return "stopping";
     case reason::no_configuration:
         return "no-configuration";
+    case reason::behind:
+        return "behind";
     }
     return "none";
 }
@@ -60,6 +62,7 @@
     case reason::operation_running:
         return 409;
     case reason::overloaded:
+    case reason::behind:
         return 429;
     default:
         return ran ? 504 : 503;
