--- a/src/process/node.cpp
+++ b/src/process/node.cpp
@@ -8,7 +8,6 @@
 #include "connection/store_client.hpp"
 #include "connection/wire.hpp"
 #include "coordination/roles.hpp"
-#include "platform/configuration.hpp"
 #include "platform/reports.hpp"
 #include "process/agent.hpp"
 #include "process/boot_clock.hpp"
@@ -19,6 +18,7 @@
 #include "process/operator_api.hpp"
 #include "process/order_server.hpp"
 #include "process/overloaded.hpp"
+#include "process/part_options.hpp"
 #include "process/peer_table.hpp"
 #include "process/shard_handover.hpp"
 #include "process/state_log.hpp"
@@ -26,7 +26,6 @@
 #include "wire.pb.h"
 
 #include <atomic>
-#include <charconv>
 #include <optional>
 #include <random>
 #include <set>
@@ -49,15 +48,6 @@
 constexpr duration reload_period = 5s; // looks for settings that changed without a signal
 constexpr duration load_report_period = 1s;
 constexpr duration stop_grace = 300ms; // callers' last answers leave
-// The platform's callers learn within this that they are to go elsewhere.
-constexpr duration callers_leave = 3s;
-// What is sent to a stopping node before `callers_leave` may be cut off at its end; what
-// is sent later may not. The difference is for a signal that is noticed late.
-constexpr duration takes_all_for = 2500ms;
-// A lease outlasts two reports of an upstream, so that one that is lost or late does not
-// end what the upstream holds.
-constexpr int reports_within_lease = 2;
-
 // Later than all incarnations of the node that are known, also if this VM's clock is
 // behind.
 std::uint64_t new_incarnation(std::string const& node, replica const& known)
@@ -71,58 +61,6 @@
     return incarnation;
 }
 
-// Requires text that the settings' reader has accepted.
-tcp_address to_address(std::string const& text)
-{
-    auto const colon = text.rfind(':');
-    tcp_address address{.ip = text.substr(0, colon), .port = 0};
-    std::from_chars(text.data() + colon + 1, text.data() + text.size(), address.port);
-    return address;
-}
-
-caller_form make_caller_form(speech form)
-{
-    if (form == speech::platform)
-        return platform::caller_form{};
-    return native_caller_form{};
-}
-
-upstream_form make_upstream_form(speech form)
-{
-    if (form == speech::platform)
-        return platform::upstream_form{};
-    return native_upstream_form{};
-}
-
-checked<document> parse_in(speech form, std::string_view text)
-{
-    return form == speech::platform ? platform::parse_configuration(text)
-                                    : parse_document(text);
-}
-
-lease_options make_lease(node_settings const& settings)
-{
-    lease_options lease;
-    if (settings.form == speech::platform)
-        lease.length = reports_within_lease * settings.report_interval +
-                       lease.renew_interval + 300ms;
-    return lease;
-}
-
-http_server_limits to_server_limits(caller_limits const& limits)
-{
-    http_server_limits out;
-    if (limits.header_bytes > 0)
-        out.read.header_bytes = limits.header_bytes;
-    if (limits.body_bytes > 0)
-        out.read.body_bytes = limits.body_bytes;
-    if (limits.header_timeout > 0us)
-        out.header_timeout = limits.header_timeout;
-    if (limits.idle_timeout > 0us)
-        out.idle_timeout = limits.idle_timeout;
-    return out;
-}
-
 } // namespace
 
 struct node::impl
@@ -156,7 +94,7 @@
                     .region = settings.region,
                     .domain = settings.domain,
                     .origin = settings.service,
-                    .retries = retries()}),
+                    .retries = make_retries(settings)}),
           handover(*coord, local, peers, settings.form == speech::native),
           operators({.settings = settings,
                      .loop = loop,
@@ -550,14 +488,7 @@
         settings.retry_reserve = next.retry_reserve;
         settings.retry_window = next.retry_window;
         set_log_level(settings.log_level);
-        requests.set_retries(retries());
-    }
-
-    retry_budget_options retries() const
-    {
-        return {.ratio = settings.retry_ratio,
-                .reserve = settings.retry_reserve,
-                .window = settings.retry_window};
+        requests.set_retries(make_retries(settings));
     }
 
     // Closes connections to endpoints that no member has any more.
@@ -587,17 +518,6 @@
         return settings.form == speech::native || local.upstreams_ended();
     }
 
-    planned_stop_options stop_options() const
-    {
-        if (settings.form == speech::native)
-            return {.grace = settings.grace};
-        return {.grace = settings.grace,
-                .bounded_after = std::min<duration>(takes_all_for, settings.grace / 2),
-                .callers_leave = callers_leave,
-                .leaves = must_leave(),
-                .hurries = false};
-    }
-
     void follow_stop(instant now)
     {
         if (stops == 0 || ending)
@@ -619,7 +539,7 @@
     // It counts from the signal, which the loop may have noticed late.
     void begin_stop(instant asked, instant now)
     {
-        stop.emplace(stop_options(), asked);
+        stop.emplace(make_stop(settings, must_leave()), asked);
         log_event(log_level::info, "stopping",
                   {{"leaves", stop->leaves() ? "yes" : "no"},
                    {"asked_before_ms", in_ms(now - asked)},
