--- a/tests/planned_stop_test.sh
+++ b/tests/planned_stop_test.sh
@@ -3,18 +3,8 @@
 # conditions only; asserts no times.
 #
 #   tests/planned_stop_test.sh BUILD_DIR
-set -uo pipefail
-cd "$(dirname "$0")/.."
-. demo/fleet.sh
-trap 'fleet_stop 2> /dev/null' EXIT
-build_dir=$1
-failures=0
+. "$(dirname "$0")/checks.sh" "$1"
 
-check() { # WHAT CONDITION...
-  local what=$1
-  shift
-  if "$@"; then echo "ok: $what"; else echo "FAILED: $what"; failures=$((failures + 1)); fi
-}
 # A line for each order that an upstream has run.
 journals() {
   local port
--- a/tests/process_test.sh
+++ b/tests/process_test.sh
@@ -4,18 +4,7 @@
 # callers' outcomes. Waits on conditions only; asserts no times.
 #
 #   tests/process_test.sh BUILD_DIR
-set -uo pipefail
-cd "$(dirname "$0")/.."
-. demo/fleet.sh
-trap 'fleet_stop 2> /dev/null' EXIT
-build_dir=$1
-failures=0
-
-check() { # WHAT CONDITION...
-  local what=$1
-  shift
-  if "$@"; then echo "ok: $what"; else echo "FAILED: $what"; failures=$((failures + 1)); fi
-}
+. "$(dirname "$0")/checks.sh" "$1"
 field() { sed -n "s/^$1 //p" "$fleet_dir/load-$2"; }
 load() { # NAME SECONDS [ARGS]
   local name=$1 seconds=$2
