--- a/src/process/ingress.cpp
+++ b/src/process/ingress.cpp
@@ -21,6 +21,7 @@
 constexpr duration restart_retry = 500ms;
 // Beyond its deadline an answer is awaited so long, to say truly whether it ran.
 constexpr duration last_word = 60ms;
+constexpr intake_options intake{};
 
 duration deadline_of(caller_facts const& facts, route_match const& match)
 {
@@ -32,12 +33,6 @@
     return std::min(*facts.patience, service.keyed ? service.deadline : longest_deadline);
 }
 
-duration objective_of(route_match const& match)
-{
-    auto const latency = match.route->latency;
-    return latency > 0us ? latency : match.service->latency;
-}
-
 // Requests of one route need about the same time.
 std::string class_of(route_config const& route)
 {
@@ -124,7 +119,7 @@
     if (!takes(now + patience, now))
         return refuse_now(service, reason::stopping, stopping_retry());
     if (auto const after = refused_for(
-            {.unread = unread, .patience = patience, .rank = match->route->rank}, {}))
+            {.unread = unread, .patience = patience, .rank = match->route->rank}, intake))
         return refuse_now(service, reason::behind, *after);
     auto& f = begin(std::move(request), reply, std::move(facts), *match, now);
     f.trail.add("taken", {{"service", f.o.service},
@@ -149,7 +144,7 @@
     auto const& route = *match.route;
     f.id = id;
     f.arrived = now;
-    f.latency_bound = objective_of(match);
+    f.latency_bound = route.latency > 0us ? route.latency : service.latency;
     f.max_attempts = route.max_attempts;
     auto& o = f.o;
     o.service = service.name;
--- a/tests/agent_test.cpp
+++ b/tests/agent_test.cpp
@@ -159,12 +159,6 @@
 class leaving_callers : public agent_test
 {
 protected:
-    leaving_callers()
-    {
-        route.identity = "caller";
-        served.emplace(local, peers, table, "n");
-    }
-
     wire::Envelope forward(std::uint64_t attempt, std::string const& target)
     {
         wire::Envelope message;
@@ -191,19 +185,19 @@
                       [](peer_route const&, wire::Envelope const&) {
                       }};
     peer_table table{peers, "n", 7, {}};
-    std::optional<order_server> served;
-    peer_route route;
+    order_server served{local, peers, table, "n"};
+    peer_route const route{.identity = "caller"};
 };
 
 TEST_F(leaving_callers, an_order_whose_cancel_has_arrived_with_it_never_begins)
 {
-    served->on_forward(route, forward(1, "/cancelled"));
-    served->on_forward(route, forward(2, "/wanted"));
-    served->on_cancel(route, cancel(1));
-    served->begin_arrived();
+    served.on_forward(route, forward(1, "/cancelled"));
+    served.on_forward(route, forward(2, "/wanted"));
+    served.on_cancel(route, cancel(1));
+    served.begin_arrived();
     serve_until([&] { return !arrived.empty(); });
     EXPECT_EQ(arrived, std::vector<std::string>{"/wanted"});
-    EXPECT_EQ(served->unfinished(), 1U);
+    EXPECT_EQ(served.unfinished(), 1U);
 }
 
 TEST_F(leaving_callers, an_order_that_waits_for_a_connection_is_not_sent_any_more)
--- a/tests/ingress_test.cpp
+++ b/tests/ingress_test.cpp
@@ -6,7 +6,6 @@
 #include "process/boot_clock.hpp"
 #include "process/event_loop.hpp"
 #include "process/ingress.hpp"
-#include "process/order_server.hpp"
 #include "process/request_wire.hpp"
 
 #include "wire.pb.h"
