Read each entry of the store on its own; an odd one is skipped, logged and counted

Cause: a list was parsed as one text. One value nested 50,000 deep ended every process that listed it (SIGSEGV in dump()), and one number such as 1e400, or half of a surrogate pair, made the parser reject the list whole, so that nodes stopped following the store. Change: connection/json_text finds the parts of a text by quotes and brackets without recursion; entries, events and their parts are parsed one by one. Depth is limited for all JSON from outside, in parse_json and decode_record. Records need their own name, a port of 1 to 65535 and a shard group in range. Whole numbers are range-checked before any cast. Skipped entries are logged once a revision and counted in the metrics.

--- a/include/buckthornusher/record.hpp
+++ b/include/buckthornusher/record.hpp
@@ -34,6 +34,10 @@
 std::string member_object(std::string const& node);
 std::string shard_group_object(std::string const& service, std::uint32_t first_shard);
 inline constexpr char const* config_object = "configuration";
+// Returns the name of the object that holds the record.
+std::string object_name(record const& value);
+// Returns whether an object of this name can be a member or a shard group.
+bool is_record_name(std::string_view name);
 
 // Objects are read by kind. All kinds share the store's single version counter.
 enum class object_kind
--- a/src/connection/store_client.cpp
+++ b/src/connection/store_client.cpp
@@ -1,7 +1,7 @@
 // Implementation of the client for the platform's store; see the header.
 #include "connection/store_client.hpp"
 
-#include "platform/object_store.hpp"
+#include <algorithm>
 
 namespace buckthornusher
 {
@@ -13,6 +13,8 @@
 constexpr std::uint64_t max_response_bytes = 64'000'000;
 // Added to the time for which the store holds a watch, for the answer to arrive.
 constexpr duration watch_timeout_margin = 700ms;
+constexpr std::size_t max_remembered_entries = 1'000; // that were skipped
+constexpr std::size_t max_reported_name = 200;        // bytes
 
 } // namespace
 
@@ -60,6 +62,23 @@
     return answer;
 }
 
+// Entries of other writers may be many and long: what is remembered and reported of them
+// is bounded.
+void store_client::note_skipped(std::vector<platform::skipped_entry> const& entries)
+{
+    for (auto entry : entries)
+    {
+        entry.name.resize(std::min(entry.name.size(), max_reported_name));
+        bool const is_new =
+            m_skipped.size() < max_remembered_entries && m_skipped.insert(entry).second;
+        if (!is_new)
+            continue;
+        ++m_counts.skipped_entries;
+        if (m_options.on_skipped)
+            m_options.on_skipped({.name = entry.name, .revision = entry.revision});
+    }
+}
+
 void store_client::list(store_list const& operation, store_objects so_far,
                         std::string const& after, callback done)
 {
@@ -73,6 +92,7 @@
                              : std::nullopt;
              if (!page)
                  return done(record_outcome("list", result, store_no_answer{}));
+             note_skipped(page->skipped);
              if (so_far.revision == 0)
                  so_far.revision = page->objects.revision;
              for (auto& o : page->objects.objects)
@@ -93,10 +113,11 @@
     send(platform::watch_request(operation, wait), wait + watch_timeout_margin,
          [this, operation, done = std::move(done)](http_result result)
          {
-             done(record_outcome("watch", result,
-                                 result.has_value()
-                                     ? platform::read_watch(operation, result.value())
-                                     : store_answer(store_no_answer{})));
+             auto read = result.has_value()
+                             ? platform::read_watch(operation, result.value())
+                             : platform::watch_result{.answer = store_no_answer{}};
+             note_skipped(read.skipped);
+             done(record_outcome("watch", result, std::move(read.answer)));
          });
 }
 
--- a/src/connection/store_client.hpp
+++ b/src/connection/store_client.hpp
@@ -12,9 +12,13 @@
 #include "buckthornusher/record.hpp"
 #include "buckthornusher/time.hpp"
 #include "connection/http_client.hpp"
+#include "platform/object_store.hpp"
 
 #include <functional>
-#include <map>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
 
 namespace buckthornusher
 {
@@ -28,6 +32,7 @@
     std::uint64_t conflicts = 0;
     std::uint64_t refused = 0;
     std::uint64_t no_answer = 0;
+    std::uint64_t skipped_entries = 0; // different ones
 };
 
 // A call without a usable answer, for logs. Lost watch history is also reported.
@@ -38,6 +43,14 @@
     friend bool operator==(store_failure const&, store_failure const&) = default;
 };
 
+// An entry of the store that is none of this project's and was not read, for logs.
+struct store_skipped
+{
+    std::string name; // its beginning, if it is long; empty: unreadable
+    std::uint64_t revision = 0;
+    friend bool operator==(store_skipped const&, store_skipped const&) = default;
+};
+
 class store_client
 {
 public:
@@ -54,6 +67,8 @@
         duration fleet_watch_timeout = 8s;
         duration config_watch_timeout = 2s;
         std::function<void(store_failure const&)> on_failure = {};
+        // Called once for each revision of an entry, up to a number of entries.
+        std::function<void(store_skipped const&)> on_skipped = {};
     };
 
     store_client(event_loop& loop, options const& opts);
@@ -69,6 +84,7 @@
               callback done);
     void watch(store_watch const& operation, callback done);
     void write(store_write const& operation, callback done);
+    void note_skipped(std::vector<platform::skipped_entry> const& entries);
     void send(http_request request, duration timeout, http_client::callback done);
     store_answer record_outcome(std::string_view call, http_result const& result,
                                 store_answer answer);
@@ -76,6 +92,7 @@
     options m_options;
     http_client m_http;
     store_call_counts m_counts;
+    std::set<platform::skipped_entry> m_skipped; // bounded; already reported
     bool m_reachable = true;
 };
 
--- a/src/connection/wire.cpp
+++ b/src/connection/wire.cpp
@@ -1,10 +1,14 @@
 // Implementation of the conversions; see the header.
 #include "connection/wire.hpp"
 
+#include "connection/json_text.hpp"
+
 #include "wire.pb.h"
 
 #include <google/protobuf/util/json_util.h>
 
+#include <charconv>
+
 namespace buckthornusher
 {
 
@@ -138,7 +142,28 @@
     std::uint64_t shards = 0;
     for (auto const& a : w.assignments())
         shards += a.shards();
-    return w.first_shard() % shards_per_group == 0 && shards <= shards_per_group;
+    return w.first_shard() % shards_per_group == 0 && w.first_shard() < number_keys &&
+           shards <= shards_per_group;
+}
+
+// Returns whether the endpoint is "tcp://HOST:PORT" with a port of 1 to 65535.
+bool is_valid_endpoint(std::string_view endpoint)
+{
+    constexpr std::string_view scheme = "tcp://";
+    constexpr int max_port = 65'535;
+    auto const colon = endpoint.rfind(':');
+    if (!endpoint.starts_with(scheme) || colon <= scheme.size())
+        return false;
+    int port = 0;
+    auto const* end = endpoint.data() + endpoint.size();
+    auto const [stop, error] = std::from_chars(endpoint.data() + colon + 1, end, port);
+    return error == std::errc{} && stop == end && port > 0 && port <= max_port;
+}
+
+bool is_valid_member(wire::MemberRecord const& w)
+{
+    return wire::MemberRecord::State_IsValid(w.state()) && !w.id().node().empty() &&
+           is_valid_endpoint(w.endpoint());
 }
 
 decoded<record> decode_value(wire::Record const& w)
@@ -146,10 +171,9 @@
     switch (w.kind_case())
     {
     case wire::Record::kMember:
-        if (!wire::MemberRecord::State_IsValid(w.member().state()) ||
-            w.member().id().node().empty())
+        if (!is_valid_member(w.member()))
             return decode_error{.step = "member record",
-                                .reason = "unknown state or missing id"};
+                                .reason = "unknown state, or id or endpoint invalid"};
         return record(decode_member(w.member()));
     case wire::Record::kChunk:
         if (!is_valid_shard_group(w.chunk()))
@@ -372,6 +396,8 @@
 {
     wire::Record w;
     std::string error_text;
+    if (!has_allowed_depth(json))
+        return decode_error{.step = "record", .reason = "nested too deep"};
     if (!parse_json(json, w, error_text))
         return decode_error{.step = "record", .reason = error_text};
     return decode_value(w);
--- a/src/coordination/replica.cpp
+++ b/src/coordination/replica.cpp
@@ -9,6 +9,21 @@
 namespace
 {
 constexpr std::string_view member_prefix = "member.";
+constexpr std::string_view shard_group_prefix = "shards.";
+
+struct object_namer
+{
+    std::string operator()(member_record const& m) const
+    {
+        return member_object(m.id.node);
+    }
+    std::string operator()(shard_group_record const& g) const
+    {
+        return shard_group_object(g.service, g.first_shard);
+    }
+    std::string operator()(config_record const& /*c*/) const { return config_object; }
+};
+
 } // namespace
 
 std::string member_object(std::string const& node)
@@ -18,7 +33,18 @@
 
 std::string shard_group_object(std::string const& service, std::uint32_t first_shard)
 {
-    return "shards." + service + "." + std::to_string(first_shard / shards_per_group);
+    return std::string(shard_group_prefix) + service + "." +
+           std::to_string(first_shard / shards_per_group);
+}
+
+std::string object_name(record const& value)
+{
+    return std::visit(object_namer{}, value);
+}
+
+bool is_record_name(std::string_view name)
+{
+    return name.starts_with(member_prefix) || name.starts_with(shard_group_prefix);
 }
 
 object_kind kind_of(std::string_view name)
--- a/src/process/node.cpp
+++ b/src/process/node.cpp
@@ -79,10 +79,13 @@
                  .user_agent = settings.name,
                  .config_watch_timeout = std::min<duration>(
                      max_config_watch, settings.config_bound / watches_per_config_bound),
-                 .on_failure =
-                     [this](store_failure const& f)
+                 .on_failure = [this](store_failure const& f) { on_store_failure(f); },
+                 .on_skipped =
+                     [](store_skipped const& s)
                  {
-                     on_store_failure(f);
+                     log_event(
+                         log_level::warning, "store-entry-skipped",
+                         {{"name", s.name}, {"revision", std::to_string(s.revision)}});
                  }}),
           store_state("store", settings.store), coord(make_coordinator({}, {})),
           local(loop, *coord,
--- a/standins/store.cpp
+++ b/standins/store.cpp
@@ -12,6 +12,7 @@
 //   slow          answers after MS milliseconds
 //   lose_answers  the next N writes take effect but are not answered
 //   late          the next N writes take effect after MS milliseconds, without an answer
+//   odd           lists and watches also contain entries that no parser accepts
 //   forget        discards the history: older watches get 410; the mode does not change
 // With `agent` only callers whose User-Agent contains TEXT are affected. `forget` affects
 // all callers.
@@ -191,11 +192,53 @@
 
     static void send(http_reply const& reply, int status, json const& body)
     {
-        http_response response{.status = status, .body = body.dump()};
+        send_text(reply, status, body.dump());
+    }
+
+    static void send_text(http_reply const& reply, int status, std::string body)
+    {
+        http_response response{.status = status, .body = std::move(body)};
         response.headers.push_back({"Content-Type", "application/json"});
         reply.send(std::move(response));
     }
 
+    // Objects as another program may have written them: nested deep, with a number that
+    // no type holds, with half of a surrogate pair, and no object at all.
+    static std::vector<std::string> odd_objects()
+    {
+        constexpr std::size_t levels = 50'000;
+        auto const with_spec = [](std::string const& name, std::string const& spec)
+        {
+            return R"({"metadata":{"name":")" + name + R"(","revision":1},"spec":)" +
+                   spec + "}";
+        };
+        auto const deep = std::string(levels, '[') + std::string(levels, ']');
+        return {with_spec("odd-deep", deep),
+                with_spec("member.odd-deep", R"({"member":)" + deep + "}"),
+                with_spec("member.odd-port",
+                          R"({"member":{"id":{"node":"odd-port","incarnation":"1"},)"
+                          R"("endpoint":"tcp://127.0.0.1:70000"}})"),
+                with_spec("odd-number", R"({"slots":1e400})"),
+                with_spec("odd-text", R"({"service":"\ud800"})"),
+                "7"};
+    }
+
+    // Inserts odd entries, as `wrapped`, at the start of the array `name`.
+    static std::string with_odd_entries(std::string text, std::string const& name,
+                                        bool wrapped)
+    {
+        auto const start = "\"" + name + "\":[";
+        auto const position = text.find(start);
+        if (position == std::string::npos)
+            return text;
+        bool const empty = text[position + start.size()] == ']';
+        std::string odd;
+        for (auto const& o : odd_objects())
+            odd += (odd.empty() ? "" : ",") +
+                   (wrapped ? R"({"deleted":false,"object":)" + o + "}" : o);
+        return text.insert(position + start.size(), odd + (empty ? "" : ","));
+    }
+
     void answer(http_request const& request, http_reply const& reply,
                 std::string const& mode)
     {
@@ -237,7 +280,12 @@
         ++m_counts.reads;
         auto const& all = m_kinds[path.kind];
         if (path.name.empty())
-            return send(reply, 200, list(all, find_query(request.query(), "after")));
+        {
+            auto const body = list(all, find_query(request.query(), "after")).dump();
+            return send_text(reply, 200,
+                             m_mode == "odd" ? with_odd_entries(body, "items", false)
+                                             : body);
+        }
         auto const it = all.find(path.name);
         if (it == all.end())
             return fail(reply, 404, "no such object");
@@ -309,7 +357,9 @@
                 events.push_back(c.event);
         if (events.empty() && w.until > now)
             return false;
-        send(w.reply, 200, {{"events", events}, {"store_revision", m_revision}});
+        auto const body = json{{"events", events}, {"store_revision", m_revision}}.dump();
+        send_text(w.reply, 200,
+                  m_mode == "odd" ? with_odd_entries(body, "events", true) : body);
         return true;
     }
 
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -1,4 +1,5 @@
 // Tests of the adapter to the platform: decoding and encoding of its messages.
+#include "connection/json_text.hpp"
 #include "connection/wire.hpp"
 #include "platform/caller_form.hpp"
 #include "platform/configuration.hpp"
@@ -431,7 +432,8 @@
                          encode_record(member()) + "}}";
     auto const answer =
         read_watch({}, json_answer(200, R"({"events":[)" + changed + "," + removed +
-                                            R"(,{"deleted":true}],"store_revision":8})"));
+                                            R"(,{"deleted":true}],"store_revision":8})"))
+            .answer;
     ASSERT_TRUE(std::holds_alternative<store_objects>(answer));
     auto const& found = std::get<store_objects>(answer);
     EXPECT_EQ(found.revision, 8U);
@@ -439,8 +441,213 @@
     EXPECT_EQ(found.objects[0].version, 5U);
     EXPECT_EQ(found.objects[1],
               (object{.name = "member.n", .version = 8, .value = std::nullopt}));
-    EXPECT_TRUE(
-        std::holds_alternative<store_history_lost>(read_watch({}, json_answer(410, ""))));
+    EXPECT_TRUE(std::holds_alternative<store_history_lost>(
+        read_watch({}, json_answer(410, "")).answer));
+}
+
+// ---- entries that another program wrote ----
+
+constexpr std::size_t deep_levels = 50'000;
+
+std::string nested(std::size_t levels)
+{
+    return std::string(levels, '[') + std::string(levels, ']');
+}
+
+std::string entry(std::string const& name, std::string const& spec,
+                  std::string const& revision = "3")
+{
+    return R"({"metadata":{"name":")" + name + R"(","revision":)" + revision +
+           R"(},"spec":)" + spec + "}";
+}
+
+std::string member_spec(std::string const& endpoint, std::string const& slots)
+{
+    return R"({"member":{"id":{"node":"odd","incarnation":"7"},"endpoint":")" + endpoint +
+           R"(","targets":[{"service":"s","slots":)" + slots + "}]}}";
+}
+
+// Entries that are not a readable record of this project.
+std::vector<std::string> odd_entries()
+{
+    auto const sound = member_spec("tcp://10.0.0.1:7000", "9");
+    std::vector<std::string> entries{
+        "7",
+        "null",
+        "[]",
+        "{}",
+        nested(deep_levels),
+        entry("a", nested(deep_levels)),
+        entry("member.odd", nested(deep_levels)),
+        entry("member.odd", R"({"member":)" + nested(deep_levels) + "}"),
+        entry("member.odd", R"({"member":{"id":)" + nested(deep_levels) + "}}"),
+        R"({"metadata":)" + nested(deep_levels) + R"(,"spec":{}})",
+        R"({"metadata":{"name":"a","revision":3,"labels":)" + nested(deep_levels) +
+            R"(},"spec":{}})",
+        entry("a", R"({"n":1e400})"),
+        entry("a", "1e400"),
+        entry("a", "-1e999999999"),
+        entry("a", std::string(5'000, '9')),
+        entry("a", R"({"text":"\ud800"})"),
+        entry("a", "{\"text\":\"\xff\xfe\"}"),
+        entry("a", "{\"text\":\"\x01\"}"),
+        entry("\xff\xfe", "{}"),
+        entry("\\ud800", "{}"),
+        entry("", "{}"),
+        entry(std::string(1'000'000, 'n'), "{}"),
+        entry("a", "\"" + std::string(60'000'000, 'x') + "\""),
+        // Under names of records, or records under names of others.
+        entry("a", sound),
+        entry("member.other", sound),
+        entry("shards.s.0", sound),
+        entry("member.odd", sound, "1e400"),
+        entry("member.odd", sound, "-3"),
+        entry("member.odd", sound, "18446744073709551616"),
+        entry("member.odd", sound, "\"3\""),
+    };
+    for (auto const* endpoint :
+         {"", "tcp://", "tcp://10.0.0.1", "tcp://10.0.0.1:", "tcp://10.0.0.1:0",
+          "tcp://10.0.0.1:-7", "tcp://10.0.0.1:65536", "tcp://10.0.0.1:99999",
+          "tcp://10.0.0.1:80.5", "tcp://10.0.0.1:eighty", "tcp://:7000",
+          "ipc://10.0.0.1:7000", "10.0.0.1:7000"})
+        entries.push_back(entry("member.odd", member_spec(endpoint, "9")));
+    for (auto const* slots :
+         {"-1", "4294967296", "18446744073709551616", "1.5", "1e400", "[]", R"("many")"})
+        entries.push_back(entry("member.odd", member_spec("tcp://10.0.0.1:7000", slots)));
+    for (auto const* group : {R"({"service":"s","firstShard":4294966272})",
+                              R"({"service":"s","firstShard":7})",
+                              R"({"service":"s","assignments":[{"shards":4294967295}]})"})
+        entries.push_back(entry("shards.s.0", R"({"chunk":)" + std::string(group) + "}"));
+    return entries;
+}
+
+std::string list_body(std::string const& items)
+{
+    return R"({"items":[)" + items + R"(],"has_more":true,"store_revision":530})";
+}
+
+TEST(platform_store, an_odd_entry_hides_no_other_of_a_list)
+{
+    auto const before = entry("member.n", encode_record(member()), "4");
+    auto const after = entry("shards.s.1", encode_record(chunk()), "5");
+    for (auto const& odd : odd_entries())
+    {
+        auto const part =
+            read_list({}, json_answer(200, list_body(before + "," + odd + "," + after)));
+        ASSERT_TRUE(part) << odd.substr(0, 100);
+        ASSERT_EQ(part->objects.objects.size(), 2U) << odd.substr(0, 100);
+        EXPECT_EQ(part->objects.objects[0].value, record(member()));
+        EXPECT_EQ(part->objects.objects[1].value, record(chunk()));
+        EXPECT_EQ(part->last_name, "shards.s.1");
+        EXPECT_EQ(part->skipped.size(), 1U) << odd.substr(0, 100);
+    }
+}
+
+TEST(platform_store, a_list_goes_on_behind_an_odd_entry_at_the_end_of_a_page)
+{
+    for (auto const& spec : {nested(deep_levels), std::string(R"({"n":1e400})")})
+    {
+        auto const part = read_list(
+            {}, json_answer(200, list_body(entry("member.n", encode_record(member())) +
+                                           "," + entry("odd", spec))));
+        ASSERT_TRUE(part);
+        EXPECT_EQ(part->last_name, "odd");
+        EXPECT_EQ(part->skipped,
+                  (std::vector<skipped_entry>{{.name = "odd", .revision = 3}}));
+    }
+}
+
+TEST(platform_store, an_odd_event_hides_no_other_of_a_watch)
+{
+    auto const sound = R"({"deleted":false,"object":)" +
+                       entry("member.n", encode_record(member()), "5") + "}";
+    for (auto const& odd : odd_entries())
+    {
+        auto const read = read_watch(
+            {}, json_answer(200, R"({"events":[{"deleted":false,"object":)" + odd + "}," +
+                                     sound + R"(],"store_revision":8})"));
+        ASSERT_TRUE(std::holds_alternative<store_objects>(read.answer));
+        auto const& found = std::get<store_objects>(read.answer);
+        EXPECT_EQ(found.revision, 8U);
+        ASSERT_EQ(found.objects.size(), 1U) << odd.substr(0, 100);
+        EXPECT_EQ(found.objects[0].value, record(member()));
+        EXPECT_EQ(read.skipped.size(), 1U) << odd.substr(0, 100);
+    }
+}
+
+// The value of a record that became odd stays until the object is deleted.
+TEST(platform_store, the_deletion_of_an_odd_entry_is_read)
+{
+    auto const read = read_watch(
+        {}, json_answer(200, R"({"events":[{"deleted":true,"object":)" +
+                                 entry("member.n", nested(deep_levels)) +
+                                 R"(},{"deleted":true,"object":)" +
+                                 entry("another", "{}") + R"(}],"store_revision":8})"));
+    auto const& found = std::get<store_objects>(read.answer);
+    EXPECT_EQ(found.objects,
+              (std::vector<object>{{.name = "member.n", .version = 8, .value = {}}}));
+}
+
+TEST(platform_store, a_conflict_with_an_odd_entry_is_no_answer)
+{
+    store_write const write{.name = member_object("n"), .expected = 3, .value = member()};
+    for (auto const& odd : odd_entries())
+        EXPECT_TRUE(std::holds_alternative<store_no_answer>(
+            read_write(write, json_answer(409, odd))))
+            << odd.substr(0, 100);
+}
+
+TEST(platform_store, an_odd_configuration_is_skipped_or_refused)
+{
+    store_list const list{.kind = object_kind::configuration};
+    for (auto const& spec :
+         {nested(deep_levels), std::string("{}"), std::string(R"({"version":1e400})"),
+          std::string(R"({"version":18446744073709551616})"),
+          std::string(R"({"version":"7"})"), R"({"config":)" + nested(deep_levels) + "}"})
+    {
+        auto const part =
+            read_list(list, json_answer(200, list_body(entry("main", spec))));
+        ASSERT_TRUE(part);
+        EXPECT_TRUE(part->objects.objects.empty()) << spec.substr(0, 100);
+    }
+    std::vector<std::string> const documents{
+        nested(deep_levels),
+        R"({"version":7,"services":)" + nested(deep_levels) + "}",
+        R"({"version":7,"services":{"a":)" + nested(deep_levels) + "}}",
+        R"({"version":7,"routes":[{"timeout_ms":)" + nested(max_json_depth - 3) + "}]}",
+        R"({"version":7,"limits":{"max_body_bytes":1e400}})",
+        R"({"version":7,"limits":{"max_body_bytes":1e300}})",
+        R"({"version":7,"limits":{"max_body_bytes":-1e300}})",
+        R"({"version":7,"limits":{"max_body_bytes":18446744073709551615}})",
+        R"({"version":7,"limits":{"max_body_bytes":18446744073709551616}})",
+        R"({"version":7,"limits":{"max_body_bytes":1.5}})",
+    };
+    for (auto const& text : documents)
+        EXPECT_TRUE(parse_configuration(text).has_error()) << text.substr(0, 100);
+}
+
+TEST(platform_reports, odd_values_in_heartbeats_are_rejected_or_bounded)
+{
+    auto const with = [](std::string const& members)
+    {
+        return read_announcement(heartbeat_request(
+            R"({"service":"s","address":"10.0.0.9:8080","state":"ready",)" + members +
+            "}"));
+    };
+    for (auto const& members :
+         {R"("slots":12,"sequence":)" + nested(deep_levels),
+          R"("slots":12,"sequence":1,"later":)" + nested(deep_levels),
+          std::string(R"("slots":12,"sequence":1e400)"),
+          std::string(R"("slots":4294967296,"sequence":1)"),
+          std::string(R"("slots":18446744073709551616,"sequence":1)"),
+          std::string(R"("slots":12,"sequence":-1)"),
+          R"("slots":12,"sequence":1,"holds":)" + nested(deep_levels)})
+        EXPECT_TRUE(std::holds_alternative<invalid_announcement>(with(members)))
+            << members.substr(0, 100);
+    auto const late =
+        with(R"("slots":12,"sequence":1,"cold_remaining_ms":18446744073709551615)");
+    ASSERT_TRUE(std::holds_alternative<upstream_report>(late));
+    EXPECT_EQ(std::get<upstream_report>(late).warm_up_left, 1h);
 }
 
 TEST(platform_store, unrecognised_responses_are_no_answer)
--- a/tests/process_test.sh
+++ b/tests/process_test.sh
@@ -57,6 +57,23 @@
 check "a planned stop ends with exit code 0" [ $? = 0 ]
 wait "$load_pid"
 check "every request is answered during a planned stop" [ "$(field answered stop)" = "$(field sent stop)" ]
+check "all shards have owners after the planned stop" fleet_wait 128
+
+fault odd
+restart_node() { # NUMBER
+  kill -TERM "${node_pid[$1]}"
+  wait "${node_pid[$1]}"
+  fleet_start_node "$1"
+}
+load odd 6 & load_pid=$!
+restart_node 2 # a node that starts lists the odd entries; the others see its change
+wait "$load_pid"
+check "all shards have owners while other programs write odd entries" fleet_wait 128
+check "every request is answered meanwhile" [ "$(field answered odd)" = "$(field sent odd)" ]
+check "no node ended" kill -0 "${node_pid[0]}" "${node_pid[1]}" "${node_pid[2]}" "${node_pid[3]}" "${node_pid[4]}"
+check "skipped entries are counted" grep -q "^buckthornusher_store_entries_skipped_total [1-9]" \
+  <(curl -s -m 5 127.0.0.1:29011/metrics)
+fault none
 
 "$build_dir/standin_upstream" --port 20999 --service old --unfenced & upstream_pid[old]=$!
 answer_of() { curl -s -m 5 --retry 3 -X POST -d x "127.0.0.1:29010/orders/$1"; }
