Settings take figures with fractions; grace_s in seconds

Cause: a deployment's figures may be fractions; the small twin of the large site has a retry reserve of 34.328358, which the settings refused, so that every process ended at once. Change: report_interval_ms, config_bound_ms, drain_limit_ms, reserve and window_s take fractions; grace may be given as grace_s. NaN is no share. Test: the template filled with fractions, and with values out of range for each figure.

--- a/src/version/config.cpp
+++ b/src/version/config.cpp
@@ -95,6 +95,40 @@
         return number->get();
     }
 
+    // Returns a number that may have a fraction.
+    double number(std::string const& key, std::int64_t low, std::int64_t high,
+                  double fallback)
+    {
+        auto const* node = find(key, true, "");
+        if (node == nullptr)
+            return fallback;
+        auto const value = node->is_number() ? node->value<double>() : std::nullopt;
+        bool const in_range = value && *value >= static_cast<double>(low) &&
+                              *value <= static_cast<double>(high);
+        if (!in_range)
+            return fail(key, *node, range(low, high)), fallback;
+        return *value;
+    }
+
+    // Returns a time in milliseconds, whose number may have a fraction.
+    duration milliseconds(std::string const& key, std::int64_t low, std::int64_t high,
+                          duration fallback)
+    {
+        using ms = std::chrono::duration<double, std::milli>;
+        return std::chrono::round<duration>(
+            ms(number(key, low, high, ms(fallback).count())));
+    }
+
+    duration seconds(std::string const& key, std::int64_t low, std::int64_t high,
+                     duration fallback)
+    {
+        using s = std::chrono::duration<double>;
+        return std::chrono::round<duration>(
+            s(number(key, low, high, s(fallback).count())));
+    }
+
+    bool has(std::string const& key) const { return m_table.contains(key); }
+
     bool flag(std::string const& key, bool fallback)
     {
         auto const* node = find(key, true, "");
@@ -111,7 +145,7 @@
         if (node == nullptr)
             return fallback;
         auto const value = node->value<double>().value_or(-1);
-        if (!node->is_number() || value <= 0 || value >= 1)
+        if (bool const in_range = value > 0 && value < 1; !node->is_number() || !in_range)
             return fail(key, *node, "a number between 0 and 1"), fallback;
         return value;
     }
@@ -520,7 +554,8 @@
                std::vector<config_error>& errors)
 {
     constexpr std::int64_t max_interval_ms = 60'000;
-    constexpr std::int64_t max_period_ms = 600'000;
+    constexpr std::int64_t max_period_s = 600;
+    constexpr std::int64_t max_period_ms = max_period_s * 1'000;
     table_reader r(table, "node.", errors);
     settings.name = r.text("name");
     settings.region = r.text("region");
@@ -530,14 +565,13 @@
                         : wire_form::platform;
     settings.service = r.text("service", "");
     settings.seeds = r.texts("seeds");
-    settings.report_interval = std::chrono::milliseconds(
-        r.integer("report_interval_ms", 10, max_interval_ms, 1'000));
-    settings.grace =
-        std::chrono::milliseconds(r.integer("grace_ms", 100, max_period_ms, 20'000));
-    settings.drain_limit = std::chrono::milliseconds(
-        r.integer("drain_limit_ms", 100, max_period_ms, 30'000));
-    settings.config_bound = std::chrono::milliseconds(
-        r.integer("config_bound_ms", 500, max_period_ms, 15'000));
+    settings.report_interval =
+        r.milliseconds("report_interval_ms", 10, max_interval_ms, 1s);
+    settings.grace = r.has("grace_s")
+                         ? r.seconds("grace_s", 1, max_period_s, 20s)
+                         : r.milliseconds("grace_ms", 100, max_period_ms, 20s);
+    settings.drain_limit = r.milliseconds("drain_limit_ms", 100, max_period_ms, 30s);
+    settings.config_bound = r.milliseconds("config_bound_ms", 500, max_period_ms, 15s);
     settings.log_level =
         r.choice("log_level", {"debug", "info", "warning", "error"}, "info");
     r.report_unknown_keys();
@@ -564,10 +598,8 @@
     constexpr std::int64_t max_window_s = 3'600;
     table_reader r(table, "retries.", errors);
     settings.retry_ratio = r.share("ratio", settings.retry_ratio);
-    settings.retry_reserve =
-        static_cast<double>(r.integer("reserve", 0, max_reserve, 50));
-    settings.retry_window =
-        std::chrono::seconds(r.integer("window_s", 1, max_window_s, 10));
+    settings.retry_reserve = r.number("reserve", 0, max_reserve, 50);
+    settings.retry_window = r.seconds("window_s", 1, max_window_s, 10s);
     r.report_unknown_keys();
 }
 
--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -6,6 +6,8 @@
 
 #include <gtest/gtest.h>
 
+#include <fstream>
+#include <iterator>
 #include <map>
 
 namespace buckthornusher
@@ -183,6 +185,78 @@
     EXPECT_EQ(advertised.value().advertised_peers, "10.0.0.9:7");
 }
 
+// Returns deploy/settings.toml.in with the placeholders replaced by values of a site.
+// The figures among them are those given.
+std::string filled_settings(std::map<std::string, std::string> const& figures)
+{
+    std::ifstream file(SOURCE_DIR "/deploy/settings.toml.in");
+    std::string text{std::istreambuf_iterator<char>(file), {}};
+    std::map<std::string, std::string> values{
+        {"ip", "10.0.0.1"},
+        {"region", "r"},
+        {"zone", "d"},
+        {"service", "s"},
+        {"listen.outbound", "10.0.0.1:1"},
+        {"listen.control", "10.0.0.1:2"},
+        {"listen.readiness_addr", "10.0.0.1:3"},
+        {"port_range.0", "4"},
+        {"port_range.1", "5"},
+        {"platform.address", "10.0.0.2:6"},
+    };
+    values.insert(figures.begin(), figures.end());
+    for (auto const& [name, value] : values)
+    {
+        auto const placeholder = "{{" + name + "}}";
+        for (auto at = text.find(placeholder); at != std::string::npos;
+             at = text.find(placeholder))
+            text.replace(at, placeholder.size(), value);
+    }
+    return text;
+}
+
+TEST(config, deployment_figures_may_be_fractions)
+{
+    auto const parsed = parse_settings(filled_settings({
+        {"heartbeat_ms", "870.25"},
+        {"bounds.grace_s", "6.5"},
+        {"bounds.config_apply_ms", "2500.5"},
+        {"bounds.drain_ms", "2500.75"},
+        {"bounds.retry_budget_ratio", "0.2"},
+        {"bounds.retry_budget_slack", "34.328358"},
+        {"bounds.budget_window_s", "7.5"},
+    }));
+    ASSERT_TRUE(parsed) << to_string(parsed.error().front());
+    auto const& s = parsed.value();
+    EXPECT_EQ(s.report_interval, 870'250us);
+    EXPECT_EQ(s.grace, 6'500ms);
+    EXPECT_EQ(s.config_bound, 2'500'500us);
+    EXPECT_EQ(s.drain_limit, 2'500'750us);
+    EXPECT_EQ(s.retry_reserve, 34.328358);
+    EXPECT_EQ(s.retry_window, 7'500ms);
+}
+
+TEST(config, deployment_figures_out_of_range_are_rejected)
+{
+    std::map<std::string, std::string> const sound{
+        {"heartbeat_ms", "870"},
+        {"bounds.grace_s", "6"},
+        {"bounds.config_apply_ms", "2500"},
+        {"bounds.drain_ms", "2500"},
+        {"bounds.retry_budget_ratio", "0.2"},
+        {"bounds.retry_budget_slack", "56"},
+        {"bounds.budget_window_s", "10"},
+    };
+    EXPECT_TRUE(parse_settings(filled_settings(sound)));
+    for (auto const& entry : sound)
+        for (auto const* value : {"-1", "1e300", "inf", "nan", "\"7\"", "[]"})
+        {
+            auto figures = sound;
+            figures[entry.first] = value;
+            EXPECT_TRUE(parse_settings(filled_settings(figures)).has_error())
+                << entry.first << " = " << value;
+        }
+}
+
 TEST(route_table, a_host_with_its_own_routes_ignores_the_default_routes)
 {
     auto const doc = parse_document("environment = \"t\"\n"
