Place requests by the time of their class at each upstream, and by the others' load where reports are old

Cause: a load report gave the mean time over all classes, so an upstream that had run short calls looked fast and drew more, and one that ran long requests was left alone with free slots. An upstream that had not been asked lately seemed free; in a large fleet that is nearly each. Change: reports carry the time of the class of the request that they answer; service_times learns classes and the slowness of each upstream, so that a class never reported there is derived. Old reports fade to the mean load of the others instead of to none. A slot is free by the classes that run, not by the mean. Early failures do not make an upstream seem fast.

--- a/include/buckthornusher/placement.hpp
+++ b/include/buckthornusher/placement.hpp
@@ -3,17 +3,20 @@
 // Each answer from a node carries the load of the upstream beside it. A placement keeps
 // the latest load report of each node, adds the requests that this node has sent since,
 // and chooses the upstream with the earliest expected answer: round trip, wait for a
-// slot, service time, and the cost of recent failures. The weight of a report decays once
-// it is older than `full_weight_age`, so that no upstream is avoided for ever. Near-best
-// choices are drawn at random, so that an upstream is not flooded by all nodes that saw
-// it free at the same moment.
+// slot, service time of the request's class there (service_times.hpp), and the cost of
+// recent failures. Near-best choices are drawn at random, so that an upstream is not
+// flooded by all nodes that saw it free at the same moment.
+//
+// The weight of a report decays once it is older than `full_weight_age`; an upstream of
+// which nothing recent is known counts as loaded like the others. In a large fleet most
+// reports are old, and an upstream must not seem free because it has not been asked.
 //
 // The round trip is the usual one for the distance plus the recent extra delay of
 // messages at the node: a node whose processor or link is the bottleneck answers late
 // although it reports free slots.
 //
-// An upstream without any report is assumed to be a little faster than the fastest known
-// one, so that one that has just joined is tried soon and its speed is measured.
+// An upstream without any report is assumed to be free and a little faster than the
+// fastest known one, so that one that has just joined is tried soon.
 //
 // Built for upstreams of different speeds, upstreams that become slow, shed, fail part of
 // their requests or join, a region whose slots are full while the other has room, and a
@@ -28,6 +31,7 @@
 #ifndef BUCKTHORNUSHER_PLACEMENT_HPP
 #define BUCKTHORNUSHER_PLACEMENT_HPP
 
+#include "buckthornusher/service_times.hpp"
 #include "buckthornusher/time.hpp"
 
 #include <cstdint>
@@ -54,7 +58,7 @@
     std::uint32_t slots = 0;   // current limit of requests at once
     std::uint32_t running = 0; // requests at the upstream
     std::uint32_t waiting = 0; // requests in the node's queue
-    duration service{0};       // mean time of a request
+    duration service{0};       // mean time of a request of one class; 0: unknown
     duration until_slot{0};    // until a slot is free, ignoring the waiting requests
     std::vector<rank_backlog> backlog; // most urgent rank first
     bool accepting = true;             // false: the upstream is draining or gone
@@ -81,6 +85,7 @@
 {
     double exchange_bytes = 0; // expected size of the request plus its answer
     std::uint32_t rank = 1;
+    std::string request_class = {}; // requests of a class have similar service times
     friend bool operator==(placement_request const&, placement_request const&) = default;
 };
 
@@ -92,9 +97,9 @@
     duration region_penalty = 100ms;
     duration region_penalty_per_kib = 60ms; // of request and answer
     duration full_weight_age = 500ms;       // age up to which a report counts in full
+    duration report_half_life = 250ms;      // of its weight afterwards
     duration default_service = 100ms;       // service time while none is known at all
-    // Service time of an upstream without a report, relative to the fastest known one.
-    double unknown_service_factor = 0.8;
+    service_time_options service = {};
     double tie = 0.05; // relative distance to the best that counts as equal
     friend bool operator==(placement_options const&, placement_options const&) = default;
 };
@@ -150,10 +155,11 @@
 class placement
 {
 public:
-    explicit placement(placement_options opts) : m_options(opts) {}
+    explicit placement(placement_options opts) : m_options(opts), m_times(opts.service) {}
 
-    // An answer from the node carried its load.
-    void on_load(std::string const& node, upstream_load const& load, instant now);
+    // An answer from the node carried its load, whose service time is that of the class.
+    void on_load(std::string const& node, upstream_load const& load, instant now,
+                 std::string const& request_class = {});
     // A request was sent to the node.
     void on_sent(std::string const& node);
     // The answer arrived, or is no longer awaited. `failed`: the request failed at the
@@ -200,16 +206,27 @@
         instant avoid_until;
     };
 
-    duration assumed_service(std::vector<placement_candidate> const& from) const;
+    // What is assumed of candidates of which too little is known.
+    struct assumed_load
+    {
+        double slowness = 1;   // of an upstream without a report
+        double busy_share = 0; // of the slots
+        double wait = 0;       // seconds
+    };
+    assumed_load assume(std::vector<placement_candidate> const& from,
+                        placement_request const& request, instant now) const;
+    double report_weight(entry const& e, instant now) const;
     duration usual_round_trip(distance away) const;
     // Returns the usual round trip plus the penalties for distance and bytes.
     duration distance_cost(distance away, double exchange_bytes) const;
     std::optional<placement_choice> estimate(placement_candidate const& c,
                                              placement_request const& request,
-                                             duration assumed_service, instant now) const;
+                                             assumed_load const& assumed,
+                                             instant now) const;
 
     placement_options m_options;
     std::map<std::string, entry> m_entries; // by node
+    service_times m_times;
 };
 
 } // namespace buckthornusher
--- a/include/buckthornusher/upstream_queue.hpp
+++ b/include/buckthornusher/upstream_queue.hpp
@@ -83,9 +83,10 @@
 enum class request_end
 {
     completed,
-    shed,     // the upstream refused it
-    not_sent, // ended before it was sent
-    failed,   // sent, and no complete answer came
+    answered_failure, // a complete answer that reports a failure
+    shed,             // the upstream refused it
+    not_sent,         // ended before it was sent
+    failed,           // sent, and no complete answer came
 };
 
 class upstream_queue
@@ -114,11 +115,14 @@
     // Changes the number of requests that the upstream runs at once.
     void set_slots(std::uint32_t slots);
 
-    // Returns the expected time until a slot is free, ignoring the waiting requests.
+    // Returns the expected time until a slot is free, by the classes of the running
+    // requests and ignoring the waiting ones.
     duration until_free_slot() const;
     // Returns the time for which the waiting requests occupy all slots, by rank.
     std::vector<rank_backlog> backlog() const;
     duration expected_service(std::string const& request_class) const;
+    // Returns the same, or nothing before the first request of the class has completed.
+    std::optional<duration> known_service(std::string const& request_class) const;
     // Returns the mean over all classes, weighted by their frequency.
     duration mean_service() const;
 
@@ -147,6 +151,7 @@
     {
         std::string request_class;
         bool crowded = false; // started with half of the slots or more in use
+        duration expected{0}; // its service time
     };
     void enqueue(queued_request const& r, duration service,
                  queue_position const& position);
--- a/src/process/agent.cpp
+++ b/src/process/agent.cpp
@@ -384,7 +384,10 @@
     {
     case answer_meaning::answered:
     case answer_meaning::failed:
-        l.queue.leave(w.id, request_end::completed, took, now);
+        l.queue.leave(w.id,
+                      meaning == answer_meaning::failed ? request_end::answered_failure
+                                                        : request_end::completed,
+                      took, now);
         return finish(w, request_answered{.response = std::move(result).value(),
                                           .failed = meaning == answer_meaning::failed});
     case answer_meaning::no_room:
--- a/src/process/agent.hpp
+++ b/src/process/agent.hpp
@@ -143,7 +143,9 @@
     // before the first report.
     bool upstreams_ended() const;
 
-    std::optional<upstream_load> load(std::string const& service, instant now) const;
+    // Returns the load of the service's upstream, with the service time of the class.
+    std::optional<upstream_load>
+    load(std::string const& service, std::string const& request_class, instant now) const;
     // Returns how long received messages may have waited for the event loop.
     duration lag() const { return m_lag.value(); }
     // Returns the capacity of each keyed service and its shards' request rates, as moving
--- a/src/process/agent_upstreams.cpp
+++ b/src/process/agent_upstreams.cpp
@@ -225,21 +225,23 @@
     return true;
 }
 
-std::optional<upstream_load> agent::load(std::string const& service, instant now) const
+std::optional<upstream_load> agent::load(std::string const& service,
+                                         std::string const& request_class,
+                                         instant now) const
 {
     auto const it = m_links.find(service);
     if (it == m_links.end())
         return std::nullopt;
     auto const& l = *it->second;
     bool const silent = is_silent(l, now);
-    return upstream_load{.slots = l.queue.limit(),
-                         .running = l.queue.running(),
-                         .waiting = static_cast<std::uint32_t>(l.queue.queued()),
-                         .service = l.queue.mean_service(),
-                         .until_slot = l.queue.until_free_slot(),
-                         .backlog = l.queue.backlog(),
-                         .accepting = !l.draining() && !silent && !l.connection_refused &&
-                                      !m_closing};
+    return upstream_load{
+        .slots = l.queue.limit(),
+        .running = l.queue.running(),
+        .waiting = static_cast<std::uint32_t>(l.queue.queued()),
+        .service = l.queue.known_service(request_class).value_or(duration{0}),
+        .until_slot = l.queue.until_free_slot(),
+        .backlog = l.queue.backlog(),
+        .accepting = !l.draining() && !silent && !l.connection_refused && !m_closing};
 }
 
 bool agent::is_silent(link const& l, instant now) const
--- a/src/process/forward_server.cpp
+++ b/src/process/forward_server.cpp
@@ -43,26 +43,27 @@
 {
     auto const& [route, attempt, session, request, read_at] = arrived;
     request_key const key{route.identity, attempt};
-    auto const service = request.service;
+    request_kind const kind{.service = request.service,
+                            .request_class = request.request_class};
     if (session != m_peer_table.session() || request.deadline <= boot_now())
     {
         m_requests.erase(key);
-        return reply(route, attempt, service, read_at,
+        return reply(route, attempt, kind, read_at,
                      request_refused{.reason = outcome_reason::stale});
     }
-    auto const id = m_agent.run(std::move(arrived.request),
-                                [this, route = route, key, service,
-                                 read_at = read_at](request_result const& result)
-                                {
-                                    m_requests.erase(key);
-                                    reply(route, key.second, service, read_at, result);
-                                });
+    auto const id = m_agent.run(
+        std::move(arrived.request),
+        [this, route = route, key, kind, read_at = read_at](request_result const& result)
+        {
+            m_requests.erase(key);
+            reply(route, key.second, kind, read_at, result);
+        });
     if (auto const it = m_requests.find(key); it != m_requests.end())
         it->second = id;
 }
 
 void forward_server::reply(peer_route const& route, std::uint64_t attempt,
-                           std::string const& service, instant read_at,
+                           request_kind const& kind, instant read_at,
                            request_result const& result)
 {
     auto const now = boot_now();
@@ -72,7 +73,7 @@
     w.set_attempt(attempt);
     encode(result, w);
     w.set_held(to_micros(now) - to_micros(read_at));
-    if (auto const load = m_agent.load(service, now))
+    if (auto const load = m_agent.load(kind.service, kind.request_class, now))
         encode(*load, *w.mutable_load());
     m_peers.reply(route, out);
 }
--- a/src/process/forward_server.hpp
+++ b/src/process/forward_server.hpp
@@ -48,8 +48,15 @@
         instant read_at;
     };
 
+    // What a reply's load report is about.
+    struct request_kind
+    {
+        std::string service;
+        std::string request_class;
+    };
+
     void begin(received_request arrived);
-    void reply(peer_route const& route, std::uint64_t attempt, std::string const& service,
+    void reply(peer_route const& route, std::uint64_t attempt, request_kind const& kind,
                instant read_at, request_result const& result);
 
     agent& m_agent;
--- a/src/process/ingress.hpp
+++ b/src/process/ingress.hpp
@@ -138,6 +138,8 @@
     bool abandon_attempt(pending_request& pending, instant now);
     void dispatch_later(pending_request& pending, instant now);
     void end_attempt(pending_request& pending, bool failed, instant now);
+    void note_load(std::string const& node, upstream_load load,
+                   pending_request const* answered, instant now);
     void trace_result(pending_request& pending, request_result const& result,
                       std::string const& from) const;
     void on_peer_silent(std::string const& node, instant now);
--- a/src/process/ingress_results.cpp
+++ b/src/process/ingress_results.cpp
@@ -26,10 +26,10 @@
     auto const& in = message.reply();
     auto const now = boot_now();
     auto const& node = message.sender().node();
-    if (in.has_load())
-        m_placement.on_load(node, decode(in.load()), now);
     auto const it = m_attempts.find(in.attempt());
     auto* pending = it == m_attempts.end() ? nullptr : find(it->second);
+    if (in.has_load())
+        note_load(node, decode(in.load()), pending, now);
     if (pending == nullptr || pending->sent_to != node)
         return; // late, duplicate or unknown attempt
     record_round_trip(*pending, in, now);
@@ -51,6 +51,18 @@
     on_result(*pending, std::move(result), now);
 }
 
+// The service time in a load is that of the class of the request that it answers. It is
+// of no use if that request is no longer known.
+void ingress::note_load(std::string const& node, upstream_load load,
+                        pending_request const* answered, instant now)
+{
+    if (answered == nullptr)
+        load.service = duration{0};
+    m_placement.on_load(node, load, now,
+                        answered == nullptr ? std::string()
+                                            : answered->request.request_class);
+}
+
 void ingress::trace_result(pending_request& pending, request_result const& result,
                            std::string const& from) const
 {
--- a/src/process/ingress_sending.cpp
+++ b/src/process/ingress_sending.cpp
@@ -66,8 +66,9 @@
 void ingress::dispatch_unkeyed(pending_request& pending, instant now)
 {
     refresh_upstream_nodes();
-    if (auto const load = m_agent.load(pending.request.service, now))
-        m_placement.on_load(m_options.self, *load, now);
+    auto const& request_class = pending.request.request_class;
+    if (auto const load = m_agent.load(pending.request.service, request_class, now))
+        m_placement.on_load(m_options.self, *load, now, request_class);
     auto candidate_nodes = candidates(pending);
     if (candidate_nodes.empty() && !pending.tried.empty() && !pending.last_round)
         candidate_nodes = begin_last_round(pending);
@@ -102,7 +103,8 @@
                      std::vector<placement_candidate>& candidate_nodes, instant now)
 {
     placement_request const request{.exchange_bytes = exchange_bytes(pending),
-                                    .rank = pending.request.rank};
+                                    .rank = pending.request.rank,
+                                    .request_class = pending.request.request_class};
     for (;;)
     {
         auto choice = m_placement.choose(candidate_nodes, request, m_random(), now);
@@ -168,7 +170,7 @@
         if (!pending.tried.contains(node))
             found.push_back({.node = node, .away = away, .slots = slots});
     };
-    if (auto const own = m_agent.load(pending.request.service, boot_now());
+    if (auto const own = m_agent.load(pending.request.service, "", boot_now());
         own && own->accepting)
         add(m_options.self, distance::same_domain, own->slots);
     auto const it = m_upstream_nodes.find(pending.request.service);
--- a/src/process/operator_api.cpp
+++ b/src/process/operator_api.cpp
@@ -237,6 +237,7 @@
     m.set("pauses_total", c.pauses);
     m.set("store_calls_total", c.store_calls);
     m.set("store_no_answers_total", c.store_no_answers);
+    m.set("store_entries_skipped_total", m_dependencies.store.counts().skipped_entries);
     m.set("chunk_writes_total", c.shard_group_writes);
     m.set("pulls_total", c.pulls);
     m.set("peer_messages_sent_total", p.sent);
@@ -257,7 +258,7 @@
     m.set("loop_lag_ms", static_cast<std::uint64_t>(m_dependencies.local.lag() / 1ms));
     if (routes != nullptr)
         for (auto const& service : routes->source().services)
-            if (auto const load = m_dependencies.local.load(service.name, now))
+            if (auto const load = m_dependencies.local.load(service.name, "", now))
             {
                 m.set("upstream_slots{service=\"" + service.name + "\"}", load->slots);
                 m.set("upstream_running{service=\"" + service.name + "\"}",
--- a/src/request/placement.cpp
+++ b/src/request/placement.cpp
@@ -18,6 +18,8 @@
 constexpr double max_failure_share = 0.9;
 constexpr auto least_urgent_rank = std::numeric_limits<std::uint32_t>::max();
 constexpr double bytes_per_kib = 1'024;
+// Weight of an assumed report without load, relative to a recent report.
+constexpr double no_load_weight = 0.25;
 
 double seconds(duration d)
 {
@@ -58,8 +60,10 @@
     updated = now;
 }
 
-void placement::on_load(std::string const& node, upstream_load const& load, instant now)
+void placement::on_load(std::string const& node, upstream_load const& load, instant now,
+                        std::string const& request_class)
 {
+    m_times.note(node, request_class, load.service, now);
     auto& e = m_entries[node];
     e.load = load;
     e.load_received = now;
@@ -95,21 +99,40 @@
     m_entries[node].avoid_until = until;
 }
 
-// Returns the service time that is assumed for an upstream without a report.
-duration placement::assumed_service(std::vector<placement_candidate> const& from) const
+// Returns the weight of a node's report, 1 while it is recent.
+double placement::report_weight(entry const& e, instant now) const
 {
-    std::optional<duration> fastest;
+    auto const age = now - e.load_received;
+    auto const stale = std::max(duration{0}, age - m_options.full_weight_age);
+    return std::exp2(-seconds(stale) / seconds(m_options.report_half_life));
+}
+
+// The load to assume is the mean over the reports by their weights. While little is known
+// it is low, so that upstreams are tried.
+placement::assumed_load placement::assume(std::vector<placement_candidate> const& from,
+                                          placement_request const& request,
+                                          instant now) const
+{
+    std::vector<std::string_view> nodes;
+    double weights = no_load_weight;
+    double busy_share = 0;
+    double wait = 0;
     for (auto const& c : from)
     {
+        nodes.push_back(c.node);
         auto const it = m_entries.find(c.node);
-        if (it == m_entries.end() || !it->second.load || it->second.load->service <= 0us)
+        if (it == m_entries.end() || !it->second.load || !it->second.load->accepting)
             continue;
-        auto const service = it->second.load->service;
-        fastest = fastest ? std::min(*fastest, service) : service;
+        auto const& load = *it->second.load;
+        auto const weight = report_weight(it->second, now);
+        weights += weight;
+        busy_share += weight * std::min(1.0, static_cast<double>(load.running) /
+                                                 std::max(1U, load.slots));
+        wait += weight * seconds(expected_wait(load, request.rank, load.service));
     }
-    if (!fastest)
-        return m_options.default_service;
-    return from_seconds(m_options.unknown_service_factor * seconds(*fastest));
+    return {.slowness = m_times.unknown_slowness(nodes, now),
+            .busy_share = busy_share / weights,
+            .wait = wait / weights};
 }
 
 duration placement::usual_round_trip(distance away) const
@@ -137,20 +160,20 @@
 
 std::optional<placement_choice> placement::estimate(placement_candidate const& c,
                                                     placement_request const& request,
-                                                    duration assumed_service,
+                                                    assumed_load const& assumed,
                                                     instant now) const
 {
     auto const distance_cost = this->distance_cost(c.away, request.exchange_bytes);
+    auto const service =
+        m_times.expected(c.node, request.request_class, assumed.slowness, now)
+            .value_or(m_options.default_service);
     auto const it = m_entries.find(c.node);
     if (it == m_entries.end())
-        return placement_choice{.node = c.node,
-                                .expected = distance_cost + assumed_service};
+        return placement_choice{.node = c.node, .expected = distance_cost + service};
     auto const& e = it->second;
     if (now < e.avoid_until)
         return std::nullopt;
     auto const slots = std::max(1U, e.load ? e.load->slots : c.slots);
-    auto const service =
-        e.load && e.load->service > 0us ? e.load->service : assumed_service;
     auto const s = seconds(service);
     double busy = 0;
     double wait = 0;
@@ -160,13 +183,11 @@
     {
         if (!e.load->accepting && now - e.load_received < m_options.full_weight_age * 4)
             return std::nullopt;
-        auto const age = now - e.load_received;
-        auto const stale =
-            seconds(std::max(duration{0}, age - m_options.full_weight_age));
-        auto const weight = std::exp(-stale / std::max(0.05, s));
-        busy = weight * e.load->running;
-        wait = weight * seconds(expected_wait(*e.load, request.rank, service));
-        load_known = age < m_options.full_weight_age;
+        auto const weight = report_weight(e, now);
+        busy = weight * e.load->running + (1 - weight) * assumed.busy_share * slots;
+        wait = weight * seconds(expected_wait(*e.load, request.rank, service)) +
+               (1 - weight) * assumed.wait;
+        load_known = now - e.load_received < m_options.full_weight_age;
         full = load_known &&
                (e.load->waiting > 0 || e.load->running + e.sent_since >= slots);
     }
@@ -192,9 +213,9 @@
                   placement_request const& request, std::uint64_t draw, instant now) const
 {
     std::vector<placement_choice> choices;
-    auto const unknown = assumed_service(from);
+    auto const assumed = assume(from, request, now);
     for (auto const& c : from)
-        if (auto e = estimate(c, request, unknown, now))
+        if (auto e = estimate(c, request, assumed, now))
             choices.push_back(std::move(*e));
     if (choices.empty())
         return std::nullopt;
@@ -244,6 +265,7 @@
     std::erase_if(
         m_entries, [&](auto const& e)
         { return std::find(nodes.begin(), nodes.end(), e.first) == nodes.end(); });
+    m_times.keep_only(nodes);
 }
 
 } // namespace buckthornusher
--- a/src/request/upstream_queue.cpp
+++ b/src/request/upstream_queue.cpp
@@ -2,6 +2,7 @@
 #include "buckthornusher/upstream_queue.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace buckthornusher
 {
@@ -48,10 +49,16 @@
     m_limit = std::max(1U, slots);
 }
 
-duration upstream_queue::expected_service(std::string const& request_class) const
+std::optional<duration>
+upstream_queue::known_service(std::string const& request_class) const
 {
     auto const it = m_service_us.find(request_class);
-    return it == m_service_us.end() ? m_options.default_service : from_us(it->second);
+    return it == m_service_us.end() ? std::nullopt : std::optional(from_us(it->second));
+}
+
+duration upstream_queue::expected_service(std::string const& request_class) const
+{
+    return known_service(request_class).value_or(m_options.default_service);
 }
 
 duration upstream_queue::mean_service() const
@@ -59,12 +66,16 @@
     return m_mean_us > 0 ? from_us(m_mean_us) : m_options.default_service;
 }
 
-// With all slots in use, a slot becomes free every mean service time / number of slots.
+// With all slots in use, each running request ends at the rate 1 / its service time.
 duration upstream_queue::until_free_slot() const
 {
     if (has_slot())
         return duration{0};
-    return mean_service() / static_cast<duration::rep>(limit());
+    double ends_per_us = 0;
+    for (auto const& entry : m_running)
+        ends_per_us +=
+            1.0 / std::max(1.0, static_cast<double>(entry.second.expected.count()));
+    return from_us(std::round(1 / ends_per_us));
 }
 
 duration upstream_queue::wait_until(std::set<queue_position>::const_iterator end) const
@@ -121,8 +132,10 @@
 {
     bool const crowded =
         static_cast<double>(m_running.size()) >= m_options.slots * min_limit_share;
-    m_running.emplace(
-        r.id, running_request{.request_class = r.request_class, .crowded = crowded});
+    m_running.emplace(r.id,
+                      running_request{.request_class = r.request_class,
+                                      .crowded = crowded,
+                                      .expected = expected_service(r.request_class)});
 }
 
 queue_verdict upstream_queue::arrive(queued_request const& r, instant now)
@@ -168,12 +181,17 @@
         return;
     auto const ended = std::move(it->second);
     m_running.erase(it);
-    if (end == request_end::shed || end == request_end::completed)
+    bool const answered =
+        end == request_end::completed || end == request_end::answered_failure;
+    if (end == request_end::shed || answered)
         adjust_limit(ended.crowded, end == request_end::shed);
-    if (end != request_end::completed)
+    if (!answered)
         return;
     m_limit = std::min<double>(m_options.slots, m_limit + 1.0 / m_limit);
-    update_service(ended.request_class, took);
+    // A failure is often reported before the work is done, and must not make the upstream
+    // seem fast.
+    if (end == request_end::completed || took > ended.expected)
+        update_service(ended.request_class, took);
 }
 
 void upstream_queue::update_service(std::string const& request_class, duration took)
