Place the shards of a starting fleet on all its targets, and send unknown or silent nodes less

(2) 1,500 requests of the first ten seconds went to nodes that had lost power or had just joined: an upstream without a report counted as free and fast however many requests it had not answered, for each of 94 entries. Change: placement_gate holds the placement of shards without owners, when most have none, until no target has come or gone for 1 s, for 3 s at most. Moves of a plan grow with the targets, and joins or losses of other services no longer put them off. An unknown upstream is assumed to work off what this node has sent before it; a node that has not answered a probe is expected to answer later by that long.

--- a/include/buckthornusher/placement.hpp
+++ b/include/buckthornusher/placement.hpp
@@ -16,7 +16,12 @@
 // although it reports free slots.
 //
 // An upstream without any report is assumed to be free and a little faster than the
-// fastest known one, so that one that has just joined is tried soon.
+// fastest known one, so that one that has just joined is tried soon. Until its first
+// answer each further request is assumed to wait for the ones before: a node that is
+// lost, or that all nodes try at once, gets one request of each.
+//
+// A node that has not answered a probe is expected to answer later by as long as it has
+// been silent.
 //
 // Built for upstreams of different speeds, upstreams that become slow, shed, fail part of
 // their requests or join, a region whose slots are full while the other has room, and a
@@ -77,6 +82,7 @@
     std::string node;
     distance away = distance::same_domain;
     std::uint32_t slots = 1;
+    duration silence{0}; // for which the node has not answered a probe
     friend bool operator==(placement_candidate const&,
                            placement_candidate const&) = default;
 };
--- a/src/coordination/assigner.cpp
+++ b/src/coordination/assigner.cpp
@@ -131,7 +131,7 @@
 next_shard_group(replica const& copy, keyed_service const& service,
                  std::uint32_t first_shard, std::vector<plan_change> const& changes,
                  release_table const& releases, std::set<owner_id> const& unfenced,
-                 bool place_new, guards const& g)
+                 bool may_place, guards const& g)
 {
     auto const count = std::min(shards_per_group, service.shards - first_shard);
     auto const* present = copy.shard_group({service.name, first_shard});
@@ -153,7 +153,7 @@
             successor != nullptr && can_own(*successor, service.name);
         if (has_no_owner(copy, a))
         {
-            if (unfenced.contains(a.owner) || (a.epoch == 0 && !place_new))
+            if (unfenced.contains(a.owner) || !may_place)
                 continue;
             if (successor_fit)
                 a = change_owner(a, a.successor, {});
--- a/src/coordination/assigner.hpp
+++ b/src/coordination/assigner.hpp
@@ -53,12 +53,12 @@
 
 // Returns the updated shard group, or nothing if no change is needed. `changes` is the
 // plan for the whole service. Shards of `unfenced` owners wait although those owners are
-// gone; `place_new` allows assigning first owners.
+// gone; while not `may_place`, all shards without an owner do.
 std::optional<shard_group_record>
 next_shard_group(replica const& copy, keyed_service const& service,
                  std::uint32_t first_shard, std::vector<plan_change> const& changes,
                  release_table const& releases, std::set<owner_id> const& unfenced,
-                 bool place_new, guards const& g);
+                 bool may_place, guards const& g);
 
 } // namespace buckthornusher
 
--- a/src/coordination/coordinator_assignments.cpp
+++ b/src/coordination/coordinator_assignments.cpp
@@ -12,9 +12,8 @@
 namespace
 {
 constexpr duration release_repeat_interval = 300ms;
-// Time since the last join or loss before shards get their first owners.
-constexpr duration delay_before_initial_placement = 1s;
-// Time since the last join, loss or planned move before owned shards are moved.
+// Time since the last planned move, and the last change of the service's targets, before
+// owned shards are moved.
 constexpr duration rebalance_delay_unmeasured = 3s;
 constexpr duration plan_interval = 500ms; // when nothing has changed
 // Shorter when request rates are measured, because hot keys change within seconds.
@@ -24,6 +23,20 @@
 // a move.
 constexpr double min_measured_load = 0.55;
 constexpr std::size_t load_recipients_per_group = 2;
+// In a large fleet targets come and go all the time. After this many delays without a
+// planned move, shards are moved regardless.
+constexpr int max_rebalance_delays = 2;
+constexpr std::size_t targets_per_move = 3; // of one plan, in a large service
+
+// Returns the share of the shards that have no owner, or one whose generation is over.
+double unowned_share(replica const& copy, plan_input const& input)
+{
+    auto const unowned = std::count_if(input.assignments.begin(), input.assignments.end(),
+                                       [&](assignment const& a)
+                                       { return !a.owner || copy.is_over(a.owner); });
+    return static_cast<double>(unowned) /
+           std::max<double>(1, static_cast<double>(input.assignments.size()));
+}
 } // namespace
 
 std::set<owner_id> coordinator::impl::unfenced_owners(instant now)
@@ -75,9 +88,9 @@
     planned_change_count = copy.change_count();
     next_plan = now + plan_interval;
     auto const unfenced = unfenced_owners(now);
-    bool const place_new = now - last_membership_change >= delay_before_initial_placement;
     for (auto const& service : opts.services)
     {
+        bool may_place = false;
         std::optional<std::vector<plan_change>> changes;
         auto const* load = recent_load(service.name, now);
         for (std::uint32_t first = 0; first < service.shards; first += shards_per_group)
@@ -87,11 +100,16 @@
             if (rank == assigner_ranks.end() || writer.busy(name))
                 continue;
             if (!changes)
-                changes = plan(make_plan_input(copy, service, load, now),
-                               planning_for(load, now));
+            {
+                auto const input = make_plan_input(copy, service, load, now);
+                auto& gate =
+                    gates.try_emplace(service.name, placement_gate({})).first->second;
+                may_place = gate.open(input.targets, unowned_share(copy, input), now);
+                changes = plan(input, planning_for(load, input, gate.last_change(), now));
+            }
             auto next =
                 next_shard_group(copy, service, first, *changes, announced_releases,
-                                 unfenced, place_new, opts.guard);
+                                 unfenced, may_place, opts.guard);
             if (!next)
             {
                 write_due_since.erase(name);
@@ -121,16 +139,22 @@
     return &it->second.load;
 }
 
-plan_options coordinator::impl::planning_for(service_load const* load, instant now) const
+plan_options coordinator::impl::planning_for(service_load const* load,
+                                             plan_input const& input,
+                                             instant targets_changed, instant now) const
 {
     auto planning = opts.planning;
+    planning.max_moves =
+        std::max(planning.max_moves, input.targets.size() / targets_per_move);
     bool const measured = load != nullptr;
     if (measured && load->most_nodes_silent(now))
         planning.max_moves = 0;
     auto const rebalance_delay =
         measured ? rebalance_delay_measured : rebalance_delay_unmeasured;
-    if (now - last_membership_change < rebalance_delay ||
-        now - last_planned_move < rebalance_delay)
+    auto const since_move = now - last_planned_move;
+    bool const settled = now - targets_changed >= rebalance_delay ||
+                         since_move >= max_rebalance_delays * rebalance_delay;
+    if (since_move < rebalance_delay || !settled)
         planning.max_moves = 0;
     if (measured)
         planning.min_load = min_measured_load;
--- a/src/coordination/coordinator_impl.hpp
+++ b/src/coordination/coordinator_impl.hpp
@@ -8,6 +8,7 @@
 #include "buckthornusher/coordinator.hpp"
 
 #include "coordination/assigner.hpp"
+#include "coordination/placement_gate.hpp"
 #include "coordination/store_reader.hpp"
 #include "coordination/store_writer.hpp"
 
@@ -102,7 +103,8 @@
         service_load load;
         instant received;
     };
-    std::map<std::string, received_load> loads; // by service
+    std::map<std::string, received_load> loads;  // by service
+    std::map<std::string, placement_gate> gates; // by service
 
     release_table announced_releases; // received as assigner
     release_table confirmed_releases; // own releases whose state was handed over
@@ -304,7 +306,8 @@
     // Returns the load reported by the owners of the service; null if it is too old.
     service_load const* recent_load(std::string const& service, instant now);
 
-    plan_options planning_for(service_load const* load, instant now) const;
+    plan_options planning_for(service_load const* load, plan_input const& input,
+                              instant targets_changed, instant now) const;
 
     void send_load(load_report const& report, instant now);
 
--- a/src/process/ingress_sending.cpp
+++ b/src/process/ingress_sending.cpp
@@ -164,13 +164,17 @@
 
 std::vector<placement_candidate> ingress::candidates(pending_request const& pending) const
 {
+    auto const now = boot_now();
     std::vector<placement_candidate> found;
     auto const add = [&](std::string const& node, distance away, std::uint32_t slots)
     {
         if (!pending.tried.contains(node))
-            found.push_back({.node = node, .away = away, .slots = slots});
+            found.push_back({.node = node,
+                             .away = away,
+                             .slots = slots,
+                             .silence = m_table.silence(node, now)});
     };
-    if (auto const own = m_agent.load(pending.request.service, "", boot_now());
+    if (auto const own = m_agent.load(pending.request.service, "", now);
         own && own->accepting)
         add(m_options.self, distance::same_domain, own->slots);
     auto const it = m_upstream_nodes.find(pending.request.service);
--- a/src/process/peer_table.cpp
+++ b/src/process/peer_table.cpp
@@ -52,6 +52,17 @@
         --it->second.awaited_answers;
 }
 
+duration peer_table::silence(std::string const& node, instant now) const
+{
+    auto const it = m_peers.find(node);
+    if (it == m_peers.end() || it->second.awaited_answers == 0)
+        return duration{0};
+    auto const& p = it->second;
+    auto const silent = now - std::max(p.last_heard, p.awaited_since);
+    bool const late = silent >= m_options.probe_after + m_options.probe_round_trip;
+    return late ? silent : duration{0};
+}
+
 duration peer_table::on_message(std::string const& node, instant now)
 {
     auto const it = m_peers.find(node);
--- a/src/process/peer_table.hpp
+++ b/src/process/peer_table.hpp
@@ -22,8 +22,9 @@
 
 struct peer_options
 {
-    duration probe_after = 250ms;  // without a message, while an answer is awaited
-    duration silent_after = 800ms; // without a message; longer than probe_after
+    duration probe_after = 250ms;      // without a message, while an answer is awaited
+    duration silent_after = 800ms;     // without a message; longer than probe_after
+    duration probe_round_trip = 100ms; // within which probes are answered
     friend bool operator==(peer_options const&, peer_options const&) = default;
 };
 
@@ -59,6 +60,10 @@
     void await(std::string const& node, std::string const& endpoint, instant now);
     void end_await(std::string const& node);
 
+    // Returns for how long the peer has sent nothing although an answer is awaited and a
+    // probe should have been answered; 0: it is not late.
+    duration silence(std::string const& node, instant now) const;
+
     // Records a message from the peer. Returns for how long the peer had sent nothing if
     // it was marked silent, otherwise 0.
     duration on_message(std::string const& node, instant now);
--- a/src/request/placement.cpp
+++ b/src/request/placement.cpp
@@ -169,7 +169,8 @@
             .value_or(m_options.default_service);
     auto const it = m_entries.find(c.node);
     if (it == m_entries.end())
-        return placement_choice{.node = c.node, .expected = distance_cost + service};
+        return placement_choice{.node = c.node,
+                                .expected = distance_cost + service + c.silence};
     auto const& e = it->second;
     if (now < e.avoid_until)
         return std::nullopt;
@@ -197,7 +198,9 @@
     auto const beyond =
         wait > 0 ? e.sent_since : std::max(0.0, e.sent_since + 1.0 - free);
     wait += beyond * s / slots;
-    auto const delay = e.delay.at(now, delay_half_life);
+    if (!e.load)
+        wait = e.outstanding * s;
+    auto const delay = e.delay.at(now, delay_half_life) + seconds(c.silence);
     auto const failing =
         std::min(max_failure_share, e.failure.at(now, failure_half_life));
     return placement_choice{.node = c.node,
--- a/tests/placement_mix_test.cpp
+++ b/tests/placement_mix_test.cpp
@@ -164,6 +164,42 @@
     EXPECT_GT(chosen->wait, 80ms);
 }
 
+// A node that is lost, or tried by all others at once, does not answer. Each entry sends
+// it one request, and not all that it has.
+TEST(placement_mix, an_unknown_upstream_gets_one_request_until_it_answers)
+{
+    placement p({});
+    auto const now = at_ms(0);
+    std::vector all{near_one("lost")};
+    for (int n = 0; n < 5; ++n)
+    {
+        all.push_back(near_one("n" + std::to_string(n)));
+        p.on_load(all.back().node, idle(300ms), now, "c");
+    }
+    int sent_to_lost = 0;
+    for (std::uint64_t i = 0; i < 15; ++i)
+    {
+        auto const choice = p.choose(all, {.request_class = "c"}, i, now);
+        p.on_sent(choice->node);
+        sent_to_lost += choice->node == "lost" ? 1 : 0;
+    }
+    EXPECT_EQ(sent_to_lost, 1);
+}
+
+TEST(placement_mix, a_node_that_does_not_answer_a_probe_is_passed_over)
+{
+    placement p({});
+    auto const now = at_ms(0);
+    auto silent = near_one("silent");
+    p.on_load("silent", {.slots = 11, .running = 0, .service = 200ms}, now, "c");
+    p.on_load("slow", {.slots = 11, .running = 8, .service = 300ms}, now, "c");
+    EXPECT_EQ(p.choose({silent, near_one("slow")}, {.request_class = "c"}, 0, now)->node,
+              "silent");
+    silent.silence = 400ms;
+    EXPECT_EQ(p.choose({silent, near_one("slow")}, {.request_class = "c"}, 0, now)->node,
+              "slow");
+}
+
 // ---- the queue ----
 
 // All slots run long requests. Short ones that ran earlier do not make a slot free
