Refuse a request whose shard does not come to its owner while its caller can come back

The entry had a bound on that wait, the owner had none. Change: owner_wait.hpp has both bounds: 40% of a request's time until an owner is known, 60% at the owner. The entry does not offer it to the owner again after that. Test: agent_test, a shard whose configuration is not there yet; the code before held it for 5 s.

--- a/src/process/agent.cpp
+++ b/src/process/agent.cpp
@@ -1,6 +1,7 @@
 // Implementation of the agent: the path of a request. See the header.
 #include "process/agent_impl.hpp"
 
+#include "buckthornusher/owner_wait.hpp"
 #include "process/boot_clock.hpp"
 #include "process/event_loop.hpp"
 #include "process/log.hpp"
@@ -109,6 +110,8 @@
 {
     if (std::exchange(w.counted_in_coordinator, false))
         m_coordinator->end({w.request.service, *w.request.shard});
+    if (!w.waiting_since)
+        w.waiting_since = boot_now();
     if (!m_waiting.contains(w.id))
         w.trace.add("order-waits",
                     {{"for", "shard"},
@@ -602,7 +605,10 @@
     on_replica_changed(now); // the lease may have been renewed
     auto const waiting = m_waiting;
     for (auto const id : waiting)
-        if (auto* w = find(id); w != nullptr && w->request.deadline <= now)
+        if (auto* w = find(id);
+            w != nullptr && w->waiting_since &&
+            has_waited_long(*w->waiting_since, w->arrived, w->request.deadline,
+                            max_wait_at_owner_percent, now))
             finish(*w, request_refused{.reason = outcome_reason::no_owner,
                                        .retry_after = refusal_retry_after});
     auto const links = m_links; // callbacks may change m_links
--- a/src/process/agent.hpp
+++ b/src/process/agent.hpp
@@ -6,7 +6,7 @@
 // an upstream serves only granted keys, the agent sends it requests for a shard only
 // while its grant for the shard is valid; the agent answers the upstream's reports with
 // the grants (grant_table.hpp). A request that arrives before its shard can be served
-// here waits for it until its deadline.
+// here waits for it, up to a share of its time (owner_wait.hpp).
 //
 // Results are strict: a refusal guarantees that the upstream has not begun the request
 // and will not begin it; any other incomplete answer gives an unknown result.
--- a/src/process/agent_impl.hpp
+++ b/src/process/agent_impl.hpp
@@ -55,6 +55,7 @@
     // The lease end sent to an upstream without grants, which begins no request after it.
     instant sent_lease_until;
     instant arrived;
+    std::optional<instant> waiting_since; // for its shard
     request_trace trace;
 };
 
--- a/src/process/ingress_results.cpp
+++ b/src/process/ingress_results.cpp
@@ -2,6 +2,7 @@
 // header.
 #include "process/ingress_impl.hpp"
 
+#include "buckthornusher/owner_wait.hpp"
 #include "process/boot_clock.hpp"
 #include "process/request_wire.hpp"
 
@@ -155,6 +156,12 @@
         (pending.request.shard && result.reason == outcome_reason::overloaded);
     if (final || now + min_retry_time >= pending.request.deadline)
         return refuse(pending, result.reason, result.retry_after);
+    bool const owner_unready =
+        pending.request.shard && result.reason == outcome_reason::no_owner;
+    if (owner_unready &&
+        has_waited_long(pending.arrived, pending.arrived, pending.request.deadline,
+                        max_wait_at_owner_percent, now))
+        return refuse(pending, result.reason, no_owner_retry_after);
     if (result.reached_upstream && !(pending.attempts.arrivals() < pending.max_attempts &&
                                      m_retries.try_acquire(pending.request.service, now)))
         return refuse(pending, result.reason, result.retry_after);
--- a/src/process/ingress_sending.cpp
+++ b/src/process/ingress_sending.cpp
@@ -1,6 +1,7 @@
 // Implementation of the ingress: choice of nodes, sending and waiting. See the header.
 #include "process/ingress_impl.hpp"
 
+#include "buckthornusher/owner_wait.hpp"
 #include "process/boot_clock.hpp"
 #include "process/event_loop.hpp"
 #include "process/request_wire.hpp"
@@ -16,9 +17,6 @@
 // Interval at which a waiting request is dispatched again if the replica does not change.
 constexpr duration waiting_retry_interval = 100ms;
 constexpr offer_options offers{};
-// The share of its total time that a request waits for an owner or an upstream before it
-// is refused with a retry hint.
-constexpr int max_waiting_percent = 40;
 constexpr double exchange_mean_weight = 0.1; // of the newest exchange in the average
 
 std::size_t size_of(std::vector<http_header> const& headers, std::string const& body)
@@ -303,12 +301,11 @@
                        {"replica", std::to_string(m_coordinator->copy().revision())}});
 }
 
-// Refuses a request that has waited for max_waiting_percent of its time: no node may be
-// available for a while, and the caller can retry later.
+// No node may be available for a while, and the caller can retry later.
 void ingress::refuse_after_long_wait(pending_request& pending, instant now)
 {
-    auto const total_time = pending.request.deadline - pending.arrived;
-    if (now - *pending.waiting_since >= total_time * max_waiting_percent / 100)
+    if (has_waited_long(*pending.waiting_since, pending.arrived, pending.request.deadline,
+                        max_wait_for_owner_percent, now))
         refuse(pending, outcome_reason::no_owner, no_owner_retry_after);
 }
 
--- a/tests/agent_test.cpp
+++ b/tests/agent_test.cpp
@@ -219,6 +219,38 @@
     EXPECT_EQ(local.unfinished(), 1U);
 }
 
+// This node has the shard's assignment but not yet the configuration that precedes it, so
+// it may be the owner and cannot serve the shard. The caller is told while it has time to
+// come back.
+TEST_F(agent_test,
+       a_request_whose_shard_does_not_come_is_refused_well_before_its_deadline)
+{
+    auto const now = boot_now();
+    constexpr std::uint64_t group_version = 9;
+    coord.set_services({{.name = "s", .shards = 4}}, 0us, true);
+    coord.on_message({"m", 7},
+                     deltas{.from = 0,
+                            .to = group_version,
+                            .objects = {{.name = shard_group_object("s", 0),
+                                         .version = group_version,
+                                         .value = shard_group_record{.service = "s"}}}},
+                     now);
+    auto request = make_request("/keyed", true);
+    request.shard = 3;
+    request.deadline = request.due = request.start_until = now + 5s;
+    std::optional<request_result> result;
+    local.run(std::move(request), [&](request_result r) { result = std::move(r); });
+    local.tick(now + 2'900ms);
+    EXPECT_FALSE(result) << "it waits for a while";
+    local.tick(now + 3'100ms);
+    ASSERT_TRUE(result);
+    auto const* refused = std::get_if<request_refused>(&*result);
+    ASSERT_NE(refused, nullptr);
+    EXPECT_EQ(refused->reason, outcome_reason::no_owner);
+    EXPECT_FALSE(refused->reached_upstream);
+    EXPECT_TRUE(arrived.empty());
+}
+
 // An agent with an upstream in the platform's form whose raw answers the test writes.
 class faulty_upstream : public testing::Test
 {
