--- a/src/coordination/placement_gate.cpp
+++ b/src/coordination/placement_gate.cpp
@@ -8,6 +8,7 @@
                           instant now)
 {
     std::vector<owner_id> ids;
+    ids.reserve(targets.size());
     for (auto const& t : targets)
         ids.push_back(t.id);
     if (ids != m_targets)
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -9,6 +9,8 @@
 
 #include <gtest/gtest.h>
 
+#include <initializer_list>
+
 namespace buckthornusher::platform
 {
 namespace
@@ -467,6 +469,14 @@
            R"(","targets":[{"service":"s","slots":)" + slots + "}]}}";
 }
 
+// A text that is larger than any value that the store accepts.
+std::string long_text()
+{
+    std::string text;
+    text.resize(60'000'000, 'x');
+    return text;
+}
+
 // Entries that are not a readable record of this project.
 std::vector<std::string> odd_entries()
 {
@@ -495,7 +505,7 @@
         entry("\\ud800", "{}"),
         entry("", "{}"),
         entry(std::string(1'000'000, 'n'), "{}"),
-        entry("a", "\"" + std::string(60'000'000, 'x') + "\""),
+        entry("a", "\"" + long_text() + "\""),
         // Under names of records, or records under names of others.
         entry("a", sound),
         entry("member.other", sound),
@@ -521,9 +531,27 @@
     return entries;
 }
 
-std::string list_body(std::string const& items)
+std::string joined(std::initializer_list<std::string> const& items)
+{
+    std::string text;
+    for (auto const& item : items)
+        text.append(text.empty() ? "" : ",").append(item);
+    return text;
+}
+
+std::string list_body(std::initializer_list<std::string> const& items)
+{
+    return R"({"items":[)" + joined(items) + R"(],"has_more":true,"store_revision":530})";
+}
+
+std::string change_event(std::string const& changed)
+{
+    return R"({"deleted":false,"object":)" + changed + "}";
+}
+
+std::string watch_body(std::initializer_list<std::string> const& events)
 {
-    return R"({"items":[)" + items + R"(],"has_more":true,"store_revision":530})";
+    return R"({"events":[)" + joined(events) + R"(],"store_revision":8})";
 }
 
 TEST(platform_store, an_odd_entry_hides_no_other_of_a_list)
@@ -533,7 +561,7 @@
     for (auto const& odd : odd_entries())
     {
         auto const part =
-            read_list({}, json_answer(200, list_body(before + "," + odd + "," + after)));
+            read_list({}, json_answer(200, list_body({before, odd, after})));
         ASSERT_TRUE(part) << odd.substr(0, 100);
         ASSERT_EQ(part->objects.objects.size(), 2U) << odd.substr(0, 100);
         EXPECT_EQ(part->objects.objects[0].value, record(member()));
@@ -548,8 +576,8 @@
     for (auto const& spec : {nested(deep_levels), std::string(R"({"n":1e400})")})
     {
         auto const part = read_list(
-            {}, json_answer(200, list_body(entry("member.n", encode_record(member())) +
-                                           "," + entry("odd", spec))));
+            {}, json_answer(200, list_body({entry("member.n", encode_record(member())),
+                                            entry("odd", spec)})));
         ASSERT_TRUE(part);
         EXPECT_EQ(part->last_name, "odd");
         EXPECT_EQ(part->skipped,
@@ -559,13 +587,11 @@
 
 TEST(platform_store, an_odd_event_hides_no_other_of_a_watch)
 {
-    auto const sound = R"({"deleted":false,"object":)" +
-                       entry("member.n", encode_record(member()), "5") + "}";
+    auto const sound = change_event(entry("member.n", encode_record(member()), "5"));
     for (auto const& odd : odd_entries())
     {
-        auto const read = read_watch(
-            {}, json_answer(200, R"({"events":[{"deleted":false,"object":)" + odd + "}," +
-                                     sound + R"(],"store_revision":8})"));
+        auto const read =
+            read_watch({}, json_answer(200, watch_body({change_event(odd), sound})));
         ASSERT_TRUE(std::holds_alternative<store_objects>(read.answer));
         auto const& found = std::get<store_objects>(read.answer);
         EXPECT_EQ(found.revision, 8U);
@@ -606,7 +632,7 @@
           std::string(R"({"version":"7"})"), R"({"config":)" + nested(deep_levels) + "}"})
     {
         auto const part =
-            read_list(list, json_answer(200, list_body(entry("main", spec))));
+            read_list(list, json_answer(200, list_body({entry("main", spec)})));
         ASSERT_TRUE(part);
         EXPECT_TRUE(part->objects.objects.empty()) << spec.substr(0, 100);
     }
