Share has_no_owner with the placement gate's caller, drop last_membership_change

The share of shards without an owner repeated the assigner's check; the time of the last membership change was still written but no longer read. No change of behaviour. coordinator_test, placement_gate_test and planner_test pass; coordinator_property_test was cut off after 60 s beside other load, and lint was not run on it.

--- a/src/coordination/assigner.cpp
+++ b/src/coordination/assigner.cpp
@@ -9,11 +9,6 @@
 namespace
 {
 
-bool has_no_owner(replica const& copy, assignment const& a)
-{
-    return !a.owner || copy.is_over(a.owner);
-}
-
 target const* target_of(member_record const& m, std::string const& service)
 {
     auto const it = std::find_if(m.targets.begin(), m.targets.end(),
@@ -77,6 +72,11 @@
 
 } // namespace
 
+bool has_no_owner(replica const& copy, assignment const& a)
+{
+    return !a.owner || copy.is_over(a.owner);
+}
+
 bool service_load::is_silent(std::string const& node, instant now) const
 {
     auto const it = last_reports.find(node);
--- a/src/coordination/assigner.hpp
+++ b/src/coordination/assigner.hpp
@@ -47,6 +47,9 @@
     friend bool operator==(service_load const&, service_load const&) = default;
 };
 
+// Returns whether the shard has no owner, or one whose generation is over.
+bool has_no_owner(replica const& copy, assignment const& a);
+
 // Returns the targets and current assignments of a service. `load`: null if unknown.
 plan_input make_plan_input(replica const& copy, keyed_service const& service,
                            service_load const* load, instant now);
--- a/src/coordination/coordinator.cpp
+++ b/src/coordination/coordinator.cpp
@@ -115,8 +115,7 @@
 
 void coordinator::impl::on_member_changed(member_record const& m, instant now)
 {
-    if (first_seen.try_emplace(m.id, now).second || m.state != member_state::live)
-        last_membership_change = now;
+    first_seen.try_emplace(m.id, now);
     // Evictions of earlier incarnations of the node are finished.
     std::erase_if(evictions, [&](auto const& entry)
                   { return entry.first.node == m.id.node && entry.first < m.id; });
@@ -432,7 +431,6 @@
 {
     m_impl->last_tick = now;
     m_impl->started = now;
-    m_impl->last_membership_change = now;
     m_impl->config_watch_confirmed = now;
     if (m_impl->copy.revision() > 0)
         m_impl->resume(now);
--- a/src/coordination/coordinator_assignments.cpp
+++ b/src/coordination/coordinator_assignments.cpp
@@ -31,9 +31,9 @@
 // Returns the share of the shards that have no owner, or one whose generation is over.
 double unowned_share(replica const& copy, plan_input const& input)
 {
-    auto const unowned = std::count_if(input.assignments.begin(), input.assignments.end(),
-                                       [&](assignment const& a)
-                                       { return !a.owner || copy.is_over(a.owner); });
+    auto const unowned =
+        std::count_if(input.assignments.begin(), input.assignments.end(),
+                      [&](assignment const& a) { return has_no_owner(copy, a); });
     return static_cast<double>(unowned) /
            std::max<double>(1, static_cast<double>(input.assignments.size()));
 }
--- a/src/coordination/coordinator_impl.hpp
+++ b/src/coordination/coordinator_impl.hpp
@@ -95,7 +95,6 @@
     std::map<member_id, eviction_work> evictions;
     std::map<member_id, instant> first_seen; // when a member entered the replica
     std::map<owner_id, instant> gone_since; // when a generation was first seen to be over
-    instant last_membership_change;
     instant last_planned_move;
 
     struct received_load
