Announce each release to the first assigner at once; a known owner is waited for through a move

Two causes in its trace. (1) A release confirmed while an earlier one was on its way went to the next assigner in the cycle, rank 1 or 2, and carried all earlier ones; those ranks write only after 0.5 or 1 s. The shard had no owner for 0.56 s. (2) The bound of 60% at the owner refused the request before such a move ended. Change: a confirmed release goes by itself to the first assigner; only repeats cycle. A known owner is waited for at least 1 s.

--- a/include/buckthornusher/owner_wait.hpp
+++ b/include/buckthornusher/owner_wait.hpp
@@ -12,19 +12,34 @@
 
 #include "buckthornusher/time.hpp"
 
+#include <algorithm>
+
 namespace buckthornusher
 {
 
 // The wait that is allowed, as a share of the time from a request's arrival to its
-// deadline. A known owner usually gets the shard within a second, by a move.
+// deadline.
 inline constexpr int max_wait_for_owner_percent = 40; // until an owner is known
 inline constexpr int max_wait_at_owner_percent = 60;  // until it may serve the shard
 
-// Returns whether a request has waited since `since` for as long as it may.
-inline bool has_waited_long(instant since, instant arrived, instant deadline,
-                            int max_percent, instant now)
+// A move takes up to a second, and its callers are not to notice it: a known owner is
+// waited for at least as long.
+inline constexpr duration min_wait_at_owner = 1s;
+
+// Returns whether a request has waited since `since` for as long as it may for an owner
+// to be known.
+inline bool has_waited_long_for_owner(instant since, instant arrived, instant deadline,
+                                      instant now)
+{
+    return now - since >= (deadline - arrived) * max_wait_for_owner_percent / 100;
+}
+
+// Returns the same for a known owner that does not serve the shard yet.
+inline bool has_waited_long_at_owner(instant since, instant arrived, instant deadline,
+                                     instant now)
 {
-    return now - since >= (deadline - arrived) * max_percent / 100;
+    duration const share = (deadline - arrived) * max_wait_at_owner_percent / 100;
+    return now - since >= std::max(share, min_wait_at_owner);
 }
 
 } // namespace buckthornusher
--- a/src/coordination/coordinator.cpp
+++ b/src/coordination/coordinator.cpp
@@ -446,7 +446,7 @@
     note_contact(from.node, now);
     std::visit([&](auto const& m) { m_impl->on(from, m, now); }, message);
     if (m_impl->current_phase == impl::phase::member)
-        m_impl->send_releases(now);
+        m_impl->repeat_releases(now);
 }
 
 void coordinator::note_contact(std::string const& peer, instant now)
@@ -506,7 +506,7 @@
     s.renew_lease(now);
     s.start_evictions(now);
     s.continue_evictions(now);
-    s.send_releases(now);
+    s.repeat_releases(now);
     s.write_assignments(now);
     s.delete_gone(now);
 }
@@ -599,8 +599,7 @@
 void coordinator::confirm_release(shard_release const& release, instant now)
 {
     note_release(m_impl->confirmed_releases, release);
-    m_impl->next_release_send = now;
-    m_impl->send_releases(now);
+    m_impl->announce_release(release.shard, now);
 }
 
 instant coordinator::lease_until() const
--- a/src/coordination/coordinator_assignments.cpp
+++ b/src/coordination/coordinator_assignments.cpp
@@ -214,30 +214,26 @@
             last_planned_move = now;
 }
 
-void coordinator::impl::send_releases(instant now)
+std::vector<shard_release> coordinator::impl::unsettled_releases() const
 {
-    if (now < next_release_send || now < releases_from)
-        return;
-    std::vector<shard_release> all;
+    std::vector<shard_release> unsettled;
     for (auto& r : shards.releases())
     {
         auto const it = confirmed_releases.find(r.shard);
         if (it == confirmed_releases.end() || it->second.epoch != r.epoch)
             continue;
         r.handover = it->second.handover;
-        all.push_back(std::move(r));
+        unsettled.push_back(std::move(r));
     }
-    if (all.empty())
-    {
-        release_sends = 0;
-        return;
-    }
-    next_release_send = now + release_repeat_interval;
-    // Starts with the first assigner and cycles through the others, in case it has
-    // failed.
-    auto const rank = release_sends++ % max_workers_per_task;
+    return unsettled;
+}
+
+void coordinator::impl::send_releases_to(std::size_t rank,
+                                         std::vector<shard_release> const& releases,
+                                         instant now)
+{
     std::map<std::string, released> releases_by_group;
-    for (auto const& r : all)
+    for (auto const& r : releases)
     {
         auto const first = r.shard.index / shards_per_group * shards_per_group;
         releases_by_group[shard_group_object(r.shard.service, first)].shards.push_back(r);
@@ -252,4 +248,35 @@
     }
 }
 
+void coordinator::impl::announce_release(shard_id const& shard, instant now)
+{
+    if (now < releases_from)
+        return;
+    auto announced = unsettled_releases();
+    std::erase_if(announced, [&](shard_release const& r) { return r.shard != shard; });
+    if (announced.empty())
+        return;
+    if (release_sends == 0)
+    {
+        release_sends = 1;
+        next_release_send = now + release_repeat_interval;
+    }
+    send_releases_to(0, announced, now);
+}
+
+void coordinator::impl::repeat_releases(instant now)
+{
+    if (now < next_release_send || now < releases_from)
+        return;
+    auto const unsettled = unsettled_releases();
+    if (unsettled.empty())
+    {
+        release_sends = 0;
+        return;
+    }
+    next_release_send = now + release_repeat_interval;
+    // Cycles through the assigners, in case the first has failed.
+    send_releases_to(release_sends++ % max_workers_per_task, unsettled, now);
+}
+
 } // namespace buckthornusher
--- a/src/coordination/coordinator_impl.hpp
+++ b/src/coordination/coordinator_impl.hpp
@@ -300,7 +300,16 @@
 
     void note_planned_moves(shard_group_record const& next, instant now);
 
-    void send_releases(instant now);
+    // Own releases that are confirmed and not yet visible in the shard map.
+    std::vector<shard_release> unsettled_releases() const;
+    // Sends each release to the assigner of that rank of its shard group. Only the first
+    // assigner, rank 0, acts without a delay.
+    void send_releases_to(std::size_t rank, std::vector<shard_release> const& releases,
+                          instant now);
+    // Sends a release that has just been confirmed to its first assigner. Each is sent by
+    // itself: a shard does not wait for others that are released at the same time.
+    void announce_release(shard_id const& shard, instant now);
+    void repeat_releases(instant now); // sends unsettled ones again
 
     // Returns the load reported by the owners of the service; null if it is too old.
     service_load const* recent_load(std::string const& service, instant now);
--- a/src/process/agent.cpp
+++ b/src/process/agent.cpp
@@ -605,10 +605,9 @@
     on_replica_changed(now); // the lease may have been renewed
     auto const waiting = m_waiting;
     for (auto const id : waiting)
-        if (auto* w = find(id);
-            w != nullptr && w->waiting_since &&
-            has_waited_long(*w->waiting_since, w->arrived, w->request.deadline,
-                            max_wait_at_owner_percent, now))
+        if (auto* w = find(id); w != nullptr && w->waiting_since &&
+                                has_waited_long_at_owner(*w->waiting_since, w->arrived,
+                                                         w->request.deadline, now))
             finish(*w, request_refused{.reason = outcome_reason::no_owner,
                                        .retry_after = refusal_retry_after});
     auto const links = m_links; // callbacks may change m_links
--- a/src/process/ingress_results.cpp
+++ b/src/process/ingress_results.cpp
@@ -158,9 +158,8 @@
         return refuse(pending, result.reason, result.retry_after);
     bool const owner_unready =
         pending.request.shard && result.reason == outcome_reason::no_owner;
-    if (owner_unready &&
-        has_waited_long(pending.arrived, pending.arrived, pending.request.deadline,
-                        max_wait_at_owner_percent, now))
+    if (owner_unready && has_waited_long_at_owner(pending.arrived, pending.arrived,
+                                                  pending.request.deadline, now))
         return refuse(pending, result.reason, no_owner_retry_after);
     if (result.reached_upstream && !(pending.attempts.arrivals() < pending.max_attempts &&
                                      m_retries.try_acquire(pending.request.service, now)))
--- a/src/process/ingress_sending.cpp
+++ b/src/process/ingress_sending.cpp
@@ -304,8 +304,8 @@
 // No node may be available for a while, and the caller can retry later.
 void ingress::refuse_after_long_wait(pending_request& pending, instant now)
 {
-    if (has_waited_long(*pending.waiting_since, pending.arrived, pending.request.deadline,
-                        max_wait_for_owner_percent, now))
+    if (has_waited_long_for_owner(*pending.waiting_since, pending.arrived,
+                                  pending.request.deadline, now))
         refuse(pending, outcome_reason::no_owner, no_owner_retry_after);
 }
 
--- a/tests/coordinator_test.cpp
+++ b/tests/coordinator_test.cpp
@@ -370,6 +370,49 @@
     EXPECT_EQ(sent_releases.begin()->second.shards.at(0).epoch, 4U);
 }
 
+// n owns the shards 0 to 2 and is to release them to p.
+deltas move_three_away(std::string const& service)
+{
+    return {.from = joined_revision,
+            .to = joined_revision + 1,
+            .objects = {
+                {.name = shard_group_object(service, 0),
+                 .version = joined_revision + 1,
+                 .value = shard_group_record{.service = service,
+                                             .assignments = std::vector<assignment>(
+                                                 3, {.owner = {"n", 5},
+                                                     .epoch = 3,
+                                                     .successor = owner_id{"p", 7}})}}}};
+}
+
+// Only the first assigner writes without a delay. A release that went to another one, as
+// an earlier release was still on its way, kept its shard unowned for half a second.
+TEST(coordinator, each_of_several_releases_goes_to_the_first_assigner_by_itself)
+{
+    std::size_t remote_assigners = 0;
+    for (auto const* service : {"orders", "rounds", "stands", "fairs", "ledger"})
+    {
+        joined_member m({{.name = service, .shards = 3}});
+        m.c.on_message({"q", 7}, move_three_away(service), at_ms(10));
+        m.c.take_effects();
+        std::set<std::string> assigners;
+        for (std::uint32_t shard = 0; shard < 3; ++shard)
+        {
+            m.c.confirm_release({.shard = {service, shard}, .epoch = 3},
+                                at_ms(20 + static_cast<int>(shard)));
+            for (auto const& [assigner, message] : m.sent<released>())
+            {
+                assigners.insert(assigner);
+                ASSERT_EQ(message.shards.size(), 1U);
+                EXPECT_EQ(message.shards.front().shard.index, shard);
+            }
+        }
+        EXPECT_LE(assigners.size(), 1U) << service; // none if n is the assigner itself
+        remote_assigners += assigners.size();
+    }
+    EXPECT_GT(remote_assigners, 0U);
+}
+
 // ---- network isolation with the store reachable ----
 
 // Makes n a watcher of p.
