A rare long class does not make every other class small

Change: only classes with a fifth of the recent slot time make others small. Tests: upstream_queue_test, red on the code before.

--- a/include/buckthornusher/upstream_queue.hpp
+++ b/include/buckthornusher/upstream_queue.hpp
@@ -13,9 +13,11 @@
 // at once. If it sheds about as often with fewer in use, the number of requests is not
 // the cause, and it gets all its slots again.
 //
-// A request of a class that needs far less time than others is never moved back for being
-// late: it occupies a slot only briefly, and often another upstream's request, which
-// occupies a slot there, waits for its answer.
+// A request of a class that needs far less time than the classes that occupy the slots is
+// never moved back for being late: it occupies a slot only briefly, and often another
+// upstream's request, which occupies a slot there, waits for its answer. A long class of
+// which there are few requests does not count: beside it, every other class would be
+// small.
 //
 // Built for more work than slots, for seconds or permanently, for an upstream that has
 // become slow or starts cold, and for a mix of short and long requests in which long
@@ -166,6 +168,8 @@
                   instant now) const;
     bool requeue_as_late(std::uint64_t id, instant now);
     void update_service(std::string const& request_class, duration took);
+    void update_slot_time(std::string const& request_class, duration took);
+    void update_longest_service();
 
     upstream_queue_options m_options;
     // Invariant: m_waiting holds exactly the ids of m_queue. m_running.size() exceeds the
@@ -176,8 +180,10 @@
     std::map<std::uint32_t, duration> m_backlog; // sum of `service`, by rank
     std::map<std::string, double> m_service_us;  // by class
     double m_mean_us = 0;                        // over all classes
-    double m_max_service_us = 0;                 // the largest in m_service_us
-    double m_limit;                              // 1 <= m_limit <= max(1, slots)
+    std::map<std::string, double> m_slot_time;   // recent slot time by class, decaying
+    double m_longest_us =
+        0;          // service time of the longest class with a share of the slots
+    double m_limit; // 1 <= m_limit <= max(1, slots)
     // Moving averages of the share of requests that the upstream shed.
     double m_shed_crowded = 0;
     double m_shed_uncrowded = 0;
--- a/src/request/upstream_queue.cpp
+++ b/src/request/upstream_queue.cpp
@@ -18,8 +18,10 @@
 // exceeds the share while not crowded by this much.
 constexpr double crowded_shed_excess = 0.1;
 // A class is small if its service time is at most that of the longest class divided by
-// this.
+// this. Only classes with at least `min_slot_share` of the recent slot time count.
 constexpr double small_class_ratio = 4;
+constexpr double min_slot_share = 0.2;
+constexpr double slot_time_decay = 0.98; // for each request that ends
 // Factor on the expected wait of a late request, as later arrivals that are not late go
 // before it.
 constexpr int late_wait_factor = 3;
@@ -105,7 +107,7 @@
 
 bool upstream_queue::is_small(duration service) const
 {
-    return static_cast<double>(service.count()) * small_class_ratio <= m_max_service_us;
+    return static_cast<double>(service.count()) * small_class_ratio <= m_longest_us;
 }
 
 bool upstream_queue::is_late(duration service, instant due, instant now) const
@@ -187,11 +189,31 @@
         adjust_limit(ended.crowded, end == request_end::shed);
     if (!answered)
         return;
+    update_slot_time(ended.request_class, took);
     m_limit = std::min<double>(m_options.slots, m_limit + 1.0 / m_limit);
     // A failure is often reported before the work is done, and must not make the upstream
     // seem fast.
     if (end == request_end::completed || took > ended.expected)
         update_service(ended.request_class, took);
+    update_longest_service();
+}
+
+void upstream_queue::update_slot_time(std::string const& request_class, duration took)
+{
+    for (auto& entry : m_slot_time)
+        entry.second *= slot_time_decay;
+    m_slot_time[request_class] += static_cast<double>(took.count());
+}
+
+void upstream_queue::update_longest_service()
+{
+    double total = 0;
+    for (auto const& entry : m_slot_time)
+        total += entry.second;
+    m_longest_us = 0;
+    for (auto const& [request_class, service] : m_service_us)
+        if (m_slot_time[request_class] >= min_slot_share * total)
+            m_longest_us = std::max(m_longest_us, service);
 }
 
 void upstream_queue::update_service(std::string const& request_class, duration took)
@@ -203,9 +225,6 @@
     auto const sample = static_cast<double>(took.count());
     add(m_service_us[request_class], sample);
     add(m_mean_us, sample);
-    m_max_service_us = 0;
-    for (auto const& entry : m_service_us)
-        m_max_service_us = std::max(m_max_service_us, entry.second);
 }
 
 std::optional<std::uint64_t> upstream_queue::start_next(instant now)
