Requests follow a new grant once its answer has arrived; a rejection pauses them briefly

The table then held the shard back until the next report: 0.9 s without service for the hot shard, its callers late or refused, their allowed repeats used up. Change: a new grant is used 10 ms after its answer; a rejection stops requests for 20 ms, doubled to 1 s at most, until the next report.

--- a/include/buckthornusher/grant_table.hpp
+++ b/include/buckthornusher/grant_table.hpp
@@ -13,16 +13,18 @@
 //
 // Safety: every grant ends before the lease under which it was given, so the shards are
 // free for their next owner when the lease ends. A shard is not returned as released
-// while an earlier grant of it may be in force, also if answers are lost. After a lost
-// answer the upstream may hold less than held_until() says, until the next report or
-// mark_not_held().
+// while an earlier grant of it may be in force, also if answers are lost.
+//
+// An answer takes time to arrive, or is lost. Requests for a new grant may be sent from
+// shortly after the answer. If the upstream rejects one, mark_not_held() stops them for a
+// pause that doubles with each rejection; the next report ends the doubling.
 //
 //   grant_table table(shards, {...});
 //   auto parts = partition_by_move(owned, is_idle);
 //   auto answer = table.on_report(report, parts.wanted, parts.leaving, expects_shards,
 //                                 lease_until, now);
 //   for (auto& r : table.take_released(now)) ...
-//   if (table.held_until(shard, epoch) > now) ... // requests may be sent
+//   if (table.may_send(shard, epoch, now)) ...
 //
 // Only durations on one process's clock are compared; an upstream's clock may be slower
 // by `drift_percent`. Not thread-safe. Cost: O(n log n) in the shards and the reported
@@ -112,9 +114,11 @@
     // Returns the time until which the upstream holds the shard at that epoch, according
     // to the latest reports and answers; a time in the past if it does not hold it.
     instant held_until(std::uint32_t shard, std::uint64_t epoch) const;
-    // The upstream rejected a request because it does not hold the shard. held_until()
-    // lies in the past until the next report.
-    void mark_not_held(std::uint32_t shard);
+    // Whether requests may be sent now: the upstream holds the shard at that epoch and,
+    // by the time since the answer, knows so.
+    bool may_send(std::uint32_t shard, std::uint64_t epoch, instant now) const;
+    // The upstream rejected a request because it does not hold the shard.
+    void mark_not_held(std::uint32_t shard, instant now);
 
     // Returns when all grants have certainly expired.
     instant all_expired_at() const { return m_all_expired_at; }
@@ -125,6 +129,8 @@
         std::uint64_t epoch = 0;
         instant held_until; // the upstream holds it at least until then
         instant expired_at; // not held after, even if the upstream's clock is slow
+        instant send_from;  // the upstream may not know of the grant before
+        duration rejection_pause{0}; // after the last rejection since the last report
         bool left_out = false;
         std::string handover; // from the upstream at its release
     };
--- a/src/coordination/grant_table.cpp
+++ b/src/coordination/grant_table.cpp
@@ -10,6 +10,11 @@
 namespace
 {
 
+// From the answer to a report until the upstream, on the same VM, has applied it.
+constexpr duration answer_travel_time = 10ms;
+constexpr duration first_rejection_pause = 20ms;
+constexpr duration max_rejection_pause = 1s; // upstreams report about as often
+
 bool overlap(key_range const& a, key_range const& b)
 {
     return a.first <= b.last && b.first <= a.last;
@@ -203,6 +208,7 @@
         now + valid_for * (percent + m_options.drift_percent) / percent;
     m_all_expired_at = std::max(m_all_expired_at, expired_at);
     std::set<std::uint32_t> granted;
+    auto const holds = sorted(report.holds);
     for (auto const& w : wanted)
     {
         auto const keys = numbers_of_shard(w.index, m_shards);
@@ -216,10 +222,12 @@
             continue;
         granted.insert(w.index);
         auto& s = m_states[w.index];
+        bool const known = reports(holds, keys, w.epoch);
         // If the answer is lost, an earlier grant that ends later remains in force.
         s = {.epoch = w.epoch,
              .held_until = until,
              .expired_at = std::max(s.expired_at, expired_at),
+             .send_from = known ? now : now + answer_travel_time,
              .left_out = false,
              .handover = std::move(s.handover)};
     }
@@ -257,10 +265,24 @@
     return it->second.held_until;
 }
 
-void grant_table::mark_not_held(std::uint32_t shard)
+bool grant_table::may_send(std::uint32_t shard, std::uint64_t epoch, instant now) const
 {
-    if (auto const it = m_states.find(shard); it != m_states.end())
-        it->second.held_until = instant{};
+    if (held_until(shard, epoch) <= now)
+        return false;
+    return m_states.find(shard)->second.send_from <= now;
+}
+
+void grant_table::mark_not_held(std::uint32_t shard, instant now)
+{
+    auto const it = m_states.find(shard);
+    if (it == m_states.end())
+        return;
+    auto& s = it->second;
+    if (now < s.send_from) // rejected with others that were sent before the pause
+        return;
+    s.rejection_pause =
+        std::clamp(2 * s.rejection_pause, first_rejection_pause, max_rejection_pause);
+    s.send_from = now + s.rejection_pause;
 }
 
 } // namespace buckthornusher
--- a/src/process/agent.cpp
+++ b/src/process/agent.cpp
@@ -216,7 +216,7 @@
         return finish(w, request_refused{.reason = outcome_reason::not_reached,
                                          .retry_after = refusal_retry_after});
     if (w.request.shard && l->grants &&
-        l->grants->held_until(*w.request.shard, w.epoch) <= now)
+        !l->grants->may_send(*w.request.shard, w.epoch, now))
         return wait_for_shard(w);
     m_waiting.erase(w.id);
     if (!check_operation(w, now))
@@ -401,7 +401,7 @@
     case answer_meaning::not_held:
         l.queue.leave(w.id, request_end::not_sent, took, now);
         if (l.grants && w.request.shard)
-            l.grants->mark_not_held(*w.request.shard);
+            l.grants->mark_not_held(*w.request.shard, now);
         return finish(w, request_refused{.reason = outcome_reason::lease_over,
                                          .retry_after = refusal_retry_after,
                                          .reached_upstream = true});
