Members that lack a change for long read the store in place of a cut-off subscriber

A configuration write took a revision, so the next assignment lay beyond a gap that no peer could fill, and all four owners held the requests of those shards from second 8.6 to 15: 2,218 of 9,139 browse-fairs failed. Change: a gap known for 0.7 s, 0.2 s more for each rank in the region, is closed by a list from the store; that member subscribes for 10 s and forwards what it sees. A writer notes its own gap too. Tests: coordinator_test, two cases, the first red before.

--- a/src/coordination/coordinator.cpp
+++ b/src/coordination/coordinator.cpp
@@ -13,6 +13,12 @@
 {
 constexpr duration pause_threshold = 600ms; // between ticks
 constexpr duration pull_delay = 300ms;
+// A change that is known to be missing for this long, though it was pulled from peers, is
+// a sign that no subscriber reaches the store. The members of the region then read it
+// themselves, one after the other: the first to do so forwards what it finds.
+constexpr duration max_time_behind = 700ms;
+constexpr duration stand_in_stagger = 200ms; // between members by their rank
+constexpr duration stand_in_time = 10s;      // the member subscribes for so long
 } // namespace
 
 void coordinator::impl::send(member_id const& to, control_message message)
@@ -51,8 +57,8 @@
             changed.push_back(o);
     auto const before = copy.revision();
     bool const contiguous = copy.apply_range(from, to, {});
-    if (!contiguous && sender)
-        note_peer_revision(*sender, to, 0, now);
+    if (!contiguous)
+        note_peer_revision(sender.value_or(member_id{}), to, 0, now);
     for (auto const& o : changed)
         on_object_changed(o, now);
     if (changed.empty() && copy.revision() == before)
@@ -180,7 +186,7 @@
     max_peer_config_version = std::max(max_peer_config_version, config_version);
     if (copy.revision() >= max_peer_revision && own_config >= max_peer_config_version)
         behind_since.reset();
-    if (peer_ahead)
+    if (peer_ahead && !peer.node.empty())
         ahead_peer = peer;
     pull_if_behind(now);
 }
@@ -293,8 +299,14 @@
         fleet_reader.want_list();
     bool const config_unwatched =
         now - config_watch_confirmed > opts.max_config_watch_gap;
-    fleet_reader.set_subscribed(is_member &&
-                                (fleet_subscriber || renewals_unacknowledged(now)));
+    if (is_member && is_behind_for_long(now))
+    {
+        behind_since = now; // the next list, if this one does not help
+        stand_in_until = now + stand_in_time;
+        fleet_reader.want_list();
+    }
+    fleet_reader.set_subscribed(is_member && (fleet_subscriber || now < stand_in_until ||
+                                              renewals_unacknowledged(now)));
     config_reader.set_subscribed(is_member && (config_subscriber || config_unwatched));
     if (auto operation = fleet_reader.next(next_call_id, copy.revision(), now))
         call(std::move(*operation));
@@ -302,6 +314,14 @@
         call(std::move(*operation));
 }
 
+bool coordinator::impl::is_behind_for_long(instant now) const
+{
+    return behind_since && copy.revision() < max_peer_revision &&
+           now - *behind_since >=
+               max_time_behind +
+                   static_cast<duration::rep>(region_rank) * stand_in_stagger;
+}
+
 bool coordinator::impl::renewals_unacknowledged(instant now) const
 {
     auto const until = lease.valid_until();
--- a/src/coordination/coordinator_assignments.cpp
+++ b/src/coordination/coordinator_assignments.cpp
@@ -70,6 +70,7 @@
     fleet_subscriber = self != nullptr && is_subscriber(copy, *self, object_kind::fleet);
     config_subscriber =
         self != nullptr && is_subscriber(copy, *self, object_kind::configuration);
+    region_rank = self == nullptr ? 0 : subscriber_rank(copy, *self);
     for (auto const& service : opts.services)
         for (std::uint32_t first = 0; first < service.shards; first += shards_per_group)
         {
--- a/src/coordination/coordinator_impl.hpp
+++ b/src/coordination/coordinator_impl.hpp
@@ -116,17 +116,20 @@
     // Roles derived from the members, cached per change of the member records.
     std::uint64_t roles_change_count = 0;
     bool roles_stale = true;
-    bool fleet_subscriber = false;                     // of fleet objects
-    bool config_subscriber = false;                    // of the configuration
+    bool fleet_subscriber = false;  // of fleet objects
+    std::size_t region_rank = 0;    // among the region's candidates for subscriptions
+    bool config_subscriber = false; // of the configuration
     std::map<std::string, std::size_t> assigner_ranks; // by shard group object
 
     instant config_watch_confirmed; // last known watch by a member
 
-    std::optional<instant> behind_since; // when a peer's replica was first seen ahead
-    std::optional<member_id> ahead_peer; // last such peer not yet sent a pull
-    std::uint64_t max_peer_revision = 0; // highest revision seen at a peer
+    // When a change that this replica lacks was first heard of.
+    std::optional<instant> behind_since;
+    std::optional<member_id> ahead_peer;       // last such peer not yet sent a pull
+    std::uint64_t max_peer_revision = 0;       // highest revision seen at a peer
     std::uint64_t max_peer_config_version = 0; // highest configuration version of a peer
     instant next_pull;
+    instant stand_in_until; // subscribes until then in place of the region's subscriber
 
     // ---- sending ----
 
@@ -227,6 +230,9 @@
     // Registers once all objects have been listed.
     void register_if_listed(instant now);
 
+    // Whether a change is known and missing although there was time to pull it.
+    bool is_behind_for_long(instant now) const;
+
     // Watchers that have not acked within two renewal intervals.
     std::vector<member_id> silent_watchers(instant now) const;
 
--- a/src/coordination/roles.cpp
+++ b/src/coordination/roles.cpp
@@ -113,15 +113,21 @@
     return watchers.empty() || able < majority_of(watchers.size()) ? 0 : score;
 }
 
-bool is_subscriber(replica const& copy, member_record const& self, object_kind kind)
+std::size_t subscriber_rank(replica const& copy, member_record const& self)
 {
     auto const members = subscribers(copy, self.region);
+    auto const it =
+        std::find_if(members.begin(), members.end(),
+                     [&](member_record const* m) { return m->id == self.id; });
+    return static_cast<std::size_t>(it - members.begin());
+}
+
+bool is_subscriber(replica const& copy, member_record const& self, object_kind kind)
+{
     auto const count = kind == object_kind::fleet ? fleet_subscribers_per_region
                                                   : config_subscribers_per_region;
-    auto const end =
-        members.begin() + static_cast<std::ptrdiff_t>(std::min(count, members.size()));
-    return std::any_of(members.begin(), end,
-                       [&](member_record const* m) { return m->id == self.id; });
+    auto const* listed = copy.member(self.id);
+    return listed != nullptr && is_live(*listed) && subscriber_rank(copy, self) < count;
 }
 
 std::vector<member_id> other_regions_subscribers(replica const& copy,
--- a/src/coordination/roles.hpp
+++ b/src/coordination/roles.hpp
@@ -16,8 +16,9 @@
 {
 
 // Number of members per region that watch the store for the others. One is enough for
-// fleet objects, because writers send their own changes to peers. Operators' writes are
-// seen only by the configuration subscribers.
+// fleet objects, because writers send their own changes to peers, and members that find
+// changes missing stand in for a subscriber that is cut off. Operators' writes are seen
+// only by the configuration subscribers.
 inline constexpr std::size_t fleet_subscribers_per_region = 1;
 inline constexpr std::size_t config_subscribers_per_region = 2;
 
@@ -35,6 +36,10 @@
                    std::vector<member_id> const& watchers,
                    std::vector<member_id> const& suspects);
 
+// Returns the member's rank among the candidates for the subscriptions of its region; the
+// number of candidates if it is none.
+std::size_t subscriber_rank(replica const& copy, member_record const& self);
+
 bool is_subscriber(replica const& copy, member_record const& self, object_kind kind);
 
 // Returns the first configuration subscriber of each other region.
--- a/tests/coordinator_test.cpp
+++ b/tests/coordinator_test.cpp
@@ -241,6 +241,42 @@
     EXPECT_TRUE(m.sent<pull>().empty()) << "one pull per announced revision";
 }
 
+// Returns the times at which the fleet is listed while nobody answers, until `until_ms`.
+std::vector<int> times_of_lists(coordinator& c, int until_ms)
+{
+    std::vector<int> times;
+    for (int ms = 50; ms <= until_ms; ms += 50)
+    {
+        c.tick(at_ms(ms));
+        for (auto const& e : c.take_effects())
+            if (auto const* call = std::get_if<call_store>(&e))
+                if (call->operation == store_operation(store_list{object_kind::fleet}))
+                    times.push_back(ms);
+    }
+    return times;
+}
+
+// The region's subscriber was cut off from the store while a write of another kind left
+// the shards of the next write beyond a gap. All owners stopped serving them for 6 s.
+TEST(coordinator, a_gap_that_no_peer_fills_is_read_from_the_store)
+{
+    joined_member m;
+    m.c.on_message({"q", 7}, move_beyond_a_gap(), at_ms(10));
+    auto const lists = times_of_lists(m.c, 2'000);
+    ASSERT_EQ(lists.size(), 1U);
+    EXPECT_GE(lists.front(), 700) << "peers are asked first";
+    EXPECT_TRUE(m.c.subscriptions(at_ms(2'000)).fleet) << "it stands in";
+}
+
+TEST(coordinator, a_gap_that_a_peer_fills_causes_no_list)
+{
+    joined_member m;
+    m.c.on_message({"q", 7}, move_beyond_a_gap(), at_ms(10));
+    m.c.on_message({"p", 7}, deltas{.from = joined_revision, .to = joined_revision + 2},
+                   at_ms(600));
+    EXPECT_TRUE(times_of_lists(m.c, 2'000).empty());
+}
+
 // A restarted process of a node that had the upstreams a and b.
 struct restarted_member
 {
