--- a/include/buckthornusher/upstream_queue.hpp
+++ b/include/buckthornusher/upstream_queue.hpp
@@ -114,7 +114,8 @@
     // Removes and returns all waiting requests.
     std::vector<std::uint64_t> clear();
 
-    // Changes the number of requests that the upstream runs at once.
+    // Changes the number of requests that the upstream runs at once. With 0, no request
+    // starts and none is accepted; those that wait do so until they expire.
     void set_slots(std::uint32_t slots);
 
     // Returns the expected time until a slot is free, by the classes of the running
@@ -159,7 +160,10 @@
                  queue_position const& position);
     void mark_running(queued_request const& r);
     void adjust_limit(bool crowded, bool shed);
-    bool has_slot() const { return m_running.size() < limit(); }
+    bool has_slot() const
+    {
+        return m_options.slots > 0 && m_running.size() < limit();
+    }
     duration wait_until(std::set<queue_position>::const_iterator end) const;
     bool is_small(duration service) const;
     bool is_late(duration service, instant due, instant now) const;
--- a/soak/callers.cpp
+++ b/soak/callers.cpp
@@ -37,6 +37,7 @@
     std::uint64_t work_us = 0;
     duration cancel_after{0}; // 0: never
     int tries = 0;
+    std::optional<std::size_t> last_node; // that the latest try was sent to
 };
 
 callers::callers(event_loop& loop, options opts)
@@ -97,12 +98,22 @@
     return r;
 }
 
+// A retry goes to another node than the try before it.
+std::size_t callers::draw_node(request_state& r)
+{
+    auto node = draw_below(m_clients.size());
+    if (r.last_node == node && m_clients.size() > 1)
+        node = (node + 1 + draw_below(m_clients.size() - 1)) % m_clients.size();
+    r.last_node = node;
+    return node;
+}
+
 void callers::send(std::shared_ptr<request_state> const& r)
 {
     ++r->tries;
     bool const asks_operation = r->wants_operation && r->operation.empty();
     caller_attempt attempt{.id = r->id + "." + std::to_string(r->tries),
-                           .node = draw_below(m_clients.size()),
+                           .node = draw_node(*r),
                            .sent = boot_now()};
     http_request request{.method = r->read_only ? "GET" : "POST",
                          .target = r->path + "?work_us=" + std::to_string(r->work_us)};
--- a/soak/callers.hpp
+++ b/soak/callers.hpp
@@ -45,6 +45,7 @@
     struct request_state;
     void send_due(instant now);
     std::shared_ptr<request_state> draw_request();
+    std::size_t draw_node(request_state& r);
     void send(std::shared_ptr<request_state> const& r);
     void on_answer(std::shared_ptr<request_state> const& r, caller_attempt attempt,
                    http_result const& result);
--- a/src/process/agent.hpp
+++ b/src/process/agent.hpp
@@ -181,6 +181,8 @@
     struct active_request; // a request and its progress
     using link_ptr = std::shared_ptr<link>;
 
+    std::uint32_t connections_to(upstream_report const& report) const;
+    std::uint32_t usable_slots(upstream_report const& report) const;
     link_ptr make_link(upstream_report const& report) const;
     std::optional<upstream_grant> renew_grants(link& l, upstream_report const& report,
                                                instant now);
--- a/src/process/agent_upstreams.cpp
+++ b/src/process/agent_upstreams.cpp
@@ -19,15 +19,25 @@
 
 } // namespace
 
+std::uint32_t agent::connections_to(upstream_report const& report) const
+{
+    if (report.connections > 0)
+        return report.connections;
+    auto const* service =
+        m_routes == nullptr ? nullptr : m_routes->service(report.service);
+    bool const configured = service != nullptr && service->connections > 0;
+    return configured ? service->connections : m_options.connections;
+}
+
+std::uint32_t agent::usable_slots(upstream_report const& report) const
+{
+    return std::min(report.slots, connections_to(report));
+}
+
 agent::link_ptr agent::make_link(upstream_report const& report) const
 {
     auto const* service =
         m_routes == nullptr ? nullptr : m_routes->service(report.service);
-    auto connections = report.connections;
-    if (connections == 0 && service != nullptr)
-        connections = service->connections;
-    if (connections == 0)
-        connections = m_options.connections;
     auto const form = m_options.form;
     auto l = link_ptr(new link{
         .report = report,
@@ -35,7 +45,7 @@
         .answered_at = {},
         .http = {m_loop,
                  {.peer = {.ip = report.ip, .port = report.port},
-                  .max_connections = connections,
+                  .max_connections = connections_to(report),
                   .is_response_to =
                       [form](http_request const& request, http_response const& response)
                   {
@@ -43,7 +53,7 @@
                                         { return f.is_response_to(request, response); },
                                         form);
                   }}},
-        .queue = upstream_queue({.slots = std::min(report.slots, connections)}),
+        .queue = upstream_queue({.slots = usable_slots(report)}),
         .grants = {},
         .state = dependency("upstream", report.service + " " + report.incarnation.id)});
     if (report.serves_only_granted && service != nullptr && service->keyed)
@@ -76,6 +86,7 @@
     bool const began_to_drain =
         report.state == upstream_state::draining && !l->draining();
     l->report = report;
+    l->queue.set_slots(usable_slots(report));
     l->reported_at = now;
     l->connection_refused = false;
     if (began_to_drain)
--- a/src/process/explain.cpp
+++ b/src/process/explain.cpp
@@ -113,6 +113,9 @@
     if (waits != nullptr)
         return "no " + text(*waits, "for") + " was known to " + text(*waits, "node") +
                " at revision " + text(*waits, "replica");
+    auto const* taken = last_of(records, "taken");
+    if (taken != nullptr && taken->get("shard") == "-")
+        return "no upstream of the service was reached before the deadline";
     return "no node served the shard before the deadline";
 }
 
@@ -123,6 +126,10 @@
         return "the upstream at " + text(*upstream, "node") +
                " returned no complete response: step '" + text(*upstream, "step") +
                "', after " + text(*upstream, "took_ms") + " ms";
+    if (upstream != nullptr && upstream->get("outcome") == "spoilt")
+        return "the upstream at " + text(*upstream, "node") + " answered with status " +
+               text(*upstream, "status") +
+               ", but the answer was not verified and not passed on";
     if (upstream != nullptr)
         return "the upstream at " + text(*upstream, "node") + " answered " +
                text(*upstream, "outcome") +
--- a/src/process/operator_client.cpp
+++ b/src/process/operator_client.cpp
@@ -1,8 +1,8 @@
 // Implementation of the operators' commands; see the header.
 #include "process/operator_client.hpp"
 
-#include "buckthornusher/burn.hpp"
 #include "connection/http_client.hpp"
+#include "process/burn_report.hpp"
 #include "process/event_loop.hpp"
 #include "process/read_file.hpp"
 
@@ -133,118 +133,6 @@
     }
 }
 
-struct service_burn
-{
-    objective allowed;
-    std::array<burn_counts, burn_windows.size()> windows;
-};
-
-void add_node_burn(google::protobuf::Struct const& node,
-                   std::map<std::string, service_burn>& sums)
-{
-    auto const services = node.fields().find("services");
-    if (services == node.fields().end())
-        return;
-    for (auto const& value : services->second.list_value().values())
-    {
-        auto const& fields = value.struct_value().fields();
-        auto& sum = sums[fields.at("name").string_value()];
-        sum.allowed.availability = fields.at("availability").number_value();
-        auto const& windows = fields.at("windows").list_value();
-        for (int i = 0;
-             i < windows.values_size() && i < static_cast<int>(sum.windows.size()); ++i)
-        {
-            auto const& w = windows.values(i).struct_value().fields();
-            auto const number = [&](char const* name)
-            {
-                return static_cast<std::uint64_t>(w.at(name).number_value());
-            };
-            auto& counts = sum.windows[static_cast<std::size_t>(i)];
-            counts = counts + burn_counts{.total = number("total"),
-                                          .failed = number("failed"),
-                                          .slow = number("slow")};
-        }
-    }
-}
-
-char const* verdict(service_burn const& s)
-{
-    auto const max_burn = [&](std::size_t window)
-    {
-        return std::max(availability_burn(s.windows[window], s.allowed),
-                        latency_burn(s.windows[window], s.allowed));
-    };
-    if (max_burn(0) >= fast_burn && max_burn(1) >= fast_burn)
-        return "PAGE";
-    return max_burn(2) >= slow_burn ? "TICKET" : "ok";
-}
-
-constexpr std::array<char const*, burn_windows.size()> window_names{"5 min", "1 h",
-                                                                    "6 h"};
-
-void print_burn_table(std::map<std::string, service_burn> const& sums)
-{
-    constexpr int name_width = 18;
-    constexpr int width = 12;
-    std::cout << std::left << std::setw(name_width) << "service" << std::setw(width)
-              << "window" << std::setw(width) << "requests" << std::setw(width)
-              << "failed" << std::setw(width) << "slow" << std::setw(width)
-              << "avail.burn" << std::setw(width) << "lat.burn"
-              << "verdict\n"
-              << std::fixed << std::setprecision(2);
-    for (auto const& [name, s] : sums)
-        for (std::size_t i = 0; i < s.windows.size(); ++i)
-        {
-            auto const& w = s.windows[i];
-            std::cout << std::setw(name_width) << (i == 0 ? name : "") << std::setw(width)
-                      << window_names[i] << std::setw(width) << w.total
-                      << std::setw(width) << w.failed << std::setw(width) << w.slow
-                      << std::setw(width) << availability_burn(w, s.allowed)
-                      << std::setw(width) << latency_burn(w, s.allowed)
-                      << (i == 0 ? verdict(s) : "") << "\n";
-        }
-}
-
-void print_burn_bar(double burn, char const* label, std::size_t row)
-{
-    constexpr double pixels_per_unit = 20;
-    constexpr double max_bar_pixels = 400;
-    constexpr std::size_t row_height = 18;
-    auto const colour = burn >= fast_burn ? "#c0392b" : burn >= 1 ? "#e0a030" : "#3a8f5c";
-    std::cout << "<text x=\"0\" y=\"" << row * row_height + 13 << "\">" << label
-              << "</text><rect x=\"150\" y=\"" << row * row_height + 2
-              << "\" height=\"14\" width=\""
-              << std::min(max_bar_pixels, burn * pixels_per_unit) + 1 << "\" fill=\""
-              << colour << "\"/><text x=\"560\" y=\"" << row * row_height + 13 << "\">"
-              << burn << "</text>\n";
-}
-
-void print_burn_page(std::map<std::string, service_burn> const& sums)
-{
-    std::cout
-        << "<!doctype html><meta charset=\"utf-8\"><title>Service-level burn</title>"
-           "<style>body{font:14px sans-serif;margin:2em}</style>"
-           "<h1>Service-level burn</h1><p>1 uses the error budget exactly over its "
-           "period; 14.4 in both short windows is a page, 6 over six hours a "
-           "ticket.</p>\n"
-        << std::fixed << std::setprecision(2);
-    for (auto const& [name, s] : sums)
-    {
-        std::cout << "<h2>" << name << ": " << verdict(s)
-                  << "</h2><svg width=\"640\" height=\"110\">\n";
-        std::size_t row = 0;
-        for (std::size_t i = 0; i < s.windows.size(); ++i)
-        {
-            auto const window = std::string(window_names[i]);
-            print_burn_bar(availability_burn(s.windows[i], s.allowed),
-                           ("availability " + window).c_str(), row++);
-            print_burn_bar(latency_burn(s.windows[i], s.allowed),
-                           ("latency " + window).c_str(), row++);
-        }
-        std::cout << "</svg>\n";
-    }
-}
-
 } // namespace
 
 std::optional<node_address> parse_address(std::string const& text)
@@ -310,19 +198,21 @@
 
 int report_burn(std::vector<node_address> const& nodes, bool html)
 {
-    std::map<std::string, service_burn> sums;
+    burn_by_service sums;
     int result = exit_ok;
     for (auto const& node : nodes)
     {
         auto const response = call(node, {.method = "GET", .target = "/v1/burn"});
-        google::protobuf::Struct counts;
-        if (!response ||
-            !google::protobuf::util::JsonStringToMessage(response->body, &counts).ok())
-            result = exit_failed; // the report lacks this node
+        auto const counts = response ? parse_burn(response->body) : std::nullopt;
+        if (response && !counts)
+            std::cerr << "node " << node.address << ":" << node.port << ": status "
+                      << response->status << ", the answer is not a burn report\n";
+        if (counts)
+            add_burn(*counts, sums);
         else
-            add_node_burn(counts, sums);
+            result = exit_failed; // the report lacks this node
     }
-    html ? print_burn_page(sums) : print_burn_table(sums);
+    html ? print_burn_page(sums, std::cout) : print_burn_table(sums, std::cout);
     return result;
 }
 
--- a/src/request/upstream_queue.cpp
+++ b/src/request/upstream_queue.cpp
@@ -48,7 +48,7 @@
     if (slots == m_options.slots)
         return;
     m_options.slots = slots;
-    m_limit = std::max(1U, slots);
+    m_limit = std::max(1U, slots); // a divisor; nothing starts without slots
 }
 
 std::optional<duration>
@@ -73,6 +73,8 @@
 {
     if (has_slot())
         return duration{0};
+    if (m_options.slots == 0)
+        return max_retry_after;
     double ends_per_us = 0;
     for (auto const& entry : m_running)
         ends_per_us +=
@@ -142,6 +144,8 @@
 
 queue_verdict upstream_queue::arrive(queued_request const& r, instant now)
 {
+    if (m_options.slots == 0)
+        return has_no_room{.retry_after = max_retry_after};
     auto const service = expected_service(r.request_class);
     if (has_slot() && m_queue.empty())
     {
--- a/tests/explain_test.cpp
+++ b/tests/explain_test.cpp
@@ -94,6 +94,26 @@
               "response: step 'answer', after 31 ms; retry denied by: not-repeatable");
 }
 
+TEST(explain, an_unverified_answer_is_not_said_to_be_lost_on_its_way)
+{
+    auto const said =
+        cause(line("36.000200", "n2", "upstream request=r1 outcome=spoilt status=200") +
+              line("36.000300", "n1",
+                   "ended request=r1 outcome=unknown reason=answer-lost status=502"));
+    EXPECT_EQ(said, "unknown, it may have run: the upstream at n2 answered with status "
+                    "200, but the answer was not verified and not passed on");
+}
+
+TEST(explain, a_request_without_a_key_is_not_said_to_lack_a_shard)
+{
+    auto const said =
+        cause(line("36.000000", "n1", "taken request=r1 shard=-") +
+              line("36.300000", "n1",
+                   "ended request=r1 outcome=refused reason=not-reached status=503"));
+    EXPECT_EQ(said, "refused, it did not run: no upstream of the service was reached "
+                    "before the deadline");
+}
+
 TEST(explain, a_late_answer_names_the_longest_step)
 {
     auto const said =
--- a/tests/fake_fleet.hpp
+++ b/tests/fake_fleet.hpp
@@ -795,11 +795,12 @@
     void check_served()
     {
         for (std::uint32_t shard = 0; shard < m_options.shards; ++shard)
-            if (m_shards[shard].last_served_at < m_options.end - 5s)
+            if (auto const last = m_shards[shard].last_served_at;
+                last < m_options.end - 5s)
                 fail("shard " + std::to_string(shard) +
-                     " is not served, last request at " +
-                     std::to_string(m_shards[shard].last_served_at.count() / 1'000) +
-                     " ms");
+                     (last < 0s ? " was never served"
+                                : " is not served, last request at " +
+                                      std::to_string(last.count() / 1'000) + " ms"));
     }
 
     // ---- faults ----
--- a/tests/upstream_queue_test.cpp
+++ b/tests/upstream_queue_test.cpp
@@ -81,5 +81,22 @@
     }
 }
 
+TEST(upstream_queue, an_upstream_without_slots_starts_and_accepts_nothing)
+{
+    learnt_queue q;
+    q.run("browse", 150ms);
+    q.queue.arrive(q.request("browse", 1s), q.now);
+    auto const running = q.next_id;
+    q.queue.arrive(q.request("browse", 1s), q.now);
+    q.queue.set_slots(0);
+    q.queue.leave(running, request_end::completed, 150ms, q.now);
+    EXPECT_FALSE(q.queue.start_next(q.now).has_value());
+    EXPECT_TRUE(std::holds_alternative<has_no_room>(
+        q.queue.arrive(q.request("browse", 1s), q.now)));
+    EXPECT_GT(q.queue.until_free_slot(), 0ms);
+    q.queue.set_slots(2);
+    EXPECT_TRUE(q.queue.start_next(q.now).has_value());
+}
+
 } // namespace
 } // namespace buckthornusher
