Grants in short ranges; releases of one moment go in one message

Change: an upstream's shards are granted in up to 32 blocks of neighbours; releases confirmed before the next take_effects() go together. The check that adjacent shards form one range now names the block it means.

--- a/include/buckthornusher/grant_table.hpp
+++ b/include/buckthornusher/grant_table.hpp
@@ -7,6 +7,9 @@
 //   - A shard that an answer leaves out is released once a later report no longer names
 //     its keys, or once all earlier grants of it have expired.
 //   - State that the upstream hands over at a release goes into the next holder's grant.
+//   - An upstream holds a range until no request of any of its keys is running. Grants
+//     are therefore split into short ranges: a long one would not be released before its
+//     slowest request ended.
 //   - While the node expects further shards, each answer leaves out one idle shard, which
 //     the next answer grants again. An upstream that has something to release reports
 //     again immediately, so new shards need not wait for its next periodic report.
@@ -53,6 +56,7 @@
     duration min_grant_duration = 300ms;  // no answer is sent if a grant would be shorter
     int drift_percent = 2;                // by which the upstream's clock may run slow
     duration margin = 50ms;               // from the end of a grant to that of the lease
+    std::size_t max_blocks = 32;          // that an upstream's shards are granted in
     std::size_t max_answer_bytes = 3'900; // for all ranges of an answer
     std::size_t bytes_per_range = 30;     // size of a range without its handover
     friend bool operator==(grant_options const&, grant_options const&) = default;
--- a/src/coordination/coordinator.cpp
+++ b/src/coordination/coordinator.cpp
@@ -533,6 +533,7 @@
 
 std::vector<effect> coordinator::take_effects()
 {
+    m_impl->announce_releases();
     return std::exchange(m_impl->effects, {});
 }
 
@@ -619,7 +620,8 @@
 void coordinator::confirm_release(shard_release const& release, instant now)
 {
     note_release(m_impl->confirmed_releases, release);
-    m_impl->announce_release(release.shard, now);
+    m_impl->to_announce.insert(release.shard);
+    m_impl->announced_at = now;
 }
 
 instant coordinator::lease_until() const
--- a/src/coordination/coordinator_assignments.cpp
+++ b/src/coordination/coordinator_assignments.cpp
@@ -249,20 +249,22 @@
     }
 }
 
-void coordinator::impl::announce_release(shard_id const& shard, instant now)
+void coordinator::impl::announce_releases()
 {
-    if (now < releases_from)
+    auto const confirmed = std::exchange(to_announce, {});
+    if (confirmed.empty() || announced_at < releases_from)
         return;
     auto announced = unsettled_releases();
-    std::erase_if(announced, [&](shard_release const& r) { return r.shard != shard; });
+    std::erase_if(announced,
+                  [&](shard_release const& r) { return !confirmed.contains(r.shard); });
     if (announced.empty())
         return;
     if (release_sends == 0)
     {
         release_sends = 1;
-        next_release_send = now + release_repeat_interval;
+        next_release_send = announced_at + release_repeat_interval;
     }
-    send_releases_to(0, announced, now);
+    send_releases_to(0, announced, announced_at);
 }
 
 void coordinator::impl::repeat_releases(instant now)
--- a/src/coordination/coordinator_impl.hpp
+++ b/src/coordination/coordinator_impl.hpp
@@ -112,6 +112,8 @@
     instant next_plan;
     instant next_release_send;
     std::size_t release_sends = 0;
+    std::set<shard_id> to_announce; // confirmed, not sent yet
+    instant announced_at;           // when the latest of them was confirmed
 
     // Roles derived from the members, cached per change of the member records.
     std::uint64_t roles_change_count = 0;
@@ -312,9 +314,9 @@
     // assigner, rank 0, acts without a delay.
     void send_releases_to(std::size_t rank, std::vector<shard_release> const& releases,
                           instant now);
-    // Sends a release that has just been confirmed to its first assigner. Each is sent by
-    // itself: a shard does not wait for others that are released at the same time.
-    void announce_release(shard_id const& shard, instant now);
+    // Sends the releases confirmed since the last call to their first assigners: those of
+    // one moment together, so that one write moves them, and no earlier ones.
+    void announce_releases();
     void repeat_releases(instant now); // sends unsettled ones again
 
     // Returns the load reported by the owners of the service; null if it is too old.
--- a/src/coordination/grant_table.cpp
+++ b/src/coordination/grant_table.cpp
@@ -40,6 +40,16 @@
     return next > keys.last;
 }
 
+// Returns the number of neighbouring shards that are granted in one range. Powers of two
+// keep the ranges of successive answers alike.
+std::size_t shards_per_block(std::size_t shards, std::size_t max_blocks)
+{
+    std::size_t block = 1;
+    while (block * max_blocks < shards)
+        block *= 2;
+    return block;
+}
+
 std::vector<held_range> sorted(std::vector<held_range> holds)
 {
     std::sort(holds.begin(), holds.end(),
@@ -115,10 +125,16 @@
     // leaves out ends.
     std::vector<granted_range> held;
     std::vector<granted_range> fresh;
-    auto const append = [](std::vector<granted_range>& to, granted_range range)
+    auto const block = shards_per_block(wanted.size(), m_options.max_blocks);
+    auto const block_of = [&](key_range const& keys)
+    {
+        return shard_of_number(keys.first, m_shards) / block;
+    };
+    auto const append = [&](std::vector<granted_range>& to, granted_range range)
     {
         if (!to.empty() && to.back().keys.last + 1 == range.keys.first &&
-            to.back().epoch == range.epoch && to.back().handover == range.handover)
+            to.back().epoch == range.epoch && to.back().handover == range.handover &&
+            block_of(to.back().keys) == block_of(range.keys))
             to.back().keys.last = range.keys.last;
         else
             to.push_back(std::move(range));
--- a/tests/coordinator_test.cpp
+++ b/tests/coordinator_test.cpp
@@ -449,6 +449,30 @@
     EXPECT_GT(remote_assigners, 0U);
 }
 
+// Sent one by one, the first release caused a write by itself, and the others waited for
+// its answer.
+TEST(coordinator, releases_of_one_moment_go_in_one_message)
+{
+    std::size_t messages = 0;
+    for (auto const* service : {"orders", "rounds", "stands", "fairs", "ledger"})
+    {
+        joined_member m({{.name = service, .shards = 3}});
+        m.c.on_message({"q", 7}, move_three_away(service), at_ms(10));
+        m.c.take_effects();
+        for (std::uint32_t shard = 0; shard < 3; ++shard)
+            m.c.confirm_release({.shard = {service, shard}, .epoch = 3}, at_ms(20));
+        for (auto const& e : m.c.take_effects())
+            if (auto const* s = std::get_if<send_message>(&e))
+                if (auto const* r = std::get_if<released>(&s->message))
+                {
+                    ++messages;
+                    EXPECT_EQ(r->shards.size(), 3U) << service;
+                }
+    }
+    EXPECT_GT(messages, 0U); // none for a service whose first assigner is n itself
+    EXPECT_LE(messages, 5U);
+}
+
 // ---- network isolation with the store reachable ----
 
 // Makes n a watcher of p.
