Watchers that have all restarted are replaced at once

Change: while no majority of the present watchers is left, the next change does not wait. Test: coordinator_test, red on the code before.

--- a/src/coordination/coordinator_impl.hpp
+++ b/src/coordination/coordinator_impl.hpp
@@ -79,7 +79,8 @@
     std::vector<member_id> remote; // cached remote_members()
     std::uint64_t remote_change_count = 0;
     instant next_renewal;
-    instant next_watcher_change;
+    instant next_watcher_review;
+    instant next_watcher_change; // while a majority of the present ones is left
     instant next_member_review;
     instant next_registration;
     instant watchers_since;     // when the current watchers were accepted
@@ -262,6 +263,7 @@
     void update_self(instant now);
 
     // Whether no assignment names this member as owner and no request runs here.
+    bool may_review_watchers(instant now);
     bool has_left() const;
 
     void renew_lease(instant now);
--- a/src/coordination/coordinator_membership.cpp
+++ b/src/coordination/coordinator_membership.cpp
@@ -255,9 +255,9 @@
         next.state = member_state::gone;
         lease.revoke(); // from here on this member serves nothing
     }
-    else if (now >= next_watcher_change && !seems_cut_off(now))
+    else if (may_review_watchers(now) && !seems_cut_off(now))
     {
-        next_watcher_change = now + watcher_review_interval;
+        next_watcher_review = now + watcher_review_interval;
         auto const suspects = silent_watchers(now);
         auto const better = choose_watchers(copy, next, opts.lease.watchers, suspects);
         if (watchers_score(copy, next, better, suspects) >
@@ -276,6 +276,18 @@
     write_record(name, next, now);
 }
 
+// Acks of a new set take a while to come, so the next change waits. There is nothing to
+// wait for if no majority of the set is left, as when a whole fleet starts and members
+// choose others that are yet to restart.
+bool coordinator::impl::may_review_watchers(instant now)
+{
+    if (now < next_watcher_review)
+        return false;
+    auto const* self = own_record();
+    return now >= next_watcher_change ||
+           watchers_score(copy, *self, self->watchers, {}) == 0;
+}
+
 bool coordinator::impl::has_left() const
 {
     if (shards.running() > 0)
--- a/tests/coordinator_test.cpp
+++ b/tests/coordinator_test.cpp
@@ -277,6 +277,48 @@
     EXPECT_TRUE(times_of_lists(m.c, 2'000).empty());
 }
 
+// When a whole fleet started, members had chosen watchers that were yet to restart, and
+// waited for a second, without a lease, to choose again.
+TEST(coordinator, watchers_that_have_all_restarted_are_replaced_at_once)
+{
+    joined_member m;
+    auto version = joined_revision;
+    std::vector<member_id> watchers;
+    int changed_at_ms = 0;
+    for (int ms = 50; ms <= 1'500; ms += 50)
+    {
+        std::uint64_t const incarnation = ms >= 400 ? 9 : 8;
+        if (ms == 100 || ms == 400)
+            for (auto const* node : {"p", "q"})
+            {
+                auto again = peer_record(node);
+                again.id.incarnation = again.generation = incarnation;
+                m.c.on_message(again.id,
+                               deltas{.from = version,
+                                      .to = version + 1,
+                                      .objects = {{.name = member_object(node),
+                                                   .version = version + 1,
+                                                   .value = again}}},
+                               at_ms(ms));
+                ++version;
+            }
+        m.c.tick(at_ms(ms));
+        for (auto const& e : m.c.take_effects())
+            if (auto const* call = std::get_if<call_store>(&e))
+                if (auto const* w = std::get_if<store_write>(&call->operation))
+                {
+                    if (std::get<member_record>(*w->value).watchers != watchers)
+                        changed_at_ms = ms;
+                    watchers = std::get<member_record>(*w->value).watchers;
+                    m.c.on_store_answer(call->id, store_written{.version = ++version},
+                                        at_ms(ms));
+                }
+    }
+    ASSERT_FALSE(watchers.empty());
+    EXPECT_EQ(watchers.front().incarnation, 9U);
+    EXPECT_LE(changed_at_ms, 700);
+}
+
 // A restarted process of a node that had the upstreams a and b.
 struct restarted_member
 {
