--- a/include/buckthornusher/upstream_queue.hpp
+++ b/include/buckthornusher/upstream_queue.hpp
@@ -160,10 +160,7 @@
                  queue_position const& position);
     void mark_running(queued_request const& r);
     void adjust_limit(bool crowded, bool shed);
-    bool has_slot() const
-    {
-        return m_options.slots > 0 && m_running.size() < limit();
-    }
+    bool has_slot() const { return m_options.slots > 0 && m_running.size() < limit(); }
     duration wait_until(std::set<queue_position>::const_iterator end) const;
     bool is_small(duration service) const;
     bool is_late(duration service, instant due, instant now) const;
