--- a/src/connection/wire.cpp
+++ b/src/connection/wire.cpp
@@ -7,7 +7,9 @@
 
 #include <google/protobuf/util/json_util.h>
 
+#include <algorithm>
 #include <charconv>
+#include <cmath>
 
 namespace buckthornusher
 {
@@ -254,9 +256,10 @@
 
 void encode_to(released const& m, wire::Envelope& out)
 {
+    auto& w = *out.mutable_released();
     for (auto const& r : m.shards)
     {
-        auto& shard = *out.mutable_released()->add_shards();
+        auto& shard = *w.add_shards();
         shard.set_service(r.shard.service);
         shard.set_shard(r.shard.index);
         shard.set_epoch(r.epoch);
@@ -278,7 +281,12 @@
 
 std::optional<control_message> decode_load_report(wire::LoadReport const& w)
 {
-    if (w.shards_size() != w.rates_size())
+    auto const is_amount = [](float x)
+    {
+        return std::isfinite(x) && x >= 0;
+    };
+    if (w.shards_size() != w.rates_size() || !is_amount(w.capacity()) ||
+        !std::all_of(w.rates().begin(), w.rates().end(), is_amount))
         return std::nullopt;
     load_report m{.service = w.service(), .capacity = w.capacity(), .rates = {}};
     for (int i = 0; i < w.shards_size(); ++i)
@@ -328,6 +336,8 @@
 
 owner_id decode(wire::OwnerId const& in)
 {
+    if (in.tenure() == 0)
+        return {}; // no owner, whatever node is named
     return {.node = in.node(), .generation = in.tenure()};
 }
 
@@ -359,7 +369,7 @@
     {
         refused m{.subject = decode(in.refused().subject()), .elapsed = {}};
         if (in.refused().has_elapsed())
-            m.elapsed = duration(static_cast<duration::rep>(in.refused().elapsed()));
+            m.elapsed = to_duration(in.refused().elapsed());
         return m;
     }
     case wire::Envelope::kDeltas:
--- a/src/version/config.cpp
+++ b/src/version/config.cpp
@@ -1,6 +1,8 @@
 // Parsers of documents and settings; see the header.
 #include "version/config.hpp"
 
+#include "version/toml_text.hpp"
+
 #include <toml++/toml.h>
 
 #include <algorithm>
@@ -284,6 +286,14 @@
 std::optional<toml::table> parse_toml(std::string_view text,
                                       std::vector<config_error>& errors)
 {
+    if (auto const line = line_of_stray_character(text))
+    {
+        errors.push_back({.line = *line,
+                          .key = "",
+                          .found = "a character beyond ASCII",
+                          .allowed = "such characters in strings and comments only"});
+        return std::nullopt;
+    }
     try
     {
         return toml::parse(text);
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -469,6 +469,18 @@
            R"(","targets":[{"service":"s","slots":)" + slots + "}]}}";
 }
 
+// Found by fuzzing: an owner without a generation is none, whatever node it names.
+TEST(platform_store, an_owner_without_a_generation_is_no_owner)
+{
+    auto const group = decode_record(
+        R"({"chunk":{"service":"s","assignments":[{"owner":{"node":"a"},"epoch":3,)"
+        R"("shards":1}]}})");
+    ASSERT_TRUE(group.has_value());
+    auto const& a = std::get<shard_group_record>(group.value()).assignments.at(0);
+    EXPECT_EQ(a.owner, owner_id{});
+    EXPECT_EQ(decode_record(encode_record(group.value())).value(), group.value());
+}
+
 // A text that is larger than any value that the store accepts.
 std::string long_text()
 {
