--- a/include/buckthornusher/upstream_queue.hpp
+++ b/include/buckthornusher/upstream_queue.hpp
@@ -182,9 +182,8 @@
     std::map<std::string, double> m_service_us;  // by class
     double m_mean_us = 0;                        // over all classes
     std::map<std::string, double> m_slot_time;   // recent slot time by class, decaying
-    double m_longest_us =
-        0;          // service time of the longest class with a share of the slots
-    double m_limit; // 1 <= m_limit <= max(1, slots)
+    double m_longest_us = 0; // of the classes with a share of the slots
+    double m_limit;          // 1 <= m_limit <= max(1, slots)
     // Moving averages of the share of requests that the upstream shed.
     double m_shed_crowded = 0;
     double m_shed_uncrowded = 0;
