--- a/src/version/toml_text.cpp
+++ b/src/version/toml_text.cpp
@@ -9,9 +9,17 @@
 namespace
 {
 
-// Returns where the string that begins at `at` ends: after its closing quotes, at the end
-// of its line if it has none, or at the end of the text.
-std::size_t end_of_string(std::string_view toml, std::size_t at)
+// Returns whether a string may begin at `at`: the parser takes a quote in another place
+// for an error, and reads on from there as if outside of strings.
+bool may_begin_string(std::string_view toml, std::size_t at)
+{
+    constexpr std::string_view before = " \t\r\n=,.[{";
+    return at == 0 || before.find(toml[at - 1]) != std::string_view::npos;
+}
+
+// Returns where the string that begins at `at` ends: after its closing quotes, or nothing
+// if it has none, on its line or in the text.
+std::optional<std::size_t> end_of_string(std::string_view toml, std::size_t at)
 {
     char const quote = toml[at];
     auto const opening = toml.substr(at, 3);
@@ -23,11 +31,11 @@
         if (toml.substr(i).starts_with(closing))
             return i + closing.size();
         if (toml[i] == '\n' && !multi_line)
-            return i;
+            return std::nullopt;
         if (toml[i] == '\\' && quote == '"')
             ++i;
     }
-    return toml.size();
+    return std::nullopt;
 }
 
 } // namespace
@@ -39,8 +47,8 @@
         auto const c = static_cast<unsigned char>(toml[i]);
         if (c == '#')
             i = std::min(toml.find('\n', i), toml.size());
-        else if (c == '"' || c == '\'')
-            i = end_of_string(toml, i);
+        else if ((c == '"' || c == '\'') && may_begin_string(toml, i))
+            i = end_of_string(toml, i).value_or(i + 1);
         else if (c >= 0x80)
             return 1 + static_cast<std::uint32_t>(std::count(
                            toml.begin(), toml.begin() + static_cast<std::ptrdiff_t>(i),
--- a/tests/toml_text_test.cpp
+++ b/tests/toml_text_test.cpp
@@ -24,6 +24,8 @@
     EXPECT_EQ(line_of_stray_character("a = 1\n[se\u0269ice]"), 2U);
     EXPECT_EQ(line_of_stray_character("a = 'x' \u0161"), 1U);
     EXPECT_EQ(line_of_stray_character("a = \"x\n\u0161"), 2U) << "an unclosed string";
+    EXPECT_EQ(line_of_stray_character("a = \"\u0161\nb = 1"), 1U) << "in an unclosed one";
+    EXPECT_EQ(line_of_stray_character("a = 5'\u0161'"), 1U) << "not where one may begin";
     EXPECT_EQ(line_of_stray_character("a = '\\' \u0161"), 1U) << "no escape there";
 }
 
