--- a/src/process/agent.cpp
+++ b/src/process/agent.cpp
@@ -357,7 +357,7 @@
     {
         auto const& failure = result.error();
         bool const cancelled = failure.failed_step == http_failure::step::cancelled;
-        l.connection_refused = failure.failed_step == http_failure::step::connect;
+        l.connect_failed = failure.failed_step == http_failure::step::connect;
         w.trace.add("upstream", {{"outcome", "no-answer"},
                                  {"step", to_string(failure.failed_step)},
                                  {"peer", failure.peer},
@@ -374,7 +374,7 @@
                       request_unknown{.reason = cancelled ? outcome_reason::deadline
                                                           : outcome_reason::answer_lost});
     }
-    l.connection_refused = false;
+    l.connect_failed = false;
     l.answered_at = now;
     auto const meaning = std::visit(
         [&](auto const& form) { return form.meaning(result.value()); }, m_options.form);
@@ -618,9 +618,8 @@
         start_queued(*entry.second, now);
         auto& l = *entry.second;
         if (entry.first != old_setup_link && !l.departed)
-            l.state.set(!l.connection_refused && !is_silent(l, now),
-                        l.connection_refused ? "connection refused"
-                                             : "no report and no answer",
+            l.state.set(!l.connect_failed && !is_silent(l, now),
+                        l.connect_failed ? "connect failed" : "no report and no answer",
                         now);
     }
 }
--- a/src/process/agent.hpp
+++ b/src/process/agent.hpp
@@ -23,6 +23,7 @@
 #include "buckthornusher/placement.hpp"
 #include "buckthornusher/planned_stop.hpp"
 #include "buckthornusher/report_order.hpp"
+#include "buckthornusher/upstream_liveness.hpp"
 #include "buckthornusher/upstream_queue.hpp"
 #include "connection/http_client.hpp"
 #include "connection/upstream_form.hpp"
@@ -94,6 +95,9 @@
     duration drain_limit = 30s;      // a draining upstream gets no new requests after it
     std::uint32_t connections = 110; // if the upstream announces no maximum
     duration tick_period = 20ms;     // between calls of tick()
+    // The longest lease of an earlier process of this node, which may have granted keys
+    // to an upstream until the end of that lease.
+    duration max_lease = lease_options{}.max_lease_duration();
 };
 
 class agent
@@ -130,9 +134,9 @@
     // The upstream incarnation with this id is about to exit and sends no more reports.
     void on_departure(std::string const& incarnation_id, instant now);
 
-    // Returns the upstreams that can own shards. Returns nothing soon after the start if
-    // no upstream has reported: one that kept running through a restart of this process
-    // may still report.
+    // Returns the upstreams that can own shards, by the rules of upstream_liveness.hpp.
+    // Returns nothing soon after the start if no upstream has reported: one that kept
+    // running through a restart of this process may still report.
     std::optional<std::vector<target>> targets(instant now);
     // Returns the shards that upstreams have released since the last call, with their
     // services.
@@ -191,6 +195,7 @@
     bool keyed(std::string const& service) const;
     void try_begin(active_request& w, instant now);
     void wait_for_shard(active_request& w);
+    upstream_evidence evidence_of(link const& l, instant now) const;
     bool is_silent(link const& l, instant now) const;
     bool accepts_requests(link const& l, bool keyed_request, instant now) const;
     void admit(active_request& w, instant now);
--- a/src/process/agent_impl.hpp
+++ b/src/process/agent_impl.hpp
@@ -17,9 +17,9 @@
 {
     upstream_report report;
     instant reported_at;
-    instant answered_at;             // last answer to a request
-    bool departed = false;           // announced its exit; reports no more
-    bool connection_refused = false; // on the latest attempt to connect
+    instant answered_at;         // last answer to a request
+    bool departed = false;       // announced its exit; reports no more
+    bool connect_failed = false; // the latest attempt to connect; see upstream_liveness
     instant draining_since;
     http_client http;
     upstream_queue queue;
--- a/src/process/agent_upstreams.cpp
+++ b/src/process/agent_upstreams.cpp
@@ -10,9 +10,6 @@
 namespace
 {
 
-constexpr int max_missed_reports = 3; // then an upstream counts as silent
-// An upstream that has answered within this time is alive even if its reports are lost.
-constexpr duration answer_liveness_window = 2s;
 constexpr double newest_rate_weight = 0.5; // of the newest interval
 constexpr double min_reported_rate = 0.02; // requests per second
 constexpr duration max_expected_move = 3s; // a move usually takes 1 to 2 s
@@ -88,7 +85,7 @@
     l->report = report;
     l->queue.set_slots(usable_slots(report));
     l->reported_at = now;
-    l->connection_refused = false;
+    l->connect_failed = false;
     if (began_to_drain)
     {
         l->draining_since = now;
@@ -185,29 +182,39 @@
     tick(now);
 }
 
+upstream_evidence agent::evidence_of(link const& l, instant now) const
+{
+    // An earlier process of this node may have granted keys too.
+    auto const granted_until = [&]
+    {
+        return std::max(l.grants->all_expired_at(), m_started + m_options.max_lease);
+    };
+    return {.since_report = now - l.reported_at,
+            .since_answer = now - l.answered_at,
+            .grants_left = l.grants ? granted_until() - now : duration{0},
+            .departed = l.departed,
+            .connect_failed = l.connect_failed};
+}
+
 std::optional<std::vector<target>> agent::targets(instant now)
 {
-    auto const max_silence = max_missed_reports * m_options.report_interval;
-    if (m_links.empty() && now - m_started < 2 * max_silence)
+    auto const interval = m_options.report_interval;
+    if (m_links.empty() &&
+        now - m_started < first_report_wait(interval, m_options.max_lease))
         return std::nullopt;
     std::vector<target> found;
     for (auto const& [service, l] : m_links)
     {
         if (service == old_setup_link)
             continue;
-        auto const since_report = now - l->reported_at;
-        bool const reports = since_report < max_silence && !l->departed;
-        bool const dead =
-            l->connection_refused && since_report > m_options.report_interval * 3 / 2;
-        bool const may_hold_keys = l->grants && now < l->grants->all_expired_at();
-        // An upstream that may still hold keys stays a target until its grants expire,
-        // unless it is known to be dead.
-        if ((!reports && !may_hold_keys) || dead)
+        auto const standing = standing_of(evidence_of(*l, now), interval);
+        if (standing == upstream_standing::gone)
             continue;
-        found.push_back({.service = service,
-                         .slots = l->report.slots,
-                         .incarnation = to_string(l->report.incarnation),
-                         .draining = l->draining() || !reports});
+        found.push_back(
+            {.service = service,
+             .slots = l->report.slots,
+             .incarnation = to_string(l->report.incarnation),
+             .draining = l->draining() || standing == upstream_standing::ending});
     }
     return found;
 }
@@ -252,13 +259,12 @@
         .service = l.queue.known_service(request_class).value_or(duration{0}),
         .until_slot = l.queue.until_free_slot(),
         .backlog = l.queue.backlog(),
-        .accepting = !l.draining() && !silent && !l.connection_refused && !m_closing};
+        .accepting = !l.draining() && !silent && !l.connect_failed && !m_closing};
 }
 
 bool agent::is_silent(link const& l, instant now) const
 {
-    return now - l.reported_at > max_missed_reports * m_options.report_interval &&
-           now - l.answered_at > answer_liveness_window;
+    return buckthornusher::is_silent(evidence_of(l, now), m_options.report_interval);
 }
 
 void agent::begin_closing()
--- /dev/null
+++ b/tests/node_process_test.cpp
@@ -0,0 +1,152 @@
+// Tests of real node processes against upstreams that fail: what callers and upstreams
+// may rely on when reports are late, connections fail or processes end.
+#include "node_fleet.hpp"
+
+#include <algorithm>
+#include <array>
+
+namespace buckthornusher::test
+{
+namespace
+{
+
+// ---- keys of an upstream that may be running ----
+
+constexpr std::uint32_t keys_per_unit = 64; // each shard has at least that many
+constexpr std::uint32_t units = 65'536 / keys_per_unit;
+
+// Watches which upstream holds which keys, by the answers to their reports.
+class hold_watch
+{
+public:
+    explicit hold_watch(std::size_t upstreams) : m_until(upstreams) {}
+
+    void on_grant(std::size_t upstream, nlohmann::json const& answer, instant sent)
+    {
+        auto const now = boot_now();
+        auto const until =
+            sent + std::chrono::milliseconds(answer.at("hold_ms").get<int>());
+        std::array<instant, units> next{};
+        for (auto const& row : answer.at("holds"))
+            for (auto key = row[0].get<std::uint32_t>(); key <= row[1]; ++key)
+                next.at(key / keys_per_unit) = until;
+        m_until.at(upstream) = next;
+        for (std::size_t other = 0; other < m_until.size(); ++other)
+            for (std::uint32_t unit = 0; unit < units; ++unit)
+                if (other != upstream && next.at(unit) > now &&
+                    m_until.at(other).at(unit) > now)
+                    ++m_overlaps;
+    }
+
+    std::size_t held(std::size_t upstream) const
+    {
+        auto const now = boot_now();
+        return static_cast<std::size_t>(
+            std::count_if(m_until.at(upstream).begin(), m_until.at(upstream).end(),
+                          [now](instant until) { return until > now; }));
+    }
+    std::size_t overlaps() const { return m_overlaps; } // units granted while held
+
+private:
+    std::vector<std::array<instant, units>> m_until;
+    std::size_t m_overlaps = 0;
+};
+
+class keyed_fleet : public node_fleet
+{
+protected:
+    void SetUp() override
+    {
+        ASSERT_NO_FATAL_FAILURE(start({"kiosk", "kiosk", "kiosk", "desk"}));
+        for (std::size_t i = 0; i < keyed; ++i)
+            upstreams[i]->on_grant = [this, i](nlohmann::json const& answer, instant sent)
+            {
+                holds.on_grant(i, answer, sent);
+            };
+        ASSERT_TRUE(run_until(loop, [this] { return all_held(); }));
+    }
+
+    bool all_held() const
+    {
+        std::size_t sum = 0;
+        for (std::size_t i = 0; i < keyed; ++i)
+        {
+            sum += holds.held(i);
+            if (holds.held(i) == 0)
+                return false;
+        }
+        return sum == units;
+    }
+
+    // Sends a request for each of some keys, without waiting for the answers.
+    void send_requests(http_client& client)
+    {
+        constexpr std::uint32_t step = 4'096;
+        for (std::uint32_t key = 0; key < 65'536; key += step)
+            client.call(
+                make_request("kiosk", "k" + std::to_string(++m_sent),
+                             {{"X-Buckthornusher-Shard-Key", std::to_string(key)}}),
+                3s, [](http_result const&) {});
+    }
+
+    static constexpr std::size_t keyed = 3;
+    hold_watch holds{keyed};
+
+private:
+    int m_sent = 0;
+};
+
+// Guards against keys of a running upstream being granted to another one: its report was
+// late and it refused connections, so its node took it for dead.
+TEST_F(keyed_fleet,
+       keys_of_an_upstream_that_refuses_connections_stay_until_its_grant_ends)
+{
+    upstreams[0]->reports = false;
+    upstreams[0]->stop_listening();
+    http_client callers(loop, {.peer = callers_of(3), .max_connections = 64});
+    auto const last_held = [this]
+    {
+        return holds.held(0) == 0;
+    };
+    auto const started = boot_now();
+    while (!last_held() && boot_now() - started < max_wait)
+    {
+        send_requests(callers);
+        run_for(loop, 100ms);
+    }
+    EXPECT_TRUE(last_held());
+    EXPECT_TRUE(
+        run_until(loop, [this] { return holds.held(1) + holds.held(2) == units; }))
+        << "the others get its keys in the end";
+    EXPECT_EQ(holds.overlaps(), 0U);
+}
+
+// Guards against the same after a restart of the node, whose new process has granted
+// nothing itself: the grants of the earlier one run on.
+TEST_F(keyed_fleet, keys_granted_by_an_earlier_process_stay_until_its_lease_ends)
+{
+    upstreams[0]->reports = false;
+    upstreams[0]->stop_listening();
+    auto const late = upstreams[0]->next_report();
+    kill_node(0);
+    start_node(0);
+    http_client callers(loop, {.peer = callers_of(3), .max_connections = 64});
+    // The report arrives before the new process has a lease, so it brings no grant.
+    ASSERT_TRUE(run_until(loop, [&] { return upstreams[0]->report(late) != 0; }));
+    auto const last_held = [this]
+    {
+        return holds.held(0) == 0;
+    };
+    auto const started = boot_now();
+    while (!last_held() && boot_now() - started < max_wait)
+    {
+        send_requests(callers);
+        run_for(loop, 100ms);
+    }
+    EXPECT_TRUE(
+        run_until(loop, [this] { return holds.held(1) + holds.held(2) == units; }));
+    EXPECT_EQ(holds.overlaps(), 0U);
+}
+
+} // namespace
+} // namespace buckthornusher::test
