--- a/include/buckthornusher/coordinator.hpp
+++ b/include/buckthornusher/coordinator.hpp
@@ -174,6 +174,13 @@
     // shards; the caller must ensure that no grant of the old incarnation is still in
     // force.
     void set_targets(std::vector<target> targets);
+    // Sets the upstreams that have announced their exit, for the member's record. The
+    // record keeps those that it has, up to the limit of upstream_history.hpp.
+    void set_departed(std::vector<upstream_incarnation> departed);
+    // Returns the node's record, by this or an earlier process. Null if there is none.
+    member_record const* node_record() const;
+    // Whether node_record() is known: the store's objects, or a peer's, have been read.
+    bool knows_node_record() const { return copy().revision() > 0; }
 
     // Reports the request rates of this member's shards; call about once a second.
     void report_load(load_report const& report, instant now);
--- a/include/buckthornusher/member.hpp
+++ b/include/buckthornusher/member.hpp
@@ -2,6 +2,8 @@
 #ifndef BUCKTHORNUSHER_MEMBER_HPP
 #define BUCKTHORNUSHER_MEMBER_HPP
 
+#include "buckthornusher/upstream_incarnation.hpp"
+
 #include <compare>
 #include <cstdint>
 #include <string>
@@ -70,7 +72,8 @@
 // Invariants: the record changes only by conditional updates, so an eviction reads the
 // member's latest watchers, and of a concurrent restart and eviction only one succeeds.
 // `inherited` is set while the generation is older than the incarnation: an earlier
-// process may have been granted a lease that still runs.
+// process may have been granted a lease that still runs. `targets` and `departed` are
+// what the node's next process must know of the upstreams (upstream_history.hpp).
 struct member_record
 {
     member_id id;
@@ -83,7 +86,8 @@
     std::vector<member_id> watchers;
     std::uint64_t watcher_changes = 0; // replacements of the watchers, by any process
     std::vector<target> targets;
-    bool draining = false; // gets no further shards
+    std::vector<upstream_incarnation> departed; // announced their exit, latest last
+    bool draining = false;                      // gets no further shards
 
     owner_id owner() const { return {.node = id.node, .generation = generation}; }
     friend bool operator==(member_record const&, member_record const&) = default;
--- a/include/buckthornusher/report_order.hpp
+++ b/include/buckthornusher/report_order.hpp
@@ -24,26 +24,36 @@
 
 enum class report_verdict
 {
-    new_incarnation,   // the first report of a later incarnation
+    new_incarnation,   // the first report to this process of the latest incarnation
     next,              // the latest report of the current incarnation
     late,              // overtaken by a later report of the same incarnation
     stale_incarnation, // from an incarnation before the current one
+    departed,          // from an incarnation that has announced its exit
 };
 
 class report_order
 {
 public:
-    // Classifies a report. Must be called once for each report, in order of arrival.
+    // Notes an incarnation that an earlier process has known. Has no effect if a later
+    // one is known.
+    void restore(upstream_incarnation const& known);
+
+    // Classifies a report. Must be called once for each report, in order of arrival. Does
+    // not return `departed`.
     report_verdict classify(upstream_incarnation const& incarnation,
                             std::uint64_t sequence);
 
+    // Returns the latest known incarnation, if there is one.
+    std::optional<upstream_incarnation> latest() const;
+
 private:
-    struct latest
+    struct latest_report
     {
         upstream_incarnation incarnation;
         std::uint64_t sequence = 0; // 0: the reports are not numbered
+        bool reported = false;      // to this process
     };
-    std::optional<latest> m_latest;
+    std::optional<latest_report> m_latest;
 };
 
 } // namespace buckthornusher
--- a/include/buckthornusher/upstream_report.hpp
+++ b/include/buckthornusher/upstream_report.hpp
@@ -4,8 +4,8 @@
 
 #include "buckthornusher/shard_map.hpp"
 #include "buckthornusher/time.hpp"
+#include "buckthornusher/upstream_incarnation.hpp"
 
-#include <compare>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -13,18 +13,6 @@
 namespace buckthornusher
 {
 
-// One run of an upstream's process. Of two incarnations the one that started later is
-// current.
-struct upstream_incarnation
-{
-    std::string id;
-    std::uint64_t started = 0; // by the upstream's clock; 0: unknown
-    friend auto operator<=>(upstream_incarnation const&,
-                            upstream_incarnation const&) = default;
-};
-
-std::string to_string(upstream_incarnation const& incarnation);
-
 // Numeric keys that the upstream holds or still processes requests for.
 struct held_range
 {
--- a/src/connection/wire.cpp
+++ b/src/connection/wire.cpp
@@ -65,6 +65,12 @@
         target.set_life(t.incarnation);
         target.set_draining(t.draining);
     }
+    for (auto const& incarnation : m.departed)
+    {
+        auto& life = *w.add_departed();
+        life.set_id(incarnation.id);
+        life.set_started(incarnation.started);
+    }
 }
 
 void encode_to(assignment const& a, std::uint32_t shards, wire::Assignment& out)
@@ -122,6 +128,8 @@
                              .slots = t.slots(),
                              .incarnation = t.life(),
                              .draining = t.draining()});
+    for (auto const& life : w.departed())
+        m.departed.push_back({.id = life.id(), .started = life.started()});
     return m;
 }
 
--- a/src/coordination/coordinator.cpp
+++ b/src/coordination/coordinator.cpp
@@ -561,6 +561,16 @@
     m_impl->targets_known = true;
 }
 
+void coordinator::set_departed(std::vector<upstream_incarnation> departed)
+{
+    m_impl->departed = std::move(departed);
+}
+
+member_record const* coordinator::node_record() const
+{
+    return m_impl->copy.node(m_impl->opts.self.node);
+}
+
 void coordinator::report_load(load_report const& report, instant now)
 {
     if (m_impl->current_phase == impl::phase::member)
--- a/src/coordination/coordinator_impl.hpp
+++ b/src/coordination/coordinator_impl.hpp
@@ -83,8 +83,9 @@
     instant next_watcher_change; // while a majority of the present ones is left
     instant next_member_review;
     instant next_registration;
-    instant watchers_since;     // when the current watchers were accepted
-    bool targets_known = false; // set_targets() was called
+    instant watchers_since;                     // when the current watchers were accepted
+    bool targets_known = false;                 // set_targets() was called
+    std::vector<upstream_incarnation> departed; // for the own record
     // Version of the record by which this process took over a generation. Once the
     // replica has reached it, everything the earlier process may have acted on is known.
     std::uint64_t takeover_version = 0;
@@ -259,6 +260,10 @@
     // Sends pulls to some remote members in turn, so that any reachable one answers.
     void probe_members(instant now);
 
+    // Returns the recorded departures with those of this process.
+    std::vector<upstream_incarnation>
+    with_departures(std::vector<upstream_incarnation> recorded) const;
+
     // Updates this member's own record, one write at a time.
     void update_self(instant now);
 
--- a/src/coordination/coordinator_membership.cpp
+++ b/src/coordination/coordinator_membership.cpp
@@ -1,6 +1,7 @@
 // Implementation of coordinator: its record, its watchers and its lease.
 #include "coordination/coordinator_impl.hpp"
 
+#include "buckthornusher/upstream_history.hpp"
 #include "coordination/roles.hpp"
 
 #include <algorithm>
@@ -58,9 +59,13 @@
                        .state = member_state::live,
                        .watchers = {},
                        .targets = opts.targets,
+                       .departed = departed,
                        .draining = false};
     if (before != nullptr)
+    {
         self.generation = std::max(self.generation, before->generation + 1);
+        self.departed = with_departures(before->departed);
+    }
     if (!over)
     {
         self.generation = before->generation;
@@ -226,6 +231,14 @@
     return silent;
 }
 
+std::vector<upstream_incarnation>
+coordinator::impl::with_departures(std::vector<upstream_incarnation> recorded) const
+{
+    for (auto const& incarnation : departed)
+        add_departure(recorded, incarnation);
+    return recorded;
+}
+
 void coordinator::impl::update_self(instant now)
 {
     auto const name = member_object(opts.self.node);
@@ -233,6 +246,7 @@
     if (current == nullptr || writer.busy(name))
         return;
     auto next = *current;
+    next.departed = with_departures(current->departed);
     if (targets_known)
     {
         next.targets = opts.targets;
--- a/src/coordination/grant_table.cpp
+++ b/src/coordination/grant_table.cpp
@@ -59,11 +59,6 @@
 
 } // namespace
 
-std::string to_string(upstream_incarnation const& incarnation)
-{
-    return incarnation.id + "@" + std::to_string(incarnation.started);
-}
-
 shards_by_move partition_by_move(std::vector<owned_shard> const& owned,
                                  std::function<bool(std::uint32_t)> const& is_idle)
 {
--- a/src/coordination/report_order.cpp
+++ b/src/coordination/report_order.cpp
@@ -4,10 +4,16 @@
 namespace buckthornusher
 {
 
+void report_order::restore(upstream_incarnation const& known)
+{
+    if (!m_latest || m_latest->incarnation.started < known.started)
+        m_latest = {.incarnation = known};
+}
+
 report_verdict report_order::classify(upstream_incarnation const& incarnation,
                                       std::uint64_t sequence)
 {
-    if (m_latest && m_latest->incarnation == incarnation)
+    if (m_latest && m_latest->incarnation == incarnation && m_latest->reported)
     {
         if (sequence != 0 && sequence <= m_latest->sequence)
             return report_verdict::late;
@@ -16,8 +22,13 @@
     }
     if (m_latest && incarnation.started < m_latest->incarnation.started)
         return report_verdict::stale_incarnation;
-    m_latest = {.incarnation = incarnation, .sequence = sequence};
+    m_latest = {.incarnation = incarnation, .sequence = sequence, .reported = true};
     return report_verdict::new_incarnation;
 }
 
+std::optional<upstream_incarnation> report_order::latest() const
+{
+    return m_latest ? std::optional(m_latest->incarnation) : std::nullopt;
+}
+
 } // namespace buckthornusher
--- a/src/process/agent.hpp
+++ b/src/process/agent.hpp
@@ -22,7 +22,7 @@
 #include "buckthornusher/outcome.hpp"
 #include "buckthornusher/placement.hpp"
 #include "buckthornusher/planned_stop.hpp"
-#include "buckthornusher/report_order.hpp"
+#include "buckthornusher/upstream_history.hpp"
 #include "buckthornusher/upstream_liveness.hpp"
 #include "buckthornusher/upstream_queue.hpp"
 #include "connection/http_client.hpp"
@@ -131,8 +131,12 @@
         std::optional<upstream_grant> grant;
     };
     report_answer on_report(upstream_report const& report, instant now);
-    // The upstream incarnation with this id is about to exit and sends no more reports.
-    void on_departure(std::string const& incarnation_id, instant now);
+    // An upstream is about to exit and sends no more reports. Returns its incarnation.
+    upstream_incarnation on_departure(departure_notice const& notice, instant now);
+    // Takes over what the node's record says of its upstreams. Must be called before the
+    // first report, and again after each change of the record.
+    void restore(member_record const& record, instant now);
+    upstream_history const& history() const { return m_history; }
 
     // Returns the upstreams that can own shards, by the rules of upstream_liveness.hpp.
     // Returns nothing soon after the start if no upstream has reported: one that kept
@@ -195,6 +199,8 @@
     bool keyed(std::string const& service) const;
     void try_begin(active_request& w, instant now);
     void wait_for_shard(active_request& w);
+    void mark_departed(instant now);
+    void add_unreported(std::vector<target>& found, instant now) const;
     upstream_evidence evidence_of(link const& l, instant now) const;
     bool is_silent(link const& l, instant now) const;
     bool accepts_requests(link const& l, bool keyed_request, instant now) const;
@@ -220,8 +226,8 @@
     coordinator* m_coordinator;
     agent_options m_options;
     instant m_started;
-    std::map<std::string, link_ptr> m_links;             // by service, and the old setup
-    std::map<std::string, report_order> m_report_orders; // by service
+    std::map<std::string, link_ptr> m_links; // by service, and the old setup
+    upstream_history m_history;
     std::shared_ptr<route_table const> m_routes;
     // Unfinished requests of each shard at its upstream and at the old setup. Invariant:
     // a request is sent to one of them only while the other has none.
--- a/src/process/agent_impl.hpp
+++ b/src/process/agent_impl.hpp
@@ -20,7 +20,8 @@
     instant answered_at;         // last answer to a request
     bool departed = false;       // announced its exit; reports no more
     bool connect_failed = false; // the latest attempt to connect; see upstream_liveness
-    instant draining_since;
+    bool drained_before = false; // began to drain under an earlier process
+    instant draining_since;      // long ago if it drained before
     http_client http;
     upstream_queue queue;
     answered_memory answered = answered_memory({});
@@ -29,7 +30,10 @@
     std::optional<instant> expecting_since; // incoming shards, from then on
     dependency state;
 
-    bool draining() const { return departed || report.state == upstream_state::draining; }
+    bool draining() const
+    {
+        return departed || drained_before || report.state == upstream_state::draining;
+    }
 };
 
 struct agent::active_request
--- a/src/process/agent_upstreams.cpp
+++ b/src/process/agent_upstreams.cpp
@@ -66,9 +66,8 @@
 
 agent::report_answer agent::on_report(upstream_report const& report, instant now)
 {
-    auto const verdict =
-        m_report_orders[report.service].classify(report.incarnation, report.sequence);
-    if (verdict == report_verdict::late || verdict == report_verdict::stale_incarnation)
+    auto const verdict = m_history.classify(report);
+    if (verdict != report_verdict::new_incarnation && verdict != report_verdict::next)
         return {.verdict = verdict, .grant = {}};
     auto& l = m_links[report.service];
     if (verdict == report_verdict::new_incarnation)
@@ -76,6 +75,7 @@
         log_event(log_level::info, "upstream-life",
                   {{"service", report.service}, {"life", to_string(report.incarnation)}});
         auto const before = std::exchange(l, make_link(report));
+        l->drained_before = m_history.was_draining(report.incarnation);
         if (before != nullptr)
             refuse_all(before->queue.clear(), outcome_reason::upstream_refused,
                        refusal_retry_after);
@@ -165,13 +165,29 @@
     return grant;
 }
 
-void agent::on_departure(std::string const& incarnation_id, instant now)
+upstream_incarnation agent::on_departure(departure_notice const& notice, instant now)
+{
+    auto departed = m_history.note_departure(notice);
+    log_event(log_level::info, "upstream-departs", {{"life", to_string(departed)}});
+    mark_departed(now);
+    tick(now);
+    return departed;
+}
+
+void agent::restore(member_record const& record, instant now)
+{
+    m_history.restore(record);
+    mark_departed(now);
+}
+
+// Stops using the upstreams that have announced their exit.
+void agent::mark_departed(instant now)
 {
     for (auto const& [service, l] : m_links)
     {
-        if (service == old_setup_link || l->report.incarnation.id != incarnation_id)
+        if (service == old_setup_link || l->departed ||
+            !m_history.has_departed(l->report.incarnation))
             continue;
-        log_event(log_level::info, "upstream-departs", {{"service", service}});
         if (!l->draining())
             l->draining_since = now;
         l->departed = true;
@@ -179,7 +195,6 @@
             refuse_all(l->queue.clear(), outcome_reason::not_reached,
                        refusal_retry_after);
     }
-    tick(now);
 }
 
 upstream_evidence agent::evidence_of(link const& l, instant now) const
@@ -196,13 +211,30 @@
             .connect_failed = l.connect_failed};
 }
 
+// Adds the upstreams of the node's earlier process that have not reported to this one.
+void agent::add_unreported(std::vector<target>& found, instant now) const
+{
+    bool const earlier_grants = now - m_started < m_options.max_lease;
+    for (auto t : m_history.restored())
+    {
+        bool const departed = m_history.has_departed(parse_incarnation(t.incarnation));
+        if (m_links.contains(t.service) || (departed && !earlier_grants))
+            continue;
+        t.draining = t.draining || departed;
+        found.push_back(std::move(t));
+    }
+}
+
 std::optional<std::vector<target>> agent::targets(instant now)
 {
     auto const interval = m_options.report_interval;
-    if (m_links.empty() &&
-        now - m_started < first_report_wait(interval, m_options.max_lease))
+    bool const awaits_reports =
+        now - m_started < first_report_wait(interval, m_options.max_lease);
+    if (awaits_reports && m_links.empty() && m_history.restored().empty())
         return std::nullopt;
     std::vector<target> found;
+    if (awaits_reports)
+        add_unreported(found, now);
     for (auto const& [service, l] : m_links)
     {
         if (service == old_setup_link)
--- a/src/process/node.cpp
+++ b/src/process/node.cpp
@@ -8,7 +8,6 @@
 #include "connection/store_client.hpp"
 #include "connection/wire.hpp"
 #include "coordination/roles.hpp"
-#include "platform/reports.hpp"
 #include "process/agent.hpp"
 #include "process/boot_clock.hpp"
 #include "process/event_loop.hpp"
@@ -22,6 +21,7 @@
 #include "process/peer_table.hpp"
 #include "process/shard_handover.hpp"
 #include "process/state_log.hpp"
+#include "process/upstream_announcements.hpp"
 
 #include "wire.pb.h"
 
@@ -94,6 +94,7 @@
                  .drain_limit = settings.drain_limit,
                  .tick_period = request_period,
                  .max_lease = make_lease_options(settings).max_lease_duration()}),
+          announcements(local, {}, [this](instant now) { update_targets(now); }),
           forwards(local, peers, table, settings.name),
           requests(loop, *coord, local, peers, table, counts,
                    {.form = make_caller_form(settings.form),
@@ -122,7 +123,10 @@
             upstream_server.emplace(
                 loop, http_server::options{.address = to_address(settings.upstreams)},
                 [this](http_request const& request, http_reply const& reply)
-                { on_announcement(request, reply); });
+                {
+                    announcements.handle(request, reply, boot_now());
+                    apply_effects();
+                });
         if (!settings.readiness.empty())
             readiness_server.emplace(
                 loop, http_server::options{.address = to_address(settings.readiness)},
@@ -149,7 +153,10 @@
     bool ordered_configuration = false;
     std::unique_ptr<coordinator> coord;
     std::optional<std::vector<target>> known_targets;
+    std::vector<upstream_incarnation> known_departed;
     agent local;
+    upstream_announcements announcements;
+    std::optional<std::uint64_t> known_record_version; // of the node's record
     forward_server forwards;
     ingress requests;
     shard_handover handover;
@@ -267,8 +274,9 @@
 
     void apply(replica_changed& /*effect*/)
     {
-        update_config();
         auto const now = boot_now();
+        update_record(now);
+        update_config();
         local.on_replica_changed(now);
         requests.on_replica_changed(now);
     }
@@ -297,6 +305,7 @@
                                       coord->take_copy());
         if (known_targets)
             fresh->set_targets(*known_targets);
+        fresh->set_departed(known_departed);
         local.set_coordinator(*fresh);
         requests.set_coordinator(*fresh);
         handover.set_coordinator(*fresh);
@@ -353,42 +362,29 @@
 
     // ---- upstreams ----
 
-    void on_announcement(http_request const& request, http_reply const& reply)
+    // Passes the node's record on when it has become known or has changed.
+    void update_record(instant now)
     {
-        auto const now = boot_now();
-        std::visit(overloaded{[&](upstream_report const& report)
-                              {
-                                  auto const answer = local.on_report(report, now);
-                                  constexpr int stale_incarnation = 410;
-                                  if (answer.verdict == report_verdict::stale_incarnation)
-                                      return reply.send({.status = stale_incarnation});
-                                  update_targets(now);
-                                  reply.send(platform::answer_announcement(answer.grant));
-                              },
-                              [&](platform::departure const& gone)
-                              {
-                                  local.on_departure(gone.incarnation_id, now);
-                                  update_targets(now);
-                                  reply.send(platform::answer_announcement(std::nullopt));
-                              },
-                              [&](platform::invalid_announcement const& bad)
-                              {
-                                  log_event(log_level::warning, "announcement-refused",
-                                            {{"error", bad.error}});
-                                  reply.send(
-                                      {.status = bad.status, .body = bad.error + "\n"});
-                              }},
-                   platform::read_announcement(request));
-        apply_effects();
+        auto const version = coord->copy().version_of(member_object(settings.name));
+        if (!coord->knows_node_record() || known_record_version == version)
+            return;
+        known_record_version = version;
+        announcements.on_record(coord->node_record(), now);
     }
 
     void update_targets(instant now)
     {
         auto const targets = local.targets(now);
-        if (!targets || targets == known_targets)
+        auto const& departed = local.history().departed();
+        if ((!targets || targets == known_targets) && departed == known_departed)
             return;
-        known_targets = targets;
-        coord->set_targets(*targets);
+        if (targets)
+        {
+            coord->set_targets(*targets);
+            known_targets = targets;
+        }
+        coord->set_departed(departed);
+        known_departed = departed;
         coord->tick(now);
     }
 
@@ -461,7 +457,9 @@
 
     void tick(instant now)
     {
+        update_record(now);
         update_targets(now);
+        announcements.tick(now);
         if (coord->copy().revision() == 0)
             pull_from_seeds();
         if (now >= next_peer_review)
--- a/tests/node_process_test.cpp
+++ b/tests/node_process_test.cpp
@@ -148,5 +148,93 @@
     EXPECT_EQ(holds.overlaps(), 0U);
 }
 
+// ---- an upstream that has left ----
+
+class order_fleet : public node_fleet
+{
+protected:
+    void SetUp() override
+    {
+        ASSERT_NO_FATAL_FAILURE(start({"desk", "desk", "kiosk"}));
+        for (std::size_t i = 0; i < 2; ++i)
+            ASSERT_TRUE(wait_until_served(i, "desk"));
+    }
+
+    // Restarts the node beside the upstream that leaves and waits until it serves.
+    void restart_node()
+    {
+        kill_node(0);
+        start_node(0);
+        ASSERT_TRUE(wait_until_served(0, "desk"));
+    }
+
+    // Sends orders to all nodes for longer than an upstream counts as present after its
+    // last report. Returns how many of them reached the upstream that has left.
+    std::size_t orders_that_reach_it()
+    {
+        auto const before = upstreams[0]->runs.size();
+        auto const until = boot_now() + 3 * report_interval + 500ms;
+        for (int n = 0; boot_now() < until; ++n)
+            for (std::size_t node = 0; node < 3; ++node)
+                status_of(node, "desk", std::to_string(n) + "-" + std::to_string(node));
+        return upstreams[0]->runs.size() - before;
+    }
+
+    static constexpr int acknowledged = 200;
+    static constexpr int outdated = 410;
+};
+
+// Guards against a target that has left being used again: its node was restarted after
+// the acknowledgement, and a report from before arrived late.
+TEST_F(order_fleet, an_upstream_that_left_is_not_used_again_after_its_node_restarts)
+{
+    upstreams[0]->reports = false;
+    auto const late = upstreams[0]->next_report();
+    ASSERT_EQ(upstreams[0]->depart(), acknowledged);
+    restart_node();
+    EXPECT_EQ(upstreams[0]->report(late), outdated);
+    EXPECT_EQ(orders_that_reach_it(), 0U);
+}
+
+// Guards against the same where the process that acknowledges the exit does not know the
+// upstream yet.
+TEST_F(order_fleet, an_upstream_that_leaves_right_after_a_restart_is_not_used_again)
+{
+    upstreams[0]->reports = false;
+    auto const late = upstreams[0]->next_report();
+    kill_node(0);
+    start_node(0);
+    ASSERT_TRUE(run_until(loop, [&] { return upstreams[0]->depart() == acknowledged; }));
+    EXPECT_EQ(upstreams[0]->report(late), outdated);
+    EXPECT_EQ(orders_that_reach_it(), 0U);
+    restart_node();
+    EXPECT_EQ(upstreams[0]->report(late), outdated);
+    EXPECT_EQ(orders_that_reach_it(), 0U);
+}
+
+// Guards against a report from before a drain ending it under the next process.
+TEST_F(order_fleet, an_upstream_that_drains_is_not_used_again_after_its_node_restarts)
+{
+    upstreams[0]->reports = false;
+    auto const late = upstreams[0]->next_report();
+    upstreams[0]->state = "draining";
+    ASSERT_EQ(upstreams[0]->report(upstreams[0]->next_report()), acknowledged);
+    restart_node();
+    EXPECT_EQ(upstreams[0]->report(late), acknowledged);
+    EXPECT_EQ(orders_that_reach_it(), 0U);
+}
+
+// Guards against an exit that is acknowledged while it can't be kept: the next process
+// would not know it.
+TEST_F(order_fleet, an_exit_is_not_acknowledged_while_the_store_is_down)
+{
+    upstreams[0]->reports = false;
+    set_store_fault("down");
+    EXPECT_NE(upstreams[0]->depart(), acknowledged);
+    EXPECT_EQ(orders_that_reach_it(), 0U) << "it is not used, though";
+    set_store_fault("none");
+    EXPECT_TRUE(run_until(loop, [&] { return upstreams[0]->depart() == acknowledged; }));
+}
+
 } // namespace
 } // namespace buckthornusher::test
