--- a/src/connection/http_codec.cpp
+++ b/src/connection/http_codec.cpp
@@ -1,8 +1,11 @@
 // Implementation of the HTTP/1.1 readers and serializers; see the header.
 #include "connection/http_codec.hpp"
 
+#include "connection/http_parser.hpp"
+
 #include <boost/asio/buffer.hpp>
-#include <boost/beast/http.hpp>
+#include <boost/beast/http/rfc7230.hpp>
+#include <boost/beast/http/status.hpp>
 
 #include <algorithm>
 #include <array>
@@ -39,49 +42,49 @@
     return false;
 }
 
-// Returns all headers except the hop-by-hop ones and those that the Connection header
-// names.
-template <class Fields>
-http_headers end_to_end_headers(Fields const& fields, bool keep_length)
+// Returns all headers except the hop-by-hop ones and those that the Connection headers
+// name.
+http_headers end_to_end_headers(http_headers const& all, bool keep_length)
 {
     std::vector<std::string> named;
-    for (auto const& token : http::token_list(fields[http::field::connection]))
-        named.emplace_back(token);
+    for (auto const& header : all)
+        if (equal_names(header.name, "connection"))
+            for (auto const& token : http::token_list(header.value))
+                named.emplace_back(token);
     http_headers headers;
-    for (auto const& field : fields)
+    for (auto const& header : all)
     {
-        auto const name = to_view(field.name_string());
-        bool const length = keep_length && equal_names(name, "content-length");
-        if (!length &&
-            (contains_name(name, connection_headers) || contains_name(name, named)))
-            continue;
-        headers.push_back({std::string(name), std::string(to_view(field.value()))});
+        bool const length = keep_length && equal_names(header.name, "content-length");
+        if (length || (!contains_name(header.name, connection_headers) &&
+                       !contains_name(header.name, named)))
+            headers.push_back(header);
     }
     return headers;
 }
 
-template <class Fields>
-std::size_t count(Fields const& fields, http::field name)
+std::ptrdiff_t count(http_headers const& headers, std::string_view name)
 {
-    return fields.count(name);
+    return std::count_if(headers.begin(), headers.end(),
+                         [name](http_header const& header)
+                         { return equal_names(header.name, name); });
 }
 
 // Checks the framing more strictly than Beast does. Returns what is wrong, or an empty
 // text.
-template <class Fields>
-std::string_view framing_problem(Fields const& fields)
+std::string_view framing_problem(http_headers const& headers)
 {
-    if (count(fields, http::field::transfer_encoding) > 1)
+    auto const codings = count(headers, "transfer-encoding");
+    if (codings > 1)
         return "more than one Transfer-Encoding";
-    auto const coding = to_view(fields[http::field::transfer_encoding]);
+    auto const coding = find_header(headers, "transfer-encoding");
     if (!coding.empty() && !equal_names(coding, "chunked"))
         return "a transfer coding other than chunked";
-    if (fields.count(http::field::transfer_encoding) > 0 && coding.empty())
+    if (codings > 0 && coding.empty())
         return "an empty Transfer-Encoding";
-    auto const lengths = count(fields, http::field::content_length);
+    auto const lengths = count(headers, "content-length");
     if (!coding.empty() && lengths > 0)
         return "a length beside chunks";
-    auto const length = to_view(fields[http::field::content_length]);
+    auto const length = find_header(headers, "content-length");
     bool const digits = std::all_of(length.begin(), length.end(),
                                     [](char c) { return c >= '0' && c <= '9'; });
     if (lengths > 1 || (lengths == 1 && (length.empty() || !digits)))
@@ -103,14 +106,15 @@
 // The state and steps shared by both readers. The header is read first and stored
 // separately, so that trailer fields after a chunked body cannot mix with it; then the
 // body is read.
-template <class Parser>
+template <bool is_request>
 struct reader_state
 {
-    Parser parser;
-    http_headers headers;
+    http_parser<is_request> parser;
+    http_headers headers; // end to end
     http_read_error error;
-    std::string pending; // bytes of an incomplete line
-    std::size_t max_pending_bytes = 0;
+    std::string pending;              // bytes of an incomplete line
+    std::size_t max_header_bytes = 0; // also of a chunk's line
+    std::size_t header_bytes = 0;     // used so far
     bool header_done = false;
     bool keep_length = false;
 
@@ -119,7 +123,7 @@
         parser.header_limit(limits.header_bytes);
         parser.body_limit(limits.body_bytes);
         parser.eager(false);
-        max_pending_bytes = limits.header_bytes;
+        max_header_bytes = limits.header_bytes;
     }
 
     void fail(int status, std::string_view what)
@@ -148,11 +152,13 @@
         {
             auto const step = put_once(bytes.substr(used));
             used += step;
+            if (!header_done && (header_bytes += step) > max_header_bytes)
+                fail(headers_too_large, "the header is too long");
             if (parser.is_header_done() && !header_done && error.status == 0)
             {
                 header_done = true;
-                headers = end_to_end_headers(parser.get(), keep_length);
-                if (auto const problem = check(parser.get()); !problem.empty())
+                headers = end_to_end_headers(parser.message.headers, keep_length);
+                if (auto const problem = check(parser.message); !problem.empty())
                     fail(bad_request, problem);
                 parser.eager(true);
             }
@@ -181,7 +187,7 @@
             return bytes.size() - left;
         pending = source.substr(source.size() - left);
         // The parser limits the header, but not the lines within a chunked body.
-        if (pending.size() > max_pending_bytes)
+        if (pending.size() > max_header_bytes)
             fail(headers_too_large, "a chunk's line or the fields after it are too long");
         return bytes.size();
     }
@@ -212,7 +218,7 @@
 
 struct request_reader::impl
 {
-    reader_state<http::request_parser<http::string_body>> state;
+    reader_state<true> state;
 };
 
 request_reader::request_reader(http_read_limits limits) : m_impl(std::make_unique<impl>())
@@ -227,14 +233,15 @@
 {
     return m_impl->state.put(
         bytes,
-        [](auto const& message) -> std::string_view
+        [](parsed_message const& message) -> std::string_view
         {
-            if (auto const problem = framing_problem(message); !problem.empty())
+            constexpr int version_1_1 = 11;
+            if (auto const problem = framing_problem(message.headers); !problem.empty())
                 return problem;
-            if (message.count(http::field::host) > 1 ||
-                (message.version() >= 11 && message.count(http::field::host) == 0))
+            auto const hosts = count(message.headers, "host");
+            if (hosts > 1 || (message.version >= version_1_1 && hosts == 0))
                 return "not exactly one Host";
-            if (message.target().empty() || message.target().front() != '/')
+            if (!message.target.starts_with('/'))
                 return "a target that is not a path";
             return {};
         });
@@ -254,29 +261,29 @@
 }
 bool request_reader::keep_alive() const
 {
-    return m_impl->state.parser.get().keep_alive();
+    return m_impl->state.parser.keep_alive();
 }
 bool request_reader::expects_continue() const
 {
-    return equal_names(to_view(m_impl->state.parser.get()[http::field::expect]),
+    return equal_names(find_header(m_impl->state.parser.message.headers, "expect"),
                        "100-continue");
 }
 
 http_request request_reader::take()
 {
     auto& state = m_impl->state;
-    auto& message = state.parser.get();
-    return {.method = std::string(to_view(message.method_string())),
-            .target = std::string(to_view(message.target())),
+    auto& message = state.parser.message;
+    return {.method = std::move(message.method),
+            .target = std::move(message.target),
             .headers = std::move(state.headers),
-            .body = std::move(message.body())};
+            .body = std::move(message.body)};
 }
 
 // ---- responses ----
 
 struct response_reader::impl
 {
-    reader_state<http::response_parser<http::string_body>> state;
+    reader_state<false> state;
 };
 
 response_reader::response_reader(http_read_limits limits, bool no_body)
@@ -292,8 +299,8 @@
 
 std::size_t response_reader::put(std::string_view bytes)
 {
-    return m_impl->state.put(bytes, [](auto const& message)
-                             { return framing_problem(message); });
+    return m_impl->state.put(bytes, [](parsed_message const& message)
+                             { return framing_problem(message.headers); });
 }
 
 void response_reader::put_eof()
@@ -324,13 +331,13 @@
 }
 int response_reader::status() const
 {
-    return static_cast<int>(m_impl->state.parser.get().result_int());
+    return m_impl->state.parser.message.status;
 }
 
 std::optional<std::uint32_t> response_reader::keep_alive_seconds() const
 {
     constexpr std::string_view parameter = "timeout=";
-    auto const value = to_view(m_impl->state.parser.get()[http::field::keep_alive]);
+    auto const value = find_header(m_impl->state.parser.message.headers, "keep-alive");
     auto const at = value.find(parameter);
     if (at == std::string_view::npos)
         return std::nullopt;
@@ -344,11 +351,11 @@
 http_response response_reader::take()
 {
     auto& state = m_impl->state;
-    auto& message = state.parser.get();
-    return {.status = static_cast<int>(message.result_int()),
-            .reason = std::string(to_view(message.reason())),
+    auto& message = state.parser.message;
+    return {.status = message.status,
+            .reason = std::move(message.reason),
             .headers = std::move(state.headers),
-            .body = std::move(message.body())};
+            .body = std::move(message.body)};
 }
 
 // ---- writing ----
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -82,6 +82,14 @@
     return count;
 }
 
+std::string join(std::initializer_list<std::string_view> parts)
+{
+    std::string text;
+    for (auto const part : parts)
+        text += part;
+    return text;
+}
+
 // ---- client and server together ----
 
 TEST(http, carries_method_target_headers_and_body)
@@ -337,6 +345,57 @@
     }
 }
 
+// Guards against a header that arrives line by line being kept without a limit.
+TEST(http_server, a_header_is_limited_as_a_whole_however_it_arrives)
+{
+    constexpr std::size_t limit = 1'024;
+    std::string const line = "X-Field: value\r\n";
+    request_reader request({.header_bytes = limit, .body_bytes = limit});
+    response_reader response({.header_bytes = limit, .body_bytes = limit}, false);
+    request.put("GET / HTTP/1.1\r\nHost: a\r\n");
+    response.put("HTTP/1.1 200 OK\r\n");
+    for (std::size_t put = 0; put <= limit; put += line.size())
+    {
+        request.put(line);
+        response.put(line);
+    }
+    EXPECT_EQ(request.error().status, 431);
+    EXPECT_TRUE(response.failed());
+}
+
+// Guards against a length from outside that ends the process: Beast's own messages throw
+// for fields of 65,534 bytes or more.
+TEST(http_server, fields_of_any_length_up_to_the_limit_are_read)
+{
+    constexpr std::uint32_t limit = 1'000'000;
+    http_read_limits const limits{.header_bytes = limit, .body_bytes = limit};
+    for (std::size_t const length : {65'000, 65'532, 65'533, 65'534, 65'535, 65'536,
+                                     65'537, 70'000, 131'072, 200'000})
+    {
+        std::string const name(length, 'n');
+        std::string const value(length, 'v');
+        auto const fields = join({"Host: a\r\nX: ", value, "\r\n", name, ": 1\r\n"});
+        request_reader request(limits);
+        request.put(join({"GET /", value, " HTTP/1.1\r\n", fields, "\r\n"}));
+        ASSERT_TRUE(request.complete()) << length << ": " << request.error().what;
+        auto const read = request.take();
+        EXPECT_EQ(read.target.size(), length + 1);
+        EXPECT_EQ(find_header(read.headers, "X"), value);
+        EXPECT_EQ(find_header(read.headers, name), "1");
+
+        response_reader response(limits, false);
+        response.put(join({"HTTP/1.1 200 ", value, "\r\n", fields,
+                           "Transfer-Encoding: chunked\r\n\r\n1;x=", value,
+                           "\r\na\r\n0\r\n", fields, "\r\n"}));
+        ASSERT_TRUE(response.complete()) << length << ": " << response.error().what;
+        EXPECT_EQ(response.take().body, "a");
+
+        request_reader limited({.header_bytes = 65'536, .body_bytes = limit});
+        limited.put(join({"GET / HTTP/1.1\r\n", fields, "\r\n"}));
+        EXPECT_EQ(limited.error().status, 431) << length;
+    }
+}
+
 TEST(http_server, closes_the_connection_when_the_caller_requests_it)
 {
     echo_server echo;
--- a/tests/node_process_test.cpp
+++ b/tests/node_process_test.cpp
@@ -236,5 +236,24 @@
     EXPECT_TRUE(run_until(loop, [&] { return upstreams[0]->depart() == acknowledged; }));
 }
 
+// ---- lengths and bytes from outside ----
+
+// Guards against a header field that the configuration allows ending the process that
+// reads it.
+TEST_F(order_fleet, a_header_field_up_to_the_configured_limit_is_served)
+{
+    constexpr int max_header_bytes = 131'072;
+    constexpr std::size_t long_field = 70'000;
+    http_headers const note = {{"X-Note", std::string(long_field, 'a')}};
+    EXPECT_EQ(status_of(0, "desk", "before", note), 431);
+    ASSERT_TRUE(put_configuration(configuration(2, max_header_bytes)));
+    ASSERT_TRUE(wait_until_served(0, "desk", note));
+    for (std::size_t i = 0; i < 3; ++i)
+    {
+        EXPECT_TRUE(wait_until_served(i, "desk", note)) << "at node " << i;
+        EXPECT_TRUE(node(i).is_running());
+    }
+}
+
 } // namespace
 } // namespace buckthornusher::test
