Endless bytes from an upstream: shown to be bounded on real processes

An operator reported that bytes without end, in a head or a body, were kept until the process that had called ran out of memory.

--- a/soak/child_process.cpp
+++ b/soak/child_process.cpp
@@ -78,13 +78,13 @@
     return m_exit_code;
 }
 
-std::uint64_t child_process::resident_kb()
+std::uint64_t child_process::status_kb(std::string_view name)
 {
     if (!is_running())
         return 0;
     std::ifstream status("/proc/" + std::to_string(m_pid) + "/status");
     for (std::string word; status >> word;)
-        if (word == "VmRSS:")
+        if (word == name)
         {
             std::uint64_t kb = 0;
             status >> kb;
--- a/soak/child_process.hpp
+++ b/soak/child_process.hpp
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <sys/types.h>
 #include <vector>
 
@@ -38,11 +39,15 @@
     // while the process runs.
     std::optional<int> exit_code();
 
-    // Resident memory and open file descriptors by /proc; 0 for a process that has ended.
-    std::uint64_t resident_kb();
+    // Resident memory, its peak, and open file descriptors by /proc; 0 for a process that
+    // has ended.
+    std::uint64_t resident_kb() { return status_kb("VmRSS:"); }
+    std::uint64_t peak_resident_kb() { return status_kb("VmHWM:"); }
     std::uint64_t descriptors();
 
 private:
+    std::uint64_t status_kb(std::string_view name); // a line of /proc/PID/status
+
     pid_t m_pid = -1; // -1: the process could not be started
     std::optional<int> m_exit_code;
 };
--- a/tests/node_process_test.cpp
+++ b/tests/node_process_test.cpp
@@ -1,9 +1,11 @@
 // Tests of real node processes against upstreams that fail: what callers and upstreams
 // may rely on when reports are late, connections fail or processes end.
 #include "node_fleet.hpp"
+#include "raw_peers.hpp"
 
 #include <algorithm>
 #include <array>
+#include <iostream>
 
 namespace buckthornusher::test
 {
@@ -255,5 +257,93 @@
     }
 }
 
+struct endless_answer
+{
+    char const* name;
+    char const* begin; // sent once
+    char const* unit;  // sent without end
+};
+
+std::ostream& operator<<(std::ostream& out, endless_answer const& a)
+{
+    return out << a.name;
+}
+
+class endless_upstream : public order_fleet,
+                         public testing::WithParamInterface<endless_answer>
+{
+};
+
+// Guards against bytes without end from an upstream being kept until the node runs out of
+// memory, with the requests of all other callers.
+TEST_P(endless_upstream, takes_a_bounded_part_of_its_nodes_memory)
+{
+    // The design allows a node 64 MB, and the client may hold twice its 16 MB of
+    // incomplete answers (http_client.hpp).
+    constexpr std::uint64_t max_kb = 65'536 + 2 * 16'384;
+    constexpr int enough = 48; // requests that the faulty upstream answers
+    constexpr int at_once = 8;
+    constexpr int max_rounds = 100;
+    ASSERT_TRUE(wait_until_served(0, "kiosk", {{"X-Buckthornusher-Shard-Key", "7"}}));
+    upstreams[0]->stop_listening();
+    raw_upstream faulty(loop, {.ip = machine_ip(0), .port = upstream_port});
+    faulty.answer = [](int)
+    {
+        return std::string(GetParam().begin) + "<endless>";
+    };
+    for (int i = 0; i < 1'000; ++i)
+        faulty.unit += GetParam().unit;
+    http_client callers(loop, {.peer = callers_of(0), .max_connections = at_once});
+    int sent = 0;
+    int ended = 0;
+    int unanswered = 0;
+    auto const on_result = [&](http_result const& result)
+    {
+        ++ended;
+        unanswered += result.has_value() ? 0 : 1;
+    };
+    for (int round = 0; faulty.requests < enough && round < max_rounds; ++round)
+    {
+        for (int i = 0; i < at_once; ++i)
+            callers.call(make_request("desk", "e" + std::to_string(++sent)), 10s,
+                         on_result);
+        ASSERT_TRUE(run_until(loop, [&] { return ended == sent; }));
+        // Other requests of the node are answered meanwhile.
+        EXPECT_EQ(status_of(0, "kiosk", "k" + std::to_string(round),
+                            {{"X-Buckthornusher-Shard-Key", "7"}}),
+                  200);
+    }
+    EXPECT_EQ(unanswered, 0);
+    EXPECT_GE(faulty.requests, enough);
+    EXPECT_GT(faulty.unit_bytes_sent, 0U);
+    EXPECT_TRUE(node(0).is_running());
+    EXPECT_LT(node(0).peak_resident_kb(), max_kb);
+    std::cout << GetParam().name << ": peak " << node(0).peak_resident_kb() << " KB, "
+              << faulty.unit_bytes_sent << " bytes sent, " << faulty.requests << " of "
+              << sent << " requests reached it\n";
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    all, endless_upstream,
+    testing::Values(
+        endless_answer{"fields", "HTTP/1.1 200 OK\r\n", "X-Field: value\r\n"},
+        endless_answer{"one_field", "HTTP/1.1 200 OK\r\nX-Field: ", "value"},
+        endless_answer{"no_line", "", "not HTTP"},
+        endless_answer{"interim", "", "HTTP/1.1 100 Continue\r\n\r\n"},
+        endless_answer{"length",
+                       "HTTP/1.1 200 OK\r\nContent-Length: 99999999999999\r\n\r\n",
+                       "body"},
+        endless_answer{"allowed_length",
+                       "HTTP/1.1 200 OK\r\nContent-Length: 8388608\r\n\r\n", "body"},
+        endless_answer{"chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+                       "4\r\nbody\r\n"},
+        endless_answer{"chunk_line",
+                       "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4;", "x"},
+        endless_answer{"trailer",
+                       "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+                       "X-Field: value\r\n"},
+        endless_answer{"until_close", "HTTP/1.1 200 OK\r\n\r\n", "body"}),
+    [](auto const& info) { return std::string(info.param.name); });
+
 } // namespace
 } // namespace buckthornusher::test
--- a/tests/raw_peers.hpp
+++ b/tests/raw_peers.hpp
@@ -79,15 +79,15 @@
     descriptor_watch m_watch;
 };
 
-// Listens at free_address() and answers each request (without a body) with the result of
-// `answer`. A mark at its end is not sent but executed:
+// Listens at free_address(), or at the given address, and answers each request (without a
+// body) with the result of `answer`. A mark at its end is not sent but executed:
 //   <end>      closes the connection normally
 //   <reset>    resets the connection
 //   <endless>  sends `unit` repeatedly until the peer closes
 struct raw_upstream
 {
-    explicit raw_upstream(event_loop& on)
-        : listener_loop(on), listener(on, tcp_listen(free_address()),
+    explicit raw_upstream(event_loop& on, tcp_address const& at = free_address())
+        : listener_loop(on), listener(on, tcp_listen(at),
                                       {.readable = [this]
                                        {
                                            accept();
