--- a/src/connection/http_client.cpp
+++ b/src/connection/http_client.cpp
@@ -33,9 +33,12 @@
 
 } // namespace
 
-struct http_client::impl
+// Outlives the client while one of its callbacks runs, since a callback may destroy the
+// client. Whatever runs on after a callback checks `destroyed`.
+struct http_client::impl : std::enable_shared_from_this<impl>
 {
     event_loop* loop = nullptr;
+    bool destroyed = false;
     options opts;
     // All open connections. Those without a call are also in `idle`, the most recently
     // used last.
@@ -348,15 +351,20 @@
 
 void http_client::impl::sweep_connections(instant now)
 {
+    auto const self = shared_from_this();
     auto const all = connections; // a copy, as closing a connection changes the map
     for (auto const& entry : all)
     {
+        if (destroyed)
+            return;
         auto& c = *entry.second;
         if (c.connecting && c.connect_by <= now)
             c.fail(http_failure::step::connect);
         else if (!c.call && c.idle_until <= now)
             c.close();
     }
+    if (destroyed)
+        return;
     sweep = loop->timers().at(now + sweep_period,
                               [this](instant at) { sweep_connections(at); });
 }
@@ -371,6 +379,7 @@
 
 http_client::~http_client()
 {
+    m_impl->destroyed = true;
     m_impl->loop->timers().cancel(m_impl->sweep);
     for (auto const& entry : std::exchange(m_impl->connections, {}))
     {
--- a/src/connection/http_client.hpp
+++ b/src/connection/http_client.hpp
@@ -101,7 +101,8 @@
     http_client& operator=(http_client const&) = delete;
 
     // Calls `done` once, either before returning or later from the loop; never if the
-    // client is destroyed first. A timeout of zero means no timeout.
+    // client is destroyed first. `done` may destroy the client. A timeout of zero means
+    // no timeout.
     call_id call(http_request request, duration timeout, callback done,
                  call_connection selection = call_connection::any);
 
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -811,5 +811,115 @@
     EXPECT_EQ(upstream.client.connections_opened(), 3U);
 }
 
+// ---- a client that is destroyed in a callback ----
+
+// A listener whose queue of new connections is full, so that further connections hang.
+class full_listener
+{
+public:
+    full_listener()
+    {
+        m_watched = tcp_listen(address);
+        ::listen(m_watched, 0);
+        constexpr int fillers = 4;
+        for (int i = 0; i < fillers; ++i)
+            m_fillers.push_back(tcp_connect(address, 5s));
+    }
+    ~full_listener()
+    {
+        ::close(m_watched);
+        for (int const fd : m_fillers)
+            ::close(fd);
+    }
+    full_listener(full_listener const&) = delete;
+    full_listener& operator=(full_listener const&) = delete;
+
+    tcp_address const address = test::free_address(1);
+
+private:
+    int m_watched = -1;
+    std::vector<int> m_fillers;
+};
+
+// Calls a client that its callback destroys. Returns the step that failed, or nothing if
+// there was a response. `then` is called once the call has begun.
+std::optional<http_failure::step>
+call_and_destroy(event_loop& loop, http_client::options opts, duration timeout,
+                 std::function<void(http_client&, http_client::call_id)> const& then = {},
+                 duration run_on = 10ms)
+{
+    auto client = std::make_unique<http_client>(loop, std::move(opts));
+    bool done = false;
+    std::optional<http_failure::step> failed;
+    auto const id = client->call({.method = "GET", .target = "/"}, timeout,
+                                 [&](http_result const& result)
+                                 {
+                                     if (result.has_error())
+                                         failed = result.error().failed_step;
+                                     client.reset();
+                                     done = true;
+                                 });
+    if (then && client != nullptr)
+        then(*client, id);
+    while (!done)
+        loop.run_once();
+    // Whatever was left in the loop for the client is run too.
+    bool over = false;
+    loop.timers().at(boot_now() + run_on, [&](instant) { over = true; });
+    loop.timers().at(boot_now() + run_on + 1ms, [](instant) {}); // ends the last wait
+    while (!over)
+        loop.run_once();
+    return failed;
+}
+
+// Guards against a node that crashes when its upstream is lost: the last call of a link
+// ends in the sweep of connections, and the link goes with it. Fails under
+// AddressSanitizer without the guard.
+TEST(http_client, may_be_destroyed_in_the_callback_of_any_call)
+{
+    using step = http_failure::step;
+    event_loop loop;
+    full_listener full;
+    constexpr duration sweep_twice = 1s;
+    EXPECT_EQ(call_and_destroy(loop, {.peer = full.address, .connect_timeout = 100ms},
+                               0us, {}, sweep_twice),
+              step::connect)
+        << "given up by the sweep";
+    EXPECT_EQ(call_and_destroy(loop, {.peer = full.address}, 50ms), step::timeout);
+    EXPECT_EQ(call_and_destroy(loop, {.peer = full.address}, 0us,
+                               [](http_client& c, http_client::call_id id)
+                               { c.cancel(id); }),
+              step::cancelled);
+    auto const at = test::free_address();
+    EXPECT_EQ(call_and_destroy(loop, {.peer = at}, 0us), step::connect) << "refused";
+    EXPECT_EQ(call_and_destroy(loop, {.peer = at, .max_connections = 0}, 0us),
+              step::busy);
+    test::raw_upstream upstream(loop);
+    std::string text;
+    upstream.answer = [&](int)
+    {
+        return text;
+    };
+    for (char const* const t : {"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+                                "HTTP/1.1 200 OK\r\n\r\nbody<end>",
+                                "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\nmore"})
+    {
+        text = t;
+        EXPECT_EQ(call_and_destroy(loop, {.peer = at}, 0us), std::nullopt) << text;
+    }
+    for (char const* const t :
+         {"nonsense\r\n\r\n", "HTTP/1.1 200 OK\r\n<end>", "HTTP/1.1 200 OK\r\n<reset>"})
+    {
+        text = t;
+        EXPECT_EQ(call_and_destroy(loop, {.peer = at}, 0us), step::answer) << text;
+    }
+    upstream.unit = "body";
+    text = "HTTP/1.1 200 OK\r\n\r\n<endless>";
+    EXPECT_EQ(call_and_destroy(loop, {.peer = at, .limits = {.body_bytes = 1'024}}, 0us),
+              step::answer);
+    EXPECT_EQ(call_and_destroy(loop, {.peer = at, .max_incomplete_bytes = 1'024}, 0us),
+              step::too_long);
+}
+
 } // namespace
 } // namespace buckthornusher
