Keys stay with an upstream that took over another's address

Its process kept the lost one's upstream from the record as not yet reported and gave it up after 5.2 s; the owner generation ended with it, and the keys that the present upstream held by then went to others.

Change: a report from a later start at the same address shows at once that the earlier upstream has ended (supersedes); the loss of an upstream whose service has no shards ends no generation.

--- a/include/buckthornusher/upstream_history.hpp
+++ b/include/buckthornusher/upstream_history.hpp
@@ -69,6 +69,10 @@
 void add_departure(std::vector<upstream_incarnation>& list,
                    upstream_incarnation const& departed);
 
+// Whether `later` shows that the incarnation of `earlier` has ended: it started later at
+// the same address, possibly for another service.
+bool supersedes(upstream_report const& later, upstream_report const& earlier);
+
 class upstream_history
 {
 public:
--- a/src/coordination/coordinator_impl.hpp
+++ b/src/coordination/coordinator_impl.hpp
@@ -225,7 +225,11 @@
                           instant now);
     void begin_generation(owner_id const& owner);
 
-    // Whether an upstream in the record is missing or has another incarnation.
+    // Whether the service may have shards. True as long as no service is known.
+    bool may_have_shards(std::string const& service) const;
+
+    // Whether an upstream in the record is missing or has another incarnation. One of a
+    // service without shards doesn't count: the generation owns nothing for it.
     bool upstream_lost(member_record const& record) const;
 
     // Whether the generation must end once its last request has finished.
--- a/src/coordination/coordinator_membership.cpp
+++ b/src/coordination/coordinator_membership.cpp
@@ -138,12 +138,20 @@
         register_self(now);
 }
 
+bool coordinator::impl::may_have_shards(std::string const& service) const
+{
+    return opts.services.empty() ||
+           std::any_of(opts.services.begin(), opts.services.end(),
+                       [&](keyed_service const& s) { return s.name == service; });
+}
+
 bool coordinator::impl::upstream_lost(member_record const& record) const
 {
     return std::any_of(record.targets.begin(), record.targets.end(),
                        [&](target const& was)
                        {
-                           return std::none_of(opts.targets.begin(), opts.targets.end(),
+                           return may_have_shards(was.service) &&
+                                  std::none_of(opts.targets.begin(), opts.targets.end(),
                                                [&](target const& is) {
                                                    return is.service == was.service &&
                                                           is.incarnation ==
--- a/src/coordination/upstream_history.cpp
+++ b/src/coordination/upstream_history.cpp
@@ -45,6 +45,12 @@
         list.erase(list.begin());
 }
 
+bool supersedes(upstream_report const& later, upstream_report const& earlier)
+{
+    return later.ip == earlier.ip && later.port == earlier.port &&
+           later.incarnation.started > earlier.incarnation.started;
+}
+
 void upstream_history::restore(member_record const& record)
 {
     for (auto const& t : record.targets)
--- a/src/process/agent.hpp
+++ b/src/process/agent.hpp
@@ -201,6 +201,8 @@
     void wait_for_shard(active_request& w);
     void mark_departed(instant now);
     void add_unreported(std::vector<target>& found, instant now) const;
+    bool is_superseded(link const& l) const;
+    bool is_superseded(upstream_incarnation const& unreported) const;
     upstream_evidence evidence_of(link const& l, instant now) const;
     bool is_silent(link const& l, instant now) const;
     bool accepts_requests(link const& l, bool keyed_request, instant now) const;
--- a/src/process/agent_upstreams.cpp
+++ b/src/process/agent_upstreams.cpp
@@ -211,14 +211,36 @@
             .connect_failed = l.connect_failed};
 }
 
+bool agent::is_superseded(link const& l) const
+{
+    return std::any_of(m_links.begin(), m_links.end(),
+                       [&](auto const& entry)
+                       { return supersedes(entry.second->report, l.report); });
+}
+
+// The record has no addresses. An upstream that serves only granted keys is the only one
+// beside its node.
+bool agent::is_superseded(upstream_incarnation const& unreported) const
+{
+    return std::any_of(m_links.begin(), m_links.end(),
+                       [&](auto const& entry)
+                       {
+                           auto const& report = entry.second->report;
+                           return report.serves_only_granted &&
+                                  report.incarnation.started > unreported.started;
+                       });
+}
+
 // Adds the upstreams of the node's earlier process that have not reported to this one.
 void agent::add_unreported(std::vector<target>& found, instant now) const
 {
     bool const earlier_grants = now - m_started < m_options.max_lease;
     for (auto t : m_history.restored())
     {
-        bool const departed = m_history.has_departed(parse_incarnation(t.incarnation));
-        if (m_links.contains(t.service) || (departed && !earlier_grants))
+        auto const incarnation = parse_incarnation(t.incarnation);
+        bool const departed = m_history.has_departed(incarnation);
+        if (m_links.contains(t.service) || is_superseded(incarnation) ||
+            (departed && !earlier_grants))
             continue;
         t.draining = t.draining || departed;
         found.push_back(std::move(t));
@@ -237,7 +259,7 @@
         add_unreported(found, now);
     for (auto const& [service, l] : m_links)
     {
-        if (service == old_setup_link)
+        if (service == old_setup_link || is_superseded(*l))
             continue;
         auto const standing = standing_of(evidence_of(*l, now), interval);
         if (standing == upstream_standing::gone)
--- a/tests/node_process_test.cpp
+++ b/tests/node_process_test.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <array>
 #include <iostream>
+#include <map>
 
 namespace buckthornusher::test
 {
@@ -214,6 +215,42 @@
     EXPECT_EQ(orders_that_reach_it(), 0U);
 }
 
+// Guards against the keys of an upstream being given away when the node gives up the
+// upstream of another service that was at its address before.
+TEST_F(order_fleet, keys_stay_with_an_upstream_that_took_over_anothers_address)
+{
+    constexpr std::size_t keyed = 2;
+    hold_watch holds(keyed);
+    upstreams[2]->on_grant = [&](nlohmann::json const& answer, instant sent)
+    {
+        holds.on_grant(0, answer, sent);
+    };
+    ASSERT_TRUE(run_until(loop, [&] { return holds.held(0) == units; }));
+    kill_node(0);
+    upstreams[0].reset();
+    run_for(loop, 100ms);
+    upstreams[0] = std::make_unique<live_upstream>(
+        loop, live_upstream::options{.machine = 0, .service = "kiosk", .id = "i-new"});
+    std::map<int, int> epochs; // of the keys at which its ranges begin
+    int regranted = 0;         // at another epoch, although held
+    upstreams[0]->on_grant = [&](nlohmann::json const& answer, instant sent)
+    {
+        for (auto const& row : answer.at("holds"))
+        {
+            auto const [known, is_new] = epochs.try_emplace(row[0], row[2]);
+            regranted += !is_new && known->second != row[2] ? 1 : 0;
+        }
+        holds.on_grant(1, answer, sent);
+    };
+    start_node(0);
+    EXPECT_TRUE(run_until(loop, [&] { return holds.held(1) > 0; }));
+    // Longer than a new process waits for the upstreams of the earlier one.
+    run_for(loop, 6 * report_interval + 2s);
+    EXPECT_GT(holds.held(1), 0U);
+    EXPECT_EQ(regranted, 0) << "its owner generation ended";
+    EXPECT_EQ(holds.overlaps(), 0U);
+}
+
 // Guards against a report from before a drain ending it under the next process.
 TEST_F(order_fleet, an_upstream_that_drains_is_not_used_again_after_its_node_restarts)
 {
