--- a/src/connection/http_parser.hpp
+++ b/src/connection/http_parser.hpp
@@ -5,9 +5,9 @@
 // which has no such limit, and keeps the fields as they are: a field of any length up to
 // the header limit is accepted, and nothing from outside makes it throw.
 //
-// The header limit holds for the start line and all fields together, in however many
-// pieces they arrive; Beast alone limits only what it has not used yet. The body's limit
-// is Beast's. Fields after a chunked body (trailers) are discarded.
+// Beast applies the header limit only to bytes that it has not used yet, so the readers
+// of http_codec limit the header as a whole. The body's limit is Beast's. Fields after a
+// chunked body (trailers) are discarded.
 #ifndef BUCKTHORNUSHER_CONNECTION_HTTP_PARSER_HPP
 #define BUCKTHORNUSHER_CONNECTION_HTTP_PARSER_HPP
 
--- a/src/coordination/upstream_history.cpp
+++ b/src/coordination/upstream_history.cpp
@@ -22,17 +22,20 @@
                        });
 }
 
+bool drains(std::vector<target> const& targets, upstream_incarnation const& incarnation)
+{
+    auto const text = to_string(incarnation);
+    return std::any_of(targets.begin(), targets.end(),
+                       [&](target const& t)
+                       { return t.incarnation == text && t.draining; });
+}
+
 } // namespace
 
 bool is_recorded(promise const& p, member_record const& record)
 {
-    if (covers(record.departed, p.incarnation))
-        return true;
-    auto const text = to_string(p.incarnation);
-    return p.what == announced::drain &&
-           std::any_of(record.targets.begin(), record.targets.end(),
-                       [&](target const& t)
-                       { return t.incarnation == text && t.draining; });
+    return covers(record.departed, p.incarnation) ||
+           (p.what == announced::drain && drains(record.targets, p.incarnation));
 }
 
 void add_departure(std::vector<upstream_incarnation>& list,
@@ -86,10 +89,7 @@
 
 bool upstream_history::was_draining(upstream_incarnation const& incarnation) const
 {
-    auto const text = to_string(incarnation);
-    return std::any_of(m_restored.begin(), m_restored.end(),
-                       [&](target const& t)
-                       { return t.incarnation == text && t.draining; });
+    return drains(m_restored, incarnation);
 }
 
 } // namespace buckthornusher
--- a/src/process/node.cpp
+++ b/src/process/node.cpp
@@ -122,9 +122,10 @@
         if (!settings.upstreams.empty())
             upstream_server.emplace(
                 loop, http_server::options{.address = to_address(settings.upstreams)},
-                [this](http_request const& request, http_reply const& reply)
+                [this](http_request request, http_reply reply)
                 {
-                    announcements.handle(request, reply, boot_now());
+                    announcements.handle(std::move(request), std::move(reply),
+                                         boot_now());
                     apply_effects();
                 });
         if (!settings.readiness.empty())
--- a/src/process/upstream_announcements.cpp
+++ b/src/process/upstream_announcements.cpp
@@ -34,15 +34,15 @@
 {
 }
 
-void upstream_announcements::handle(http_request const& request, http_reply const& reply,
-                                    instant now)
+void upstream_announcements::handle(http_request request, http_reply reply, instant now)
 {
-    unread_announcement const a{.request = request, .reply = reply, .arrived = now};
+    unread_announcement a{
+        .request = std::move(request), .reply = std::move(reply), .arrived = now};
     if (m_record_known)
         return read(a, now);
     if (m_unread.size() >= m_options.max_waiting)
-        return reply.send({.status = unavailable});
-    m_unread.push_back(a);
+        return a.reply.send({.status = unavailable});
+    m_unread.push_back(std::move(a));
 }
 
 void upstream_announcements::on_record(member_record const* record, instant now)
--- a/src/process/upstream_announcements.hpp
+++ b/src/process/upstream_announcements.hpp
@@ -41,7 +41,7 @@
     upstream_announcements(agent& local, options opts,
                            std::function<void(instant)> on_change);
 
-    void handle(http_request const& request, http_reply const& reply, instant now);
+    void handle(http_request request, http_reply reply, instant now);
 
     // Applies the node's record; null: the node has none yet. Call when the record
     // becomes known, and whenever it has changed.
--- a/tests/node_process_test.cpp
+++ b/tests/node_process_test.cpp
@@ -92,6 +92,20 @@
                 3s, [](http_result const&) {});
     }
 
+    // Sends requests for its keys until the first upstream holds none any more. Returns
+    // false if it still does after `max_wait`.
+    bool send_until_first_holds_nothing()
+    {
+        http_client callers(loop, {.peer = callers_of(3), .max_connections = 64});
+        auto const started = boot_now();
+        while (holds.held(0) > 0 && boot_now() - started < max_wait)
+        {
+            send_requests(callers);
+            run_for(loop, 100ms);
+        }
+        return holds.held(0) == 0;
+    }
+
     static constexpr std::size_t keyed = 3;
     hold_watch holds{keyed};
 
@@ -106,18 +120,7 @@
 {
     upstreams[0]->reports = false;
     upstreams[0]->stop_listening();
-    http_client callers(loop, {.peer = callers_of(3), .max_connections = 64});
-    auto const last_held = [this]
-    {
-        return holds.held(0) == 0;
-    };
-    auto const started = boot_now();
-    while (!last_held() && boot_now() - started < max_wait)
-    {
-        send_requests(callers);
-        run_for(loop, 100ms);
-    }
-    EXPECT_TRUE(last_held());
+    EXPECT_TRUE(send_until_first_holds_nothing());
     EXPECT_TRUE(
         run_until(loop, [this] { return holds.held(1) + holds.held(2) == units; }))
         << "the others get its keys in the end";
@@ -133,19 +136,9 @@
     auto const late = upstreams[0]->next_report();
     kill_node(0);
     start_node(0);
-    http_client callers(loop, {.peer = callers_of(3), .max_connections = 64});
     // The report arrives before the new process has a lease, so it brings no grant.
     ASSERT_TRUE(run_until(loop, [&] { return upstreams[0]->report(late) != 0; }));
-    auto const last_held = [this]
-    {
-        return holds.held(0) == 0;
-    };
-    auto const started = boot_now();
-    while (!last_held() && boot_now() - started < max_wait)
-    {
-        send_requests(callers);
-        run_for(loop, 100ms);
-    }
+    EXPECT_TRUE(send_until_first_holds_nothing());
     EXPECT_TRUE(
         run_until(loop, [this] { return holds.held(1) + holds.held(2) == units; }));
     EXPECT_EQ(holds.overlaps(), 0U);
