Observability: what a node knows of the configuration, and when and from whom it came

The collected logs and metrics could not say when a version reached a node or how often its document was sent: the metrics page was cut before the values, and no line named the source. Values now come first on the page; new are the counts of documents and their bytes, the age of what is known of the configuration, and the line config-received.

--- a/include/buckthornusher/coordinator.hpp
+++ b/include/buckthornusher/coordinator.hpp
@@ -129,6 +129,11 @@
     std::uint64_t store_no_answers = 0;
     std::uint64_t shard_group_writes = 0;
     std::uint64_t pulls = 0;
+    // Messages with the configuration's document, and the bytes of these documents.
+    std::uint64_t config_documents_sent = 0;
+    std::uint64_t config_bytes_sent = 0;
+    std::uint64_t config_documents_received = 0;
+    std::uint64_t config_bytes_received = 0;
     friend bool operator==(coordinator_counts const&,
                            coordinator_counts const&) = default;
 };
@@ -207,6 +212,8 @@
 
     instant lease_until() const;
     store_subscriptions subscriptions(instant now) const;
+    // The node from which the present configuration came; empty: the store.
+    std::string const& config_sender() const;
     replica const& copy() const;
     // For `known` of the next incarnation, once this one has ended.
     replica take_copy();
--- a/src/coordination/coordinator.cpp
+++ b/src/coordination/coordinator.cpp
@@ -19,10 +19,27 @@
 constexpr duration max_time_behind = 700ms;
 constexpr duration stand_in_stagger = 200ms; // between members by their rank
 constexpr duration stand_in_time = 10s;      // the member subscribes for so long
+
+// Returns the size of the configuration's document; nothing if it is not among them.
+std::optional<std::uint64_t> config_bytes(std::vector<object> const& objects)
+{
+    for (auto const& o : objects)
+        if (o.value)
+            if (auto const* config = std::get_if<config_record>(&*o.value))
+                return config->document.size();
+    return std::nullopt;
+}
+
 } // namespace
 
 void coordinator::impl::send(member_id const& to, control_message message)
 {
+    if (auto const* changes = std::get_if<deltas>(&message))
+        if (auto const size = config_bytes(changes->objects))
+        {
+            ++counts.config_documents_sent;
+            counts.config_bytes_sent += *size;
+        }
     effects.emplace_back(send_message{.to = to, .message = std::move(message)});
 }
 
@@ -84,8 +101,14 @@
     for (auto const& o : objects)
         if (kind_of(o.name) == object_kind::configuration && copy.apply(o))
             changed.push_back(o);
+    if (auto const size = config_bytes(objects))
+    {
+        ++counts.config_documents_received;
+        counts.config_bytes_received += *size;
+    }
     if (changed.empty())
         return;
+    config_sender = sender ? sender->node : std::string();
     note_peer_revision({}, 0, 0, now);
     effects.emplace_back(replica_changed{});
     for (auto const& to_member : forward_targets(sender, object_kind::configuration))
@@ -648,6 +671,11 @@
             .config_age = now - m_impl->config_watch_confirmed};
 }
 
+std::string const& coordinator::config_sender() const
+{
+    return m_impl->config_sender;
+}
+
 replica const& coordinator::copy() const
 {
     return m_impl->copy;
--- a/src/coordination/coordinator_impl.hpp
+++ b/src/coordination/coordinator_impl.hpp
@@ -126,6 +126,7 @@
     std::map<std::string, std::size_t> assigner_ranks; // by shard group object
 
     instant config_watch_confirmed; // last known watch by a member
+    std::string config_sender;      // of the present configuration; empty: the store
 
     // When a change that this replica lacks was first heard of.
     std::optional<instant> behind_since;
--- a/src/process/ingress.cpp
+++ b/src/process/ingress.cpp
@@ -84,11 +84,13 @@
     auto const facts =
         std::visit([&](auto const& form) { return form.read(request); }, m_options.form);
     request_trace trace;
-    trace.add("refused", {{"service", service},
-                          {"reason", std::string(to_string(reason))},
-                          {"host", host_of(request)},
-                          {"path", std::string(request.path())},
-                          {"config", std::to_string(m_config_number)}});
+    trace.add("refused",
+              {{"service", service},
+               {"reason", std::string(to_string(reason))},
+               {"host", host_of(request)},
+               {"path", std::string(request.path())},
+               {"config", std::to_string(m_config_number)},
+               {"config_age_ms", in_ms(m_coordinator->subscriptions(now).config_age)}});
     trace.end(facts.id, to_string(reason), m_sampler, now);
     m_metrics.count_outcome(service, outcome_kind::refused, reason, 0us);
     reply.send(refusal_response({.reason = reason, .retry_after = after}));
--- a/src/process/metrics.cpp
+++ b/src/process/metrics.cpp
@@ -96,6 +96,9 @@
 std::string metrics::exposition() const
 {
     std::ostringstream out;
+    // First, as collectors may cut a long page.
+    for (auto const& [name, value] : m_impl->values)
+        out << "buckthornusher_" << name << " " << value << "\n";
     out << "# TYPE buckthornusher_requests_total counter\n";
     for (auto const& [service, counts] : m_impl->services)
         for (auto const& [key, count] : counts.outcomes)
@@ -109,8 +112,6 @@
     out << "# TYPE buckthornusher_latency_seconds histogram\n";
     for (auto const& [service, counts] : m_impl->services)
         write_latency(out, service, counts);
-    for (auto const& [name, value] : m_impl->values)
-        out << "buckthornusher_" << name << " " << value << "\n";
     return out.str();
 }
 
--- a/src/process/operator_api.cpp
+++ b/src/process/operator_api.cpp
@@ -240,6 +240,10 @@
     m.set("store_entries_skipped_total", m_dependencies.store.counts().skipped_entries);
     m.set("chunk_writes_total", c.shard_group_writes);
     m.set("pulls_total", c.pulls);
+    m.set("config_documents_sent_total", c.config_documents_sent);
+    m.set("config_bytes_sent_total", c.config_bytes_sent);
+    m.set("config_documents_received_total", c.config_documents_received);
+    m.set("config_bytes_received_total", c.config_bytes_received);
     m.set("peer_messages_sent_total", p.sent);
     m.set("peer_bytes_sent_total", p.sent_bytes);
     m.set("peer_messages_received_total", p.received);
@@ -253,6 +257,8 @@
     auto const now = boot_now();
     auto const* routes = m_dependencies.requests.routes();
     m.set("configuration_version", m_dependencies.requests.config_number());
+    m.set("config_age_ms",
+          static_cast<std::uint64_t>(coord.subscriptions(now).config_age / 1ms));
     auto const lease_left = std::max(coord.lease_until() - now, duration{0});
     m.set("lease_left_ms", static_cast<std::uint64_t>(lease_left / 1ms));
     m.set("loop_lag_ms", static_cast<std::uint64_t>(m_dependencies.local.lag() / 1ms));
--- a/src/process/state_log.cpp
+++ b/src/process/state_log.cpp
@@ -49,6 +49,7 @@
         log_member_changes(coord);
     log_lease_changes(coord, now);
     log_watch_changes(coord, now);
+    log_config_changes(coord, now);
 }
 
 void state_log::log_member_changes(coordinator const& coord)
@@ -120,4 +121,19 @@
     log_watch_change("configuration", m_watches_config, subscriptions.configuration);
 }
 
+void state_log::log_config_changes(coordinator const& coord, instant now)
+{
+    auto const version = coord.copy().version_of(config_object);
+    auto const* config = coord.copy().config();
+    if (std::exchange(m_config_version, version) == version || config == nullptr)
+        return;
+    auto const& from = coord.config_sender();
+    log_event(log_level::info, "config-received",
+              {{"number", std::to_string(config->number)},
+               {"from", from.empty() ? "store" : from},
+               {"bytes", std::to_string(config->document.size())},
+               {"documents", std::to_string(coord.counts().config_documents_received)},
+               {"config_age_ms", in_ms(coord.subscriptions(now).config_age)}});
+}
+
 } // namespace buckthornusher
--- a/src/process/state_log.hpp
+++ b/src/process/state_log.hpp
@@ -49,6 +49,7 @@
     void log_member_changes(coordinator const& coord);
     void log_lease_changes(coordinator const& coord, instant now);
     void log_watch_changes(coordinator const& coord, instant now);
+    void log_config_changes(coordinator const& coord, instant now);
 
     struct logged_member
     {
@@ -66,6 +67,7 @@
     std::size_t m_owned = 0; // shards
     bool m_watches_fleet = false;
     bool m_watches_config = false;
+    std::uint64_t m_config_version = 0;
 };
 
 } // namespace buckthornusher
