--- a/standins/store.cpp
+++ b/standins/store.cpp
@@ -112,6 +112,7 @@
     struct pending_watch
     {
         std::string kind;
+        std::string agent;
         std::uint64_t since = 0;
         instant until;
         http_reply reply;
@@ -161,8 +162,10 @@
         m_agent = find_query(request.query(), "agent");
         m_delay = duration(query_number(request, "ms") * 1'000);
         m_answers_to_lose = query_number(request, "count");
-        if ((mode == "down" || mode == "hang" || mode == "reset") && m_agent.empty())
-            m_pending_watches.clear(); // never answered
+        if (mode == "down" || mode == "hang" || mode == "reset")
+            std::erase_if(m_pending_watches, // never answered
+                          [this](pending_watch const& w)
+                          { return w.agent.find(m_agent) != std::string::npos; });
     }
 
     std::string stats() const
@@ -324,10 +327,12 @@
         ++m_counts.watches;
         auto const now = boot_now();
         auto const until = now + duration(query_number(request, "wait_ms") * 1'000);
-        m_pending_watches.push_back({.kind = kind,
-                                     .since = query_number(request, "watch"),
-                                     .until = until,
-                                     .reply = reply});
+        m_pending_watches.push_back(
+            {.kind = kind,
+             .agent = std::string(find_header(request.headers, "user-agent")),
+             .since = query_number(request, "watch"),
+             .until = until,
+             .reply = reply});
         m_loop.timers().at(until, [this](instant at) { end_watches(at); });
         end_watches(now);
     }
--- a/tests/coordinator_property_test.cpp
+++ b/tests/coordinator_property_test.cpp
@@ -218,6 +218,29 @@
 
 // Watchers that can no longer form a majority are replaced even if only one other member
 // is left.
+// Guards against copies of a large document that fill the links between nodes.
+TEST(coordinator_property, a_document_is_sent_to_each_member_once)
+{
+    fake_fleet fleet({.members = 24, .domains = 6, .end = 20s, .load = false});
+    std::map<std::pair<std::uint64_t, std::string>, int>
+        copies; // by version and receiver
+    fleet.drop =
+        [&](member_id const&, member_id const& to, control_message const& message)
+    {
+        if (auto const* changes = std::get_if<deltas>(&message))
+            for (auto const& o : changes->objects)
+                if (o.name == config_object)
+                    ++copies[{o.version, to.node}];
+        return false;
+    };
+    EXPECT_EQ(fleet.run({{.kind = fault::configure, .at = 8s},
+                         {.kind = fault::configure, .at = 12s}}),
+              std::nullopt);
+    EXPECT_FALSE(copies.empty());
+    for (auto const& [key, count] : copies)
+        EXPECT_EQ(count, 1) << "version " << key.first << " to " << key.second;
+}
+
 TEST(coordinator_property, two_remaining_members_get_leases)
 {
     for (std::uint64_t seed = 1; seed <= 20; ++seed)
--- a/tests/coordinator_test.cpp
+++ b/tests/coordinator_test.cpp
@@ -164,6 +164,24 @@
     coordinator c;
 };
 
+// Guards against ages that get younger in transit: nobody would read the store in place
+// of a subscriber that has lost it.
+TEST(coordinator, a_late_ack_does_not_make_the_configuration_look_current)
+{
+    joined_member m;
+    m.c.tick(at_ms(10));
+    auto const renewals = m.sent<renew>();
+    ASSERT_FALSE(renewals.empty());
+    auto const& [watcher, renewal] = *renewals.begin();
+    m.c.on_message({watcher, 7},
+                   renew_ack{.sequence = renewal.sequence, .permitted = true},
+                   at_ms(1'500));
+    EXPECT_GE(m.c.subscriptions(at_ms(1'500)).config_age, 1'490ms);
+    m.c.on_message({"p", 7}, renew{.sequence = 1}, at_ms(1'500));
+    EXPECT_GE(m.c.subscriptions(at_ms(1'500)).config_age, 1'490ms)
+        << "the time for which a renewal was in transit is unknown";
+}
+
 // The new owner of a moved shard has missed the change of assignment. A request from a
 // member that knows the later epoch makes it pull.
 TEST(coordinator, a_request_at_a_later_epoch_causes_a_pull)
