Configuration: evidence is dated from the question, and each member fetches a document once

Callers saw 404 for a route that had been in force for more than the bound. Cause: a changed document of 160 KB and more was pushed to a dozen members one after the other, by two readers and a relay of each zone, pulled again every 300 ms by whoever knew that it was behind, and pushed anew by every member that then read the store itself. Beside it, the age of what is known was dated from its receipt, so each hop made it younger.

Who has a new version now says so, and each member fetches it, compressed, from one peer. The decision is config_sync, without a network: evidence (all versions accepted before T are held) counts from a question of its owner, a read of the store or a message that is answered. A member without recent evidence asks the readers of its region, then reads the store. A status also carries the revision, so that a stand-in does not list the whole document for a lost history.

--- a/include/buckthornusher/coordinator.hpp
+++ b/include/buckthornusher/coordinator.hpp
@@ -28,6 +28,7 @@
 #ifndef BUCKTHORNUSHER_COORDINATOR_HPP
 #define BUCKTHORNUSHER_COORDINATOR_HPP
 
+#include "buckthornusher/config_standing.hpp"
 #include "buckthornusher/eviction.hpp"
 #include "buckthornusher/lease.hpp"
 #include "buckthornusher/messages.hpp"
@@ -61,9 +62,11 @@
     // the embedder calls begin_drain() for shards that are to move. Without grants, a new
     // incarnation of an upstream accepts requests meant for the previous one.
     bool granted_upstreams = false;
-    // A member subscribes to the configuration itself if it knows of no member that has
-    // watched it within this time.
-    duration max_config_watch_gap = 2s;
+    // A member reads the configuration from the store itself, and denies nothing, if it
+    // does not know that its version was the store's newest within this time.
+    duration max_config_age = 2s;
+    // How long the store holds a watch of the configuration open without changes.
+    duration config_watch_wait = 2s;
     lease_options lease;
     plan_options planning;
     guards guard;
@@ -129,6 +132,7 @@
     std::uint64_t store_no_answers = 0;
     std::uint64_t shard_group_writes = 0;
     std::uint64_t pulls = 0;
+    std::uint64_t config_questions = 0; // asked, see config_sync
     // Messages with the configuration's document, and the bytes of these documents.
     std::uint64_t config_documents_sent = 0;
     std::uint64_t config_bytes_sent = 0;
@@ -138,8 +142,8 @@
                            coordinator_counts const&) = default;
 };
 
-// Which store objects this member watches, and the time since a member was last known to
-// watch the configuration.
+// Which store objects this member watches, and the time since its configuration is known
+// to have been the store's newest; an hour if nothing is known.
 struct store_subscriptions
 {
     bool fleet = false;
@@ -212,6 +216,11 @@
 
     instant lease_until() const;
     store_subscriptions subscriptions(instant now) const;
+    // Whether a denial may be based on the configuration. Also asks for evidence if there
+    // is none.
+    config_standing verify_config(instant now);
+    // Returns the answer to a pull from any member, known or not.
+    deltas answer(pull const& request);
     // The node from which the present configuration came; empty: the store.
     std::string const& config_sender() const;
     replica const& copy() const;
--- a/include/buckthornusher/lease.hpp
+++ b/include/buckthornusher/lease.hpp
@@ -120,6 +120,8 @@
     std::vector<member_id> renewal_targets() const;
     // Sending time of the latest request that the watcher acked.
     std::optional<instant> last_ack(member_id const& watcher) const;
+    // Returns when the round began; nothing if that is not known any more.
+    std::optional<instant> sent_at(std::uint64_t sequence) const;
 
 private:
     struct ack_times
--- a/include/buckthornusher/messages.hpp
+++ b/include/buckthornusher/messages.hpp
@@ -8,6 +8,7 @@
 #include "buckthornusher/time.hpp"
 
 #include <cstdint>
+#include <limits>
 #include <optional>
 #include <string>
 #include <variant>
@@ -23,7 +24,7 @@
     std::uint64_t watcher_changes = 0; // of the sender's record
     std::uint64_t revision = 0;        // of the sender's replica
     std::uint64_t config_version = 0;
-    duration config_age{0}; // since a member was last known to watch the configuration
+    duration config_age{0}; // of the knowledge that the version is the store's newest
     friend bool operator==(renew const&, renew const&) = default;
 };
 
@@ -64,6 +65,10 @@
     friend bool operator==(deltas const&, deltas const&) = default;
 };
 
+// In a pull: the configuration is not requested.
+inline constexpr std::uint64_t no_config_wanted =
+    std::numeric_limits<std::uint64_t>::max();
+
 // Requests the changes after `from`, and the configuration if its version is higher.
 struct pull
 {
@@ -72,6 +77,24 @@
     friend bool operator==(pull const&, pull const&) = default;
 };
 
+// Asks how current the receiver's configuration is.
+struct config_question
+{
+    std::uint64_t sequence = 0;
+    friend bool operator==(config_question const&, config_question const&) = default;
+};
+
+// Answers a config_question, or tells without one that the sender has a new version.
+struct config_status
+{
+    std::uint64_t sequence = 0; // of the question; 0: none
+    std::uint64_t version = 0;
+    std::uint64_t revision = 0; // no change of the configuration up to it is missing
+    // When sent: time since the store is known to have had no later version.
+    std::optional<duration> age;
+    friend bool operator==(config_status const&, config_status const&) = default;
+};
+
 // The sender has drained these shards and will not serve them at these epochs again.
 struct released
 {
@@ -97,7 +120,8 @@
 };
 
 using control_message =
-    std::variant<renew, renew_ack, refuse, refused, deltas, pull, released, load_report>;
+    std::variant<renew, renew_ack, refuse, refused, deltas, pull, config_question,
+                 config_status, released, load_report>;
 
 } // namespace buckthornusher
 
--- a/include/buckthornusher/record.hpp
+++ b/include/buckthornusher/record.hpp
@@ -7,7 +7,9 @@
 #define BUCKTHORNUSHER_RECORD_HPP
 
 #include "buckthornusher/member.hpp"
+#include "buckthornusher/packed_text.hpp"
 #include "buckthornusher/shard_map.hpp"
+#include "buckthornusher/time.hpp"
 
 #include <cstdint>
 #include <optional>
@@ -24,7 +26,7 @@
 {
     std::uint64_t number = 0;
     std::string environment;
-    std::string document;
+    packed_text document;
     friend bool operator==(config_record const&, config_record const&) = default;
 };
 
@@ -67,11 +69,12 @@
 };
 
 // Answers with the objects of the kind changed after `since`, as soon as there are any,
-// or with store_history_lost.
+// without objects if there are none for `wait`, or with store_history_lost.
 struct store_watch
 {
     object_kind kind = object_kind::fleet;
     std::uint64_t since = 0;
+    duration wait{0};
     friend bool operator==(store_watch const&, store_watch const&) = default;
 };
 
--- a/src/connection/store_client.cpp
+++ b/src/connection/store_client.cpp
@@ -107,10 +107,7 @@
 void store_client::watch(store_watch const& operation, callback done)
 {
     ++m_counts.watches;
-    auto const wait = operation.kind == object_kind::configuration
-                          ? m_options.config_watch_timeout
-                          : m_options.fleet_watch_timeout;
-    send(platform::watch_request(operation, wait), wait + watch_timeout_margin,
+    send(platform::watch_request(operation), operation.wait + watch_timeout_margin,
          [this, operation, done = std::move(done)](http_result result)
          {
              auto read = result.has_value()
--- a/src/connection/store_client.hpp
+++ b/src/connection/store_client.hpp
@@ -61,11 +61,6 @@
         tcp_address address;
         std::string user_agent; // identifies this client to the store's operators
         duration call_timeout = 1s;
-        // How long the store holds a watch open without changes. A silently lost
-        // connection is detected only after this time. Configuration changes must take
-        // effect within a bound, so the configuration watch is set to a part of it.
-        duration fleet_watch_timeout = 8s;
-        duration config_watch_timeout = 2s;
         std::function<void(store_failure const&)> on_failure = {};
         // Called once for each revision of an entry, up to a number of entries.
         std::function<void(store_skipped const&)> on_skipped = {};
--- a/src/connection/wire.cpp
+++ b/src/connection/wire.cpp
@@ -106,7 +106,19 @@
     auto& w = *out.mutable_config();
     w.set_number(c.number);
     w.set_environment(c.environment);
-    w.set_document(c.document);
+    w.set_document(c.document.text());
+}
+
+// Between nodes a configuration's document stays compressed.
+void encode_for_peers(record const& value, wire::Record& out)
+{
+    auto const* c = std::get_if<config_record>(&value);
+    if (c == nullptr)
+        return std::visit([&](auto const& v) { encode_to(v, out); }, value);
+    auto& w = *out.mutable_packed_config();
+    w.set_number(c->number);
+    w.set_environment(c->environment);
+    w.set_document(c->document.bytes());
 }
 
 member_record decode_member(wire::MemberRecord const& w)
@@ -176,6 +188,17 @@
            is_valid_endpoint(w.endpoint());
 }
 
+decoded<record> decode_packed_config(wire::PackedConfigRecord const& w)
+{
+    auto document = packed_text::from_bytes(w.document());
+    if (!document)
+        return decode_error{.step = "configuration record",
+                            .reason = "the document is not a compressed text"};
+    return record(config_record{.number = w.number(),
+                                .environment = w.environment(),
+                                .document = *std::move(document)});
+}
+
 decoded<record> decode_value(wire::Record const& w)
 {
     switch (w.kind_case())
@@ -193,7 +216,9 @@
     case wire::Record::kConfig:
         return record(config_record{.number = w.config().number(),
                                     .environment = w.config().environment(),
-                                    .document = w.config().document()});
+                                    .document = packed_text(w.config().document())});
+    case wire::Record::kPackedConfig:
+        return decode_packed_config(w.packed_config());
     case wire::Record::KIND_NOT_SET:
         break;
     }
@@ -251,7 +276,7 @@
         if (!o.value)
             continue;
         wire::Record value;
-        std::visit([&](auto const& v) { encode_to(v, value); }, *o.value);
+        encode_for_peers(*o.value, value);
         delta.set_value(value.SerializeAsString());
     }
 }
@@ -262,6 +287,21 @@
     out.mutable_pull()->set_config_version(m.config_version);
 }
 
+void encode_to(config_question const& m, wire::Envelope& out)
+{
+    out.mutable_config_question()->set_sequence(m.sequence);
+}
+
+void encode_to(config_status const& m, wire::Envelope& out)
+{
+    auto& w = *out.mutable_config_status();
+    w.set_sequence(m.sequence);
+    w.set_version(m.version);
+    w.set_revision(m.revision);
+    if (m.age)
+        w.set_age(to_count(*m.age));
+}
+
 void encode_to(released const& m, wire::Envelope& out)
 {
     auto& w = *out.mutable_released();
@@ -287,6 +327,17 @@
     }
 }
 
+config_status decode_config_status(wire::ConfigStatus const& w)
+{
+    config_status m{.sequence = w.sequence(),
+                    .version = w.version(),
+                    .revision = w.revision(),
+                    .age = {}};
+    if (w.has_age())
+        m.age = to_duration(w.age());
+    return m;
+}
+
 std::optional<control_message> decode_load_report(wire::LoadReport const& w)
 {
     auto const is_amount = [](float x)
@@ -385,6 +436,10 @@
     case wire::Envelope::kPull:
         return pull{.from = in.pull().from(),
                     .config_version = in.pull().config_version()};
+    case wire::Envelope::kConfigQuestion:
+        return config_question{.sequence = in.config_question().sequence()};
+    case wire::Envelope::kConfigStatus:
+        return decode_config_status(in.config_status());
     case wire::Envelope::kReleased:
     {
         released m;
--- a/src/coordination/coordinator.cpp
+++ b/src/coordination/coordinator.cpp
@@ -17,29 +17,13 @@
 // a sign that no subscriber reaches the store. The members of the region then read it
 // themselves, one after the other: the first to do so forwards what it finds.
 constexpr duration max_time_behind = 700ms;
-constexpr duration stand_in_stagger = 200ms; // between members by their rank
-constexpr duration stand_in_time = 10s;      // the member subscribes for so long
-
-// Returns the size of the configuration's document; nothing if it is not among them.
-std::optional<std::uint64_t> config_bytes(std::vector<object> const& objects)
-{
-    for (auto const& o : objects)
-        if (o.value)
-            if (auto const* config = std::get_if<config_record>(&*o.value))
-                return config->document.size();
-    return std::nullopt;
-}
-
+constexpr duration stand_in_stagger = 200ms;  // between members by their rank
+constexpr duration stand_in_time = 10s;       // the member subscribes for so long
+constexpr duration config_stand_in_time = 3s; // the same, to the configuration
 } // namespace
 
 void coordinator::impl::send(member_id const& to, control_message message)
 {
-    if (auto const* changes = std::get_if<deltas>(&message))
-        if (auto const size = config_bytes(changes->objects))
-        {
-            ++counts.config_documents_sent;
-            counts.config_bytes_sent += *size;
-        }
     effects.emplace_back(send_message{.to = to, .message = std::move(message)});
 }
 
@@ -75,7 +59,7 @@
     auto const before = copy.revision();
     bool const contiguous = copy.apply_range(from, to, {});
     if (!contiguous)
-        note_peer_revision(sender.value_or(member_id{}), to, 0, now);
+        note_peer_revision(sender.value_or(member_id{}), to, now);
     for (auto const& o : changed)
         on_object_changed(o, now);
     if (changed.empty() && copy.revision() == before)
@@ -94,27 +78,6 @@
         send(to_member, forwarded);
 }
 
-void coordinator::impl::apply_config(std::vector<object> const& objects,
-                                     std::optional<member_id> const& sender, instant now)
-{
-    std::vector<object> changed;
-    for (auto const& o : objects)
-        if (kind_of(o.name) == object_kind::configuration && copy.apply(o))
-            changed.push_back(o);
-    if (auto const size = config_bytes(objects))
-    {
-        ++counts.config_documents_received;
-        counts.config_bytes_received += *size;
-    }
-    if (changed.empty())
-        return;
-    config_sender = sender ? sender->node : std::string();
-    note_peer_revision({}, 0, 0, now);
-    effects.emplace_back(replica_changed{});
-    for (auto const& to_member : forward_targets(sender, object_kind::configuration))
-        send(to_member, deltas{.from = 0, .to = 0, .objects = changed});
-}
-
 std::vector<member_id>
 coordinator::impl::forward_targets(std::optional<member_id> const& sender,
                                    object_kind kind) const
@@ -199,15 +162,13 @@
 }
 
 void coordinator::impl::note_peer_revision(member_id const& peer, std::uint64_t revision,
-                                           std::uint64_t config_version, instant now)
+                                           instant now)
 {
-    auto const own_config = copy.version_of(config_object);
-    bool const peer_ahead = revision > copy.revision() || config_version > own_config;
+    bool const peer_ahead = revision > copy.revision();
     if (peer_ahead && !behind_since)
         behind_since = now;
     max_peer_revision = std::max(max_peer_revision, revision);
-    max_peer_config_version = std::max(max_peer_config_version, config_version);
-    if (copy.revision() >= max_peer_revision && own_config >= max_peer_config_version)
+    if (copy.revision() >= max_peer_revision)
         behind_since.reset();
     if (peer_ahead && !peer.node.empty())
         ahead_peer = peer;
@@ -240,14 +201,7 @@
 {
     next_pull = now + pull_delay;
     ++counts.pulls;
-    send(peer,
-         pull{.from = copy.revision(), .config_version = copy.version_of(config_object)});
-}
-
-void coordinator::impl::note_config_age(std::uint64_t version, duration age, instant now)
-{
-    if (version == copy.version_of(config_object))
-        config_watch_confirmed = std::max(config_watch_confirmed, now - age);
+    send(peer, pull{.from = copy.revision(), .config_version = no_config_wanted});
 }
 
 void coordinator::impl::on(member_id const& from, renew const& m, instant now)
@@ -261,17 +215,19 @@
                              .permitted = now < watch_permission(),
                              .revision = copy.revision(),
                              .config_version = copy.version_of(config_object),
-                             .config_age = now - config_watch_confirmed});
+                             .config_age = config_age(now)});
     }
-    note_config_age(m.config_version, m.config_age, now);
-    note_peer_revision(from, m.revision, m.config_version, now);
+    note_config_version(from, m.config_version, now);
+    note_peer_revision(from, m.revision, now);
 }
 
 void coordinator::impl::on(member_id const& from, renew_ack const& m, instant now)
 {
     lease.on_ack(from, m.sequence, m.permitted, now);
-    note_config_age(m.config_version, m.config_age, now);
-    note_peer_revision(from, m.revision, m.config_version, now);
+    if (auto const asked = lease.sent_at(m.sequence))
+        config.confirm(m.config_version, *asked - m.config_age);
+    note_config_version(from, m.config_version, now);
+    note_peer_revision(from, m.revision, now);
 }
 
 void coordinator::impl::on(member_id const& from, refuse const& m, instant now)
@@ -299,7 +255,7 @@
 
 void coordinator::impl::on(member_id const& from, pull const& m, instant /*now*/)
 {
-    send(from, changes_for(copy, m)); // an empty answer also counts as contact
+    send(from, answer(m)); // an empty answer also counts as contact
 }
 
 void coordinator::impl::on(member_id const& /*from*/, released const& m, instant now)
@@ -320,8 +276,8 @@
     bool const is_member = current_phase == phase::member;
     if (is_member && copy.revision() < takeover_version)
         fleet_reader.want_list();
-    bool const config_unwatched =
-        now - config_watch_confirmed > opts.max_config_watch_gap;
+    if (is_member && config.is_stale(now))
+        config_stand_in_until = now + config_stand_in_time;
     if (is_member && is_behind_for_long(now))
     {
         behind_since = now; // the next list, if this one does not help
@@ -330,7 +286,8 @@
     }
     fleet_reader.set_subscribed(is_member && (fleet_subscriber || now < stand_in_until ||
                                               renewals_unacknowledged(now)));
-    config_reader.set_subscribed(is_member && (config_subscriber || config_unwatched));
+    config_reader.set_subscribed(is_member &&
+                                 (config_subscriber || now < config_stand_in_until));
     if (auto operation = fleet_reader.next(next_call_id, copy.revision(), now))
         call(std::move(*operation));
     if (auto operation = config_reader.next(next_call_id, copy.config_revision(), now))
@@ -372,23 +329,6 @@
     register_if_listed(now);
 }
 
-void coordinator::impl::on_config_read(std::uint64_t call_id, store_answer const& answer,
-                                       instant now)
-{
-    if (config_reader.on_answer(call_id, answer, now) == store_reader::outcome::failed)
-    {
-        ++counts.store_no_answers;
-        return;
-    }
-    // Only an answer shows that the watch reached the store: a watch without an answer
-    // may have been cut off.
-    config_watch_confirmed = now;
-    auto const& found = std::get<store_objects>(answer);
-    copy.note_config_revision(found.revision);
-    apply_config(found.objects, std::nullopt, now);
-    register_if_listed(now);
-}
-
 void coordinator::impl::on_decision(write_decision const& decision, instant now)
 {
     auto const version = decision.current.version;
@@ -474,7 +414,6 @@
 {
     m_impl->last_tick = now;
     m_impl->started = now;
-    m_impl->config_watch_confirmed = now;
     if (m_impl->copy.revision() > 0)
         m_impl->resume(now);
     else
@@ -534,6 +473,8 @@
     s.last_tick = now;
     s.read_store(now);
     s.pull_if_behind(now);
+    s.fetch_config(now);
+    s.ask_config(now);
     s.probe_members(now);
     if (s.current_phase == impl::phase::listing && now >= s.next_registration)
         s.retry_registration(now);
@@ -668,7 +609,19 @@
 {
     return {.fleet = m_impl->fleet_reader.subscribed(),
             .configuration = m_impl->config_reader.subscribed(),
-            .config_age = now - m_impl->config_watch_confirmed};
+            .config_age = m_impl->config_age(now)};
+}
+
+config_standing coordinator::verify_config(instant now)
+{
+    auto const standing = m_impl->config.verify(now);
+    m_impl->ask_config(now);
+    return standing;
+}
+
+deltas coordinator::answer(pull const& request)
+{
+    return m_impl->answer(request);
 }
 
 std::string const& coordinator::config_sender() const
--- a/src/coordination/coordinator_impl.hpp
+++ b/src/coordination/coordinator_impl.hpp
@@ -8,6 +8,7 @@
 #include "buckthornusher/coordinator.hpp"
 
 #include "coordination/assigner.hpp"
+#include "coordination/config_sync.hpp"
 #include "coordination/placement_gate.hpp"
 #include "coordination/store_reader.hpp"
 #include "coordination/store_writer.hpp"
@@ -50,8 +51,12 @@
           fleet_reader({.kind = object_kind::fleet,
                         .watch_gap = fleet_watch_gap,
                         .seed = opts.seed}),
-          config_reader({.kind = object_kind::configuration, .seed = opts.seed + 1})
+          config_reader({.kind = object_kind::configuration,
+                         .watch_wait = opts.config_watch_wait,
+                         .seed = opts.seed + 1}),
+          config({.max_age = opts.max_config_age})
     {
+        config.hold(copy.version_of(config_object));
     }
 
     static constexpr duration fleet_watch_gap = 200ms;
@@ -64,6 +69,7 @@
     shard_ownership shards;
     store_reader fleet_reader;
     store_reader config_reader;
+    config_sync config;
     coordinator_counts counts;
     std::vector<effect> effects;
 
@@ -125,14 +131,14 @@
     bool config_subscriber = false; // of the configuration
     std::map<std::string, std::size_t> assigner_ranks; // by shard group object
 
-    instant config_watch_confirmed; // last known watch by a member
-    std::string config_sender;      // of the present configuration; empty: the store
+    std::string config_sender;        // of the present configuration; empty: the store
+    std::size_t config_questions = 0; // asked so far, to take turns among the sources
+    instant config_stand_in_until;    // subscribes until then without being chosen
 
     // When a change that this replica lacks was first heard of.
     std::optional<instant> behind_since;
-    std::optional<member_id> ahead_peer;       // last such peer not yet sent a pull
-    std::uint64_t max_peer_revision = 0;       // highest revision seen at a peer
-    std::uint64_t max_peer_config_version = 0; // highest configuration version of a peer
+    std::optional<member_id> ahead_peer; // last such peer not yet sent a pull
+    std::uint64_t max_peer_revision = 0; // highest revision seen at a peer
     instant next_pull;
     instant stand_in_until; // subscribes until then in place of the region's subscriber
 
@@ -193,11 +199,29 @@
     std::vector<member_id> forward_targets(std::optional<member_id> const& sender,
                                            object_kind kind) const;
 
-    // Notes a peer's revisions. If the peer is ahead, sends it a pull unless the missing
+    // Notes a peer's revision. If the peer is ahead, sends it a pull unless the missing
     // changes arrive within the pull delay. A message from another peer that is not ahead
     // does not cancel the pull.
-    void note_peer_revision(member_id const& peer, std::uint64_t revision,
-                            std::uint64_t config_version, instant now);
+    void note_peer_revision(member_id const& peer, std::uint64_t revision, instant now);
+
+    // Notes a peer's version of the configuration, and fetches it if it is later.
+    void note_config_version(member_id const& peer, std::uint64_t version, instant now);
+
+    // Fetches a later configuration from a peer that has it, if that is due.
+    void fetch_config(instant now);
+
+    // Asks a member that may watch the store how current the configuration is, if that is
+    // due.
+    void ask_config(instant now);
+
+    // Returns the answer to a pull, and counts the documents sent.
+    deltas answer(pull const& request);
+
+    // Returns what this member knows; `sequence`: of the question, 0 if there was none.
+    config_status status_for(std::uint64_t sequence, instant now) const;
+
+    // The age for messages and logs, which have no value for "unknown".
+    duration config_age(instant now) const;
 
     // Sends one pull to the last peer seen ahead, once the pull delay has passed.
     void pull_if_behind(instant now);
@@ -355,6 +379,10 @@
 
     void on(member_id const& from, pull const& m, instant /*now*/);
 
+    void on(member_id const& from, config_question const& m, instant now);
+
+    void on(member_id const& from, config_status const& m, instant now);
+
     void on(member_id const& /*from*/, released const& m, instant now);
 
     // ---- the store ----
@@ -363,7 +391,6 @@
 
     // Notes the age of the last known watch, as reported by a peer with the same
     // configuration.
-    void note_config_age(std::uint64_t version, duration age, instant now);
 
     // Whether the lease has not been extended for two renewal intervals: changes may not
     // arrive from peers either, so the store must be watched directly.
--- a/src/coordination/coordinator_membership.cpp
+++ b/src/coordination/coordinator_membership.cpp
@@ -223,8 +223,7 @@
     auto const& asked = remote_members();
     for (std::size_t i = 0; i < std::min(probes_per_round, asked.size()); ++i)
         send(asked[probes_sent++ % asked.size()],
-             pull{.from = copy.revision(),
-                  .config_version = copy.version_of(config_object)});
+             pull{.from = copy.revision(), .config_version = no_config_wanted});
 }
 
 std::vector<member_id> coordinator::impl::silent_watchers(instant now) const
@@ -338,7 +337,7 @@
                        .watcher_changes = changes,
                        .revision = copy.revision(),
                        .config_version = copy.version_of(config_object),
-                       .config_age = now - config_watch_confirmed});
+                       .config_age = config_age(now)});
 }
 
 instant coordinator::impl::watch_permission() const
--- a/src/coordination/lease.cpp
+++ b/src/coordination/lease.cpp
@@ -76,6 +76,12 @@
         times.last_permitted = std::max(times.last_permitted, start);
 }
 
+std::optional<instant> lease_holder::sent_at(std::uint64_t sequence) const
+{
+    auto const round = m_round_sent_at.find(sequence);
+    return round == m_round_sent_at.end() ? std::nullopt : std::optional(round->second);
+}
+
 instant lease_holder::majority_ack_time(std::vector<member_id> const& set,
                                         instant ack_times::*kind) const
 {
--- a/src/coordination/roles.cpp
+++ b/src/coordination/roles.cpp
@@ -144,6 +144,19 @@
     return found;
 }
 
+std::vector<member_id> config_sources(replica const& copy, member_record const& self)
+{
+    std::vector<member_id> sources;
+    auto const candidates = subscribers(copy, self.region);
+    for (std::size_t i = 0;
+         i < std::min(candidates.size(), config_subscribers_per_region); ++i)
+        if (candidates[i]->id != self.id)
+            sources.push_back(candidates[i]->id);
+    for (auto& id : other_regions_subscribers(copy, self))
+        sources.push_back(std::move(id));
+    return sources;
+}
+
 deltas changes_for(replica const& copy, pull const& request)
 {
     deltas reply{.from = request.from, .to = copy.revision(), .objects = {}};
--- a/src/coordination/roles.hpp
+++ b/src/coordination/roles.hpp
@@ -46,6 +46,10 @@
 std::vector<member_id> other_regions_subscribers(replica const& copy,
                                                  member_record const& self);
 
+// Returns the members to ask how current the configuration is, other than the member
+// itself: its region's configuration subscribers, then the first of each other region.
+std::vector<member_id> config_sources(replica const& copy, member_record const& self);
+
 // Returns the answer to a pull; without objects if the peer lacks nothing.
 deltas changes_for(replica const& copy, pull const& request);
 
--- a/src/coordination/store_reader.cpp
+++ b/src/coordination/store_reader.cpp
@@ -20,12 +20,15 @@
     if (m_list_wanted)
     {
         m_list = call_id;
+        m_list_sent = now;
         return store_list{.kind = m_options.kind};
     }
     if (!m_subscribed || m_watch)
         return std::nullopt;
     m_watch = call_id;
-    return store_watch{.kind = m_options.kind, .since = revision};
+    m_watch_sent = now;
+    return store_watch{
+        .kind = m_options.kind, .since = revision, .wait = m_options.watch_wait};
 }
 
 store_reader::outcome store_reader::on_answer(std::uint64_t call_id,
@@ -33,8 +36,14 @@
 {
     bool const listed = m_list == call_id;
     (listed ? m_list : m_watch).reset();
-    if (std::holds_alternative<store_objects>(answer))
+    if (auto const* found = std::get_if<store_objects>(&answer))
     {
+        // Without objects the store has answered at the end of the wait.
+        bool const waited = !listed && found->objects.empty() &&
+                            now - m_watch_sent >= m_options.watch_wait;
+        m_as_of = listed   ? m_list_sent
+                  : waited ? m_watch_sent + m_options.watch_wait
+                           : m_watch_sent;
         m_backoff = duration{0};
         m_next_call = now + m_options.watch_gap;
         if (!listed)
--- a/src/coordination/store_reader.hpp
+++ b/src/coordination/store_reader.hpp
@@ -26,6 +26,9 @@
     // Delay between two watches, so that changes in quick succession arrive in one
     // answer.
     duration watch_gap{0};
+    // How long the store holds a watch open without changes. A silently lost connection
+    // is detected only after this time.
+    duration watch_wait = 8s;
     std::uint64_t seed = 0; // of the jitter
 };
 
@@ -62,6 +65,10 @@
     // Requires waits_for(call_id).
     outcome on_answer(std::uint64_t call_id, store_answer const& answer, instant now);
 
+    // The latest usable answer holds all changes that the store had accepted by then. It
+    // is dated from the call, as the time that the answer was in transit is unknown.
+    instant as_of() const { return m_as_of; }
+
 private:
     store_reader_options m_options;
     std::mt19937_64 m_random;
@@ -70,6 +77,9 @@
     bool m_list_wanted = true;
     bool m_subscribed = false;
     instant m_next_call;
+    instant m_list_sent;
+    instant m_watch_sent;
+    instant m_as_of;
     duration m_backoff{0}; // after the last failure; zero after a success
 };
 
--- a/src/process/node.cpp
+++ b/src/process/node.cpp
@@ -39,7 +39,7 @@
 constexpr duration control_period = 50ms;
 constexpr duration request_period = 20ms;
 constexpr duration peer_review_period = 30s;
-constexpr duration max_config_silence = 5s;
+constexpr duration max_config_age = 5s;
 constexpr duration max_config_watch = 2s;
 // Several watches fit into the configuration bound, so that a hanging one is noticed and
 // replaced in time.
@@ -77,8 +77,6 @@
           store(loop,
                 {.address = to_address(settings.store),
                  .user_agent = settings.name,
-                 .config_watch_timeout = std::min<duration>(
-                     max_config_watch, settings.config_bound / watches_per_config_bound),
                  .on_failure = [this](store_failure const& f) { on_store_failure(f); },
                  .on_skipped =
                      [](store_skipped const& s)
@@ -206,8 +204,10 @@
             .unfenced_wait = unfenced_wait,
             .ordered_configuration = ordered_configuration,
             .granted_upstreams = settings.form == wire_form::platform,
-            .max_config_watch_gap = std::min<duration>(
-                max_config_silence, settings.config_bound - config_apply_reserve),
+            .max_config_age = std::min<duration>(
+                max_config_age, settings.config_bound - config_apply_reserve),
+            .config_watch_wait = std::min<duration>(
+                max_config_watch, settings.config_bound / watches_per_config_bound),
             .lease = make_lease_options(settings),
             .planning = {},
             .guard = {},
@@ -323,7 +323,7 @@
         if (config == nullptr || config->number <= config_number ||
             config->number == refused_config_number)
             return;
-        auto parsed = parse_document_as(settings.form, config->document);
+        auto parsed = parse_document_as(settings.form, config->document.text());
         if (!parsed)
         {
             refused_config_number = config->number;
@@ -447,7 +447,7 @@
     void answer_pull(peer_route const& route, wire::Envelope const& message)
     {
         auto const pull_request = decode_control(message);
-        auto const changes = changes_for(coord->copy(), std::get<pull>(*pull_request));
+        auto const changes = coord->answer(std::get<pull>(*pull_request));
         wire::Envelope out;
         encode(coord->self(), *out.mutable_sender());
         encode(control_message(changes), out);
--- a/src/process/operator_api.cpp
+++ b/src/process/operator_api.cpp
@@ -96,7 +96,7 @@
                              " is in force, expected " + std::to_string(*expected))};
     config_record next{.number = number + 1,
                        .environment = parsed.value().environment,
-                       .document = request.body};
+                       .document = packed_text(request.body)};
     return {.write = {.name = config_object,
                       .expected = copy.version_of(config_object),
                       .value = std::move(next)},
@@ -139,7 +139,7 @@
                 error_response(404, "no configuration has been written yet"));
         return reply.send({.headers = {{"buckthornusher-config-number",
                                         std::to_string(config->number)}},
-                           .body = config->document});
+                           .body = config->document.text()});
     }
     reply.send(error_response(404, "unknown path"));
 }
@@ -240,6 +240,7 @@
     m.set("store_entries_skipped_total", m_dependencies.store.counts().skipped_entries);
     m.set("chunk_writes_total", c.shard_group_writes);
     m.set("pulls_total", c.pulls);
+    m.set("config_questions_total", c.config_questions);
     m.set("config_documents_sent_total", c.config_documents_sent);
     m.set("config_bytes_sent_total", c.config_bytes_sent);
     m.set("config_documents_received_total", c.config_documents_received);
--- a/src/process/state_log.cpp
+++ b/src/process/state_log.cpp
@@ -131,7 +131,7 @@
     log_event(log_level::info, "config-received",
               {{"number", std::to_string(config->number)},
                {"from", from.empty() ? "store" : from},
-               {"bytes", std::to_string(config->document.size())},
+               {"bytes", std::to_string(config->document.bytes().size())},
                {"documents", std::to_string(coord.counts().config_documents_received)},
                {"config_age_ms", in_ms(coord.subscriptions(now).config_age)}});
 }
--- a/tests/coordinator_property_test.cpp
+++ b/tests/coordinator_property_test.cpp
@@ -221,7 +221,7 @@
 // Guards against copies of a large document that fill the links between nodes.
 TEST(coordinator_property, a_document_is_sent_to_each_member_once)
 {
-    fake_fleet fleet({.members = 24, .domains = 6, .end = 20s, .load = false});
+    fake_fleet fleet({.members = 24, .domains = 6, .faults_end = 14s, .end = 20s});
     std::map<std::pair<std::uint64_t, std::string>, int>
         copies; // by version and receiver
     fleet.drop =
--- a/tests/coordinator_test.cpp
+++ b/tests/coordinator_test.cpp
@@ -87,6 +87,7 @@
     only_member.on_store_answer(list_call(effects, object_kind::fleet),
                                 store_objects{.revision = 3, .objects = {}}, at_ms(5));
     std::uint64_t watch = 0;
+    instant watch_begun;
     for (int ms = 10; ms <= 3'000; ms += 10)
     {
         effects = only_member.take_effects();
@@ -96,14 +97,20 @@
                     only_member.on_store_answer(c->id, store_written{.version = 4},
                                                 at_ms(ms));
         if (auto const begun = watch_call(effects, object_kind::configuration))
+        {
             watch = begun;
+            watch_begun = at_ms(ms) - 10ms; // effects of the tick before
+        }
         only_member.tick(at_ms(ms));
     }
     ASSERT_NE(watch, 0U) << "the only member must watch the configuration";
     EXPECT_GE(only_member.subscriptions(at_ms(3'000)).config_age, 2'900ms);
     only_member.on_store_answer(watch, store_objects{.revision = 3, .objects = {}},
                                 at_ms(3'010));
-    EXPECT_EQ(only_member.subscriptions(at_ms(3'010)).config_age, 0ms);
+    // The store has answered when the wait was over, and the rest may be transit.
+    auto const wait = coordinator_options{}.config_watch_wait;
+    EXPECT_EQ(only_member.subscriptions(at_ms(3'010)).config_age,
+              at_ms(3'010) - (watch_begun + wait));
 }
 
 // ---- changes of the replica ----
--- a/tests/fake_fleet.hpp
+++ b/tests/fake_fleet.hpp
@@ -539,7 +539,7 @@
         if (!store_reachable(m))
             return no_answer();
         if (auto const* watch = std::get_if<store_watch>(&e.operation))
-            return poll_watch(i, m.boot_count, e.id, *watch, m_now + 20s);
+            return poll_watch(i, m.boot_count, e.id, *watch, m_now + watch->wait);
         bool const is_write = std::holds_alternative<store_write>(e.operation);
         bool const delay_write = is_write && m_store_delays_until > m_now && chance(0.5);
         bool const lose_answer = is_write && m_store_loses_until > m_now && chance(0.5);
@@ -948,7 +948,7 @@
             .name = config_object,
             .expected = version,
             .value =
-                config_record{.number = number, .environment = "trial", .document = ""}});
+                config_record{.number = number, .environment = "trial", .document = {}}});
         return;
     }
     }
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -345,7 +345,8 @@
     EXPECT_EQ(list_request({.kind = object_kind::configuration}, "a b").target,
               "/v1/objects/config?after=a%20b");
     EXPECT_EQ(
-        watch_request({.kind = object_kind::configuration, .since = 530}, 2s).target,
+        watch_request({.kind = object_kind::configuration, .since = 530, .wait = 2s})
+            .target,
         "/v1/objects/config?watch=530&wait_ms=2000");
     store_write write{.name = member_object("n"), .expected = 0, .value = member()};
     auto const create = write_request(write);
@@ -421,7 +422,7 @@
     EXPECT_EQ(o.name, config_object);
     auto const& config = std::get<config_record>(*o.value);
     EXPECT_EQ(config.number, 7U);
-    EXPECT_TRUE(parse_configuration(config.document));
+    EXPECT_TRUE(parse_configuration(config.document.text()));
 }
 
 TEST(platform_store, watches_report_changes_deletions_and_lost_history)
