Ingress: no denial without evidence that the configuration is the newest

Callers saw 404, which none repeats, from a node that had not heard of the newest version. Cause: no-route and no-key were answered from the version in force, whatever its age. Such a request is now held for at most 0.4 s, and a quarter of its caller's time, while the node asks; then it is routed, denied, or refused with 503 configuration-unverified and a time to come back, which is true: it has not run.

config_fleet.a_route_added_while_no_node_reads_the_store_is_not_denied failed before (404 after the bound) and passes now; the same test checks that 404 is back once the store is.

--- a/include/buckthornusher/outcome.hpp
+++ b/include/buckthornusher/outcome.hpp
@@ -38,6 +38,7 @@
     stopping,          // the node is stopping
     no_configuration,  // the node has not received a configuration yet
     behind,            // the node's processor is overloaded
+    config_unverified, // the node may lack a newer configuration that allows the request
 };
 
 // Returns the name on the wire, such as "no-route".
--- a/src/process/explain.cpp
+++ b/src/process/explain.cpp
@@ -167,6 +167,8 @@
         return "the node was stopping";
     if (why == to_string(outcome_reason::no_configuration))
         return "the node had not received a configuration yet";
+    if (why == to_string(outcome_reason::config_unverified))
+        return "the node could not learn in time whether its configuration is the newest";
     if (why == to_string(outcome_reason::no_route) ||
         why == to_string(outcome_reason::no_key))
         return "the node's configuration has no route or shard key for it";
--- a/src/process/ingress.cpp
+++ b/src/process/ingress.cpp
@@ -103,6 +103,11 @@
 }
 
 void ingress::on_request(http_request request, http_reply reply)
+{
+    route(std::move(request), reply, boot_now());
+}
+
+void ingress::route(http_request request, http_reply const& reply, instant arrived)
 {
     auto const now = boot_now();
     auto const refuse_now =
@@ -114,22 +119,22 @@
         return refuse_now("-", outcome_reason::no_configuration, no_owner_retry_after);
     auto const match = m_routes->find(request, m_random());
     if (!match)
-        return refuse_now("-", outcome_reason::no_route, 0us);
+        return deny(std::move(request), reply, "-", outcome_reason::no_route, arrived);
     auto const& service = match->service->name;
     if (match->service->keyed && !shard_of(*match->service, match->key))
-        return refuse_now(service, outcome_reason::no_key, 0us);
+        return deny(std::move(request), reply, service, outcome_reason::no_key, arrived);
     auto facts =
         std::visit([&](auto const& form) { return form.read(request); }, m_options.form);
     auto const unread = m_loop.max_unread_time(now);
     auto const time_limit = time_limit_of(facts, *match);
-    if (!accepts(now + time_limit, now))
+    if (!accepts(arrived + time_limit, now))
         return refuse_now(service, outcome_reason::stopping, stopping_retry_after());
     if (auto const after = overload_retry_after(
             {.unread = unread, .caller_timeout = time_limit, .rank = match->route->rank},
             intake))
         return refuse_now(service, outcome_reason::behind, *after);
-    auto& pending =
-        create_pending_request(std::move(request), reply, std::move(facts), *match, now);
+    auto& pending = create_pending_request(std::move(request), reply, std::move(facts),
+                                           *match, arrived);
     pending.trace.add(
         "taken",
         {{"service", pending.request.service},
@@ -145,9 +150,11 @@
     dispatch(pending, now);
 }
 
-ingress::pending_request&
-ingress::create_pending_request(http_request request, http_reply const& reply,
-                                caller_facts facts, route_match const& match, instant now)
+ingress::pending_request& ingress::create_pending_request(http_request request,
+                                                          http_reply const& reply,
+                                                          caller_facts facts,
+                                                          route_match const& match,
+                                                          instant arrived)
 {
     auto const id = m_next_id++;
     auto& pending = *(m_pending[id] = std::unique_ptr<pending_request>(
@@ -155,7 +162,7 @@
     auto const& service = *match.service;
     auto const& route = *match.route;
     pending.id = id;
-    pending.arrived = now;
+    pending.arrived = arrived;
     pending.latency_bound = route.latency > 0us ? route.latency : service.latency;
     pending.max_attempts = route.max_attempts;
     auto& routed = pending.request;
@@ -168,8 +175,8 @@
     routed.request_class = class_of(route);
     routed.rank = route.rank;
     routed.repeatable = repeatable(route, request);
-    routed.deadline = now + time_limit_of(facts, match);
-    routed.due = std::min(routed.deadline, now + pending.latency_bound);
+    routed.deadline = arrived + time_limit_of(facts, match);
+    routed.due = std::min(routed.deadline, arrived + pending.latency_bound);
     routed.start_until = routed.deadline;
     std::visit([&](auto const& form) { form.strip(request); }, m_options.form);
     routed.request = std::move(request);
@@ -290,6 +297,9 @@
 void ingress::finish_all()
 {
     m_finished = true;
+    for (auto const& [id, held] : std::exchange(m_unverified, {}))
+        refuse_early(held.request, held.reply, "-", outcome_reason::stopping,
+                     stopping_retry_after(), boot_now());
     std::vector<pending_request_id> all;
     for (auto const& entry : m_pending)
         all.push_back(entry.first);
@@ -335,6 +345,7 @@
 
 void ingress::tick(instant now)
 {
+    review_unverified(now);
     auto const waiting = m_waiting;
     for (auto const id : waiting)
         if (auto* pending = find(id); pending != nullptr && now >= pending->retry_at)
--- a/src/process/ingress.hpp
+++ b/src/process/ingress.hpp
@@ -96,20 +96,36 @@
     void on_replica_changed(instant now);
     void tick(instant now);
 
-    std::size_t unfinished() const { return m_pending.size(); }
+    std::size_t unfinished() const { return m_pending.size() + m_unverified.size(); }
     burn_recorder const& burn() const { return m_burn; }
     route_table const* routes() const { return m_routes.get(); }
     std::uint64_t config_number() const { return m_config_number; }
 
 private:
     struct pending_request; // a caller's request and its progress
-    struct upstream_node;   // a node with a local upstream
+    // A request that the present configuration does not allow, held until that is known
+    // to be the newest one.
+    struct unverified_request
+    {
+        http_request request;
+        http_reply reply;
+        instant arrived;
+        instant until; // then it is refused
+    };
+    struct upstream_node; // a node with a local upstream
     struct offer_choice;
     using pending_request_id = std::uint64_t;
 
     pending_request& create_pending_request(http_request request, http_reply const& reply,
                                             caller_facts facts, route_match const& match,
-                                            instant now);
+                                            instant arrived);
+    void route(http_request request, http_reply const& reply, instant arrived);
+    void deny(http_request request, http_reply const& reply, std::string const& service,
+              outcome_reason reason, instant arrived);
+    void hold(http_request request, http_reply const& reply, instant arrived);
+    void refuse_unverified(http_request const& request, http_reply const& reply,
+                           instant now);
+    void review_unverified(instant now);
     void on_caller_gone(pending_request_id id);
     void dispatch(pending_request& pending, instant now);
     void dispatch_keyed(pending_request& pending, instant now);
@@ -178,6 +194,8 @@
     std::map<pending_request_id, std::unique_ptr<pending_request>> m_pending;
     // Attempts at peers that have not been answered, by attempt id.
     std::map<std::uint64_t, pending_request_id> m_attempts;
+    std::map<pending_request_id, unverified_request> m_unverified;
+    std::uint64_t m_reviewed_config_number = 0; // when m_unverified was last reviewed
     std::set<pending_request_id> m_waiting; // for an owner, an upstream or a peer's clock
     // The nodes with a local upstream of each service, from the replica's members.
     std::map<std::string, std::vector<upstream_node>> m_upstream_nodes;
--- a/src/process/ingress_impl.hpp
+++ b/src/process/ingress_impl.hpp
@@ -1,7 +1,8 @@
 // Internal types shared by the ingress's source files.
 //
-// ingress.cpp accepts and finishes requests, ingress_sending.cpp chooses nodes and sends
-// attempts, ingress_results.cpp handles the results of attempts.
+// ingress.cpp accepts and finishes requests, ingress_denials.cpp handles those that no
+// route allows, ingress_sending.cpp chooses nodes and sends attempts, ingress_results.cpp
+// handles the results of attempts.
 #ifndef BUCKTHORNUSHER_PROCESS_INGRESS_IMPL_HPP
 #define BUCKTHORNUSHER_PROCESS_INGRESS_IMPL_HPP
 
--- a/src/process/request_wire.cpp
+++ b/src/process/request_wire.cpp
@@ -57,9 +57,10 @@
 
 request_result decode(wire::Reply const& in)
 {
-    auto const reason = in.reason() <= static_cast<std::uint32_t>(outcome_reason::behind)
-                            ? static_cast<outcome_reason>(in.reason())
-                            : outcome_reason::none;
+    auto const reason =
+        in.reason() <= static_cast<std::uint32_t>(outcome_reason::config_unverified)
+            ? static_cast<outcome_reason>(in.reason())
+            : outcome_reason::none;
     switch (in.outcome())
     {
     case wire::Reply::ANSWERED:
--- a/src/request/outcome.cpp
+++ b/src/request/outcome.cpp
@@ -46,6 +46,8 @@
         return "no-configuration";
     case outcome_reason::behind:
         return "behind";
+    case outcome_reason::config_unverified:
+        return "configuration-unverified";
     }
     return "none";
 }
