Peer socket: a signal does not end the process

Interrupted calls are repeated. peer_socket.messages_pass_under_a_storm_of_signals (200,000 signals) failed before and passes now.

--- a/src/connection/peer_socket.cpp
+++ b/src/connection/peer_socket.cpp
@@ -7,6 +7,7 @@
 
 #include <zmq.hpp>
 
+#include <cerrno>
 #include <map>
 #include <set>
 #include <stdexcept>
@@ -23,6 +24,49 @@
 constexpr int reconnect_ms = 100;
 constexpr int max_reconnect_ms = 1'000;
 constexpr int unacknowledged_timeout_ms = 5'000;
+
+// Repeats a ZeroMQ call for as long as signals interrupt it.
+template <class Call>
+auto uninterrupted(Call call)
+{
+    while (true)
+        try
+        {
+            return call();
+        }
+        catch (zmq::error_t const& error)
+        {
+            if (error.num() != EINTR)
+                throw;
+        }
+}
+
+// Receives one part without waiting. Returns false if there is none.
+bool receive(zmq::socket_t& socket, zmq::message_t& part)
+{
+    return uninterrupted([&] { return socket.recv(part, zmq::recv_flags::dontwait); })
+        .has_value();
+}
+
+// Sends one part without waiting. Returns false if the queue is full. Throws if there is
+// no such connection.
+bool send_part(zmq::socket_t& socket, std::string const& part, zmq::send_flags flags)
+{
+    return uninterrupted(
+               [&] {
+                   return socket.send(zmq::buffer(part),
+                                      flags | zmq::send_flags::dontwait);
+               })
+        .has_value();
+}
+
+// Closes the connection to the endpoint, if there is one.
+void disconnect(zmq::socket_t& socket, std::string const& endpoint)
+{
+    while (zmq_disconnect(socket.handle(), endpoint.c_str()) != 0 && errno == EINTR)
+    {
+    }
+}
 } // namespace
 
 struct peer_socket::impl
@@ -52,9 +96,8 @@
     may_be_ready = true;
     try
     {
-        sent = socket.send(zmq::buffer(identity),
-                           zmq::send_flags::sndmore | zmq::send_flags::dontwait) &&
-               socket.send(zmq::buffer(bytes), zmq::send_flags::dontwait);
+        sent = send_part(socket, identity, zmq::send_flags::sndmore) &&
+               send_part(socket, bytes, zmq::send_flags::none);
     }
     catch (zmq::error_t const&)
     {
@@ -88,15 +131,15 @@
 {
     zmq::message_t identity;
     zmq::message_t body;
-    if (!socket.recv(identity, zmq::recv_flags::dontwait))
+    if (!receive(socket, identity))
         return false;
-    bool const complete = identity.more() && socket.recv(body, zmq::recv_flags::dontwait);
+    bool const complete = identity.more() && receive(socket, body);
     wire::Envelope envelope;
     if (!complete || body.more() ||
         !envelope.ParseFromArray(body.data(), static_cast<int>(body.size())))
     {
         ++counts.malformed;
-        while (complete && body.more() && socket.recv(body, zmq::recv_flags::dontwait))
+        while (complete && body.more() && receive(socket, body))
         {
         }
         return true;
@@ -145,7 +188,7 @@
         try
         {
             m_impl->socket.set(zmq::sockopt::connect_routing_id, id);
-            m_impl->socket.connect(endpoint);
+            uninterrupted([&] { m_impl->socket.connect(endpoint); });
         }
         catch (zmq::error_t const&)
         {
@@ -160,7 +203,7 @@
 void peer_socket::reconnect(std::string const& endpoint)
 {
     if (m_impl->connections.erase(endpoint) > 0)
-        zmq_disconnect(m_impl->socket.handle(), endpoint.c_str());
+        disconnect(m_impl->socket, endpoint);
 }
 
 void peer_socket::keep_only(std::set<std::string> const& endpoints)
