--- a/src/coordination/coordinator_config.cpp
+++ b/src/coordination/coordinator_config.cpp
@@ -100,8 +100,8 @@
     auto const sources = config_sources(copy, *self);
     if (sources.empty())
         return;
-    auto const& source = sources[config_questions++ % sources.size()];
-    ++counts.config_questions;
+    // Takes turns, as any of them may be cut off from the store.
+    auto const& source = sources[counts.config_questions++ % sources.size()];
     send(source, config_question{.sequence = config.start_question(now)});
 }
 
--- a/src/coordination/coordinator_impl.hpp
+++ b/src/coordination/coordinator_impl.hpp
@@ -131,9 +131,8 @@
     bool config_subscriber = false; // of the configuration
     std::map<std::string, std::size_t> assigner_ranks; // by shard group object
 
-    std::string config_sender;        // of the present configuration; empty: the store
-    std::size_t config_questions = 0; // asked so far, to take turns among the sources
-    instant config_stand_in_until;    // subscribes until then without being chosen
+    std::string config_sender;     // of the present configuration; empty: the store
+    instant config_stand_in_until; // subscribes until then without being chosen
 
     // When a change that this replica lacks was first heard of.
     std::optional<instant> behind_since;
--- a/src/process/operator_api.hpp
+++ b/src/process/operator_api.hpp
@@ -9,9 +9,9 @@
 //   PUT  /v1/config?expected=NUMBER      replaces document NUMBER
 //
 // Errors: 400 bad parameters, 404 unknown path or no configuration, 409 the current
-// document is another than NUMBER, 422 invalid document, 503 the node may lack the newest
-// document and so cannot tell whether one of the former two applies, 504 the store did
-// not answer and the outcome of the write is unknown.
+// document is another than NUMBER, 422 invalid document, 503 the node cannot tell yet
+// whether its document is the newest, 504 the store did not answer and the outcome of the
+// write is unknown.
 //
 // The parameter `life` is the upstream's incarnation. The metric `chunk_writes_total`
 // counts writes of shard groups.
