Reading of the change: one memory of sent questions, and less copying

Behaviour is unchanged. The lease and config_sync remembered when numbered messages were sent in the same way: both use sent_times. apply_config copied the changed document into a vector that was only asked whether it is empty, and three loops looked for the configuration: find_config serves them. Decompressing copied its input. store_reader keeps a call's number and its time together. The header of config_sync said of evidence the opposite of what holds: it may be more recent than it looks, not older.

--- a/include/buckthornusher/lease.hpp
+++ b/include/buckthornusher/lease.hpp
@@ -36,6 +36,7 @@
 #define BUCKTHORNUSHER_LEASE_HPP
 
 #include "buckthornusher/member.hpp"
+#include "buckthornusher/sent_times.hpp"
 #include "buckthornusher/time.hpp"
 
 #include <cstdint>
@@ -121,9 +122,14 @@
     // Sending time of the latest request that the watcher acked.
     std::optional<instant> last_ack(member_id const& watcher) const;
     // Returns when the round began; nothing if that is not known any more.
-    std::optional<instant> sent_at(std::uint64_t sequence) const;
+    std::optional<instant> sent_at(std::uint64_t sequence) const
+    {
+        return m_rounds.find(sequence);
+    }
 
 private:
+    static constexpr std::size_t max_remembered_rounds = 8;
+
     struct ack_times
     {
         instant last;           // sending time of the latest request that was acked
@@ -137,8 +143,7 @@
     lease_options m_options;
     guards m_guards;
     bool m_revoked = false;
-    std::uint64_t m_sequence = 0;
-    std::map<std::uint64_t, instant> m_round_sent_at; // of the latest rounds
+    sent_times m_rounds{max_remembered_rounds};
     std::vector<member_id> m_watchers;
     std::optional<std::vector<member_id>> m_proposed;
     std::map<member_id, ack_times> m_ack_times;
--- a/src/coordination/config_sync.cpp
+++ b/src/coordination/config_sync.cpp
@@ -9,7 +9,6 @@
 namespace
 {
 
-constexpr std::size_t max_remembered_questions = 16;
 constexpr int max_doublings = 8; // of the fetch timeout
 
 } // namespace
@@ -60,16 +59,7 @@
 std::uint64_t config_sync::start_question(instant now)
 {
     m_next_question = now + m_options.question_interval;
-    m_questions[++m_last_question] = now;
-    if (m_questions.size() > max_remembered_questions)
-        m_questions.erase(m_questions.begin());
-    return m_last_question;
-}
-
-std::optional<instant> config_sync::asked_at(std::uint64_t sequence) const
-{
-    auto const it = m_questions.find(sequence);
-    return it == m_questions.end() ? std::nullopt : std::optional(it->second);
+    return m_questions.add(now);
 }
 
 std::optional<member_id> config_sync::next_fetch(instant now)
@@ -99,7 +89,8 @@
 
 bool config_sync::is_stale(instant now) const
 {
-    return !m_as_of || now - *m_as_of > m_options.max_age;
+    auto const known = age(now);
+    return !known || *known > m_options.max_age;
 }
 
 bool config_sync::is_current(instant now) const
--- a/src/coordination/config_sync.hpp
+++ b/src/coordination/config_sync.hpp
@@ -5,8 +5,8 @@
 // versions accepted before `as_of` are held". It comes from the member's own reads of the
 // store and from peers' answers to its questions. Either is dated from the question,
 // never from the receipt of the answer, as the time in transit is unknown; so it may be
-// older than it looks, but not younger. A peer's statement that answers no question is no
-// evidence.
+// more recent than it looks, but not older. A peer's statement that answers no question
+// is no evidence.
 //
 // The member asks when its evidence has reached half of `max_age`, and at once if
 // somebody waits for it. If nobody answers, the evidence becomes too old, and the
@@ -23,6 +23,7 @@
 
 #include "buckthornusher/config_standing.hpp"
 #include "buckthornusher/member.hpp"
+#include "buckthornusher/sent_times.hpp"
 #include "buckthornusher/time.hpp"
 
 #include <cstdint>
@@ -63,7 +64,10 @@
     // Returns the question's sequence number, above 0.
     std::uint64_t start_question(instant now);
     // Returns when the question was asked; nothing if that is not known any more.
-    std::optional<instant> asked_at(std::uint64_t sequence) const;
+    std::optional<instant> asked_at(std::uint64_t sequence) const
+    {
+        return m_questions.find(sequence);
+    }
 
     // ---- fetches ----
 
@@ -80,6 +84,8 @@
     config_standing verify(instant now);
 
 private:
+    static constexpr std::size_t max_remembered_questions = 16;
+
     struct fetch
     {
         member_id peer;
@@ -99,8 +105,7 @@
     // All versions accepted before it are held.
     std::optional<instant> m_as_of;
     std::optional<evidence> m_pending; // of a version that is not held yet
-    std::uint64_t m_last_question = 0;
-    std::map<std::uint64_t, instant> m_questions; // the latest, by sequence number
+    sent_times m_questions{max_remembered_questions};
     instant m_next_question;
     std::map<member_id, std::uint64_t> m_ahead; // peers with versions above m_held
     std::optional<fetch> m_fetch;
--- a/src/coordination/coordinator_config.cpp
+++ b/src/coordination/coordinator_config.cpp
@@ -14,24 +14,27 @@
 // Sent and logged if nothing is known of the store.
 constexpr duration unknown_age = 1h;
 
-// Returns the size of the configuration's document; nothing if it is not among them.
-std::optional<std::uint64_t> config_bytes(std::vector<object> const& objects)
+// Returns the configuration, or null if it is not among the objects. A watch may report
+// several versions; the latest counts.
+object const* find_config(std::vector<object> const& objects)
 {
+    object const* latest = nullptr;
     for (auto const& o : objects)
-        if (o.value)
-            if (auto const* config = std::get_if<config_record>(&*o.value))
-                return config->document.bytes().size();
-    return std::nullopt;
+        if (kind_of(o.name) == object_kind::configuration &&
+            (latest == nullptr || o.version > latest->version))
+            latest = &o;
+    return latest;
 }
 
-// Returns the version of the configuration once the objects have been applied.
-std::uint64_t newest_version(std::vector<object> const& objects, replica const& copy)
+// Returns the size of the document as it is sent; nothing if the object has none.
+std::optional<std::uint64_t> document_bytes(object const* config)
 {
-    auto newest = copy.version_of(config_object);
-    for (auto const& o : objects)
-        if (o.name == config_object)
-            newest = std::max(newest, o.version);
-    return newest;
+    auto const* found = config == nullptr || !config->value
+                            ? nullptr
+                            : std::get_if<config_record>(&*config->value);
+    return found == nullptr
+               ? std::nullopt
+               : std::optional<std::uint64_t>(found->document.bytes().size());
 }
 
 } // namespace
@@ -39,16 +42,13 @@
 void coordinator::impl::apply_config(std::vector<object> const& objects,
                                      std::optional<member_id> const& sender, instant now)
 {
-    std::vector<object> changed;
-    for (auto const& o : objects)
-        if (kind_of(o.name) == object_kind::configuration && copy.apply(o))
-            changed.push_back(o);
-    if (auto const size = config_bytes(objects))
+    auto const* received = find_config(objects);
+    if (auto const size = document_bytes(received))
     {
         ++counts.config_documents_received;
         counts.config_bytes_received += *size;
     }
-    if (changed.empty())
+    if (received == nullptr || !copy.apply(*received))
         return;
     config_sender = sender ? sender->node : std::string();
     auto const version = copy.version_of(config_object);
@@ -69,8 +69,11 @@
     }
     auto const& found = std::get<store_objects>(answer);
     copy.note_config_revision(found.revision);
-    // First, so that members that are told of a new version learn how current it is.
-    config.confirm(newest_version(found.objects, copy), config_reader.as_of());
+    auto const* changed = find_config(found.objects);
+    auto const held = copy.version_of(config_object);
+    // Before apply_config(), which tells other members how current the version is.
+    config.confirm(changed == nullptr ? held : std::max(held, changed->version),
+                   config_reader.as_of());
     apply_config(found.objects, std::nullopt, now);
     register_if_listed(now);
 }
@@ -121,7 +124,7 @@
 deltas coordinator::impl::answer(pull const& request)
 {
     auto changes = changes_for(copy, request);
-    if (auto const size = config_bytes(changes.objects))
+    if (auto const size = document_bytes(find_config(changes.objects)))
     {
         ++counts.config_documents_sent;
         counts.config_bytes_sent += *size;
--- a/src/coordination/lease.cpp
+++ b/src/coordination/lease.cpp
@@ -9,8 +9,6 @@
 namespace
 {
 
-constexpr std::size_t max_remembered_rounds = 8;
-
 bool contains(std::vector<member_id> const& set, member_id const& id)
 {
     return std::find(set.begin(), set.end(), id) != set.end();
@@ -48,18 +46,15 @@
 
 std::uint64_t lease_holder::start_renewal(instant now)
 {
-    m_round_sent_at[++m_sequence] = now;
-    if (m_round_sent_at.size() > max_remembered_rounds)
-        m_round_sent_at.erase(m_round_sent_at.begin());
-    return m_sequence;
+    return m_rounds.add(now);
 }
 
 void lease_holder::on_ack(member_id const& watcher, std::uint64_t sequence,
                           bool permitted, instant now)
 {
-    auto const round = m_round_sent_at.find(sequence);
+    auto const sent = m_rounds.find(sequence);
     auto const all = renewal_targets();
-    if (round == m_round_sent_at.end())
+    if (!sent)
         return;
     auto id = watcher;
     if (!contains(all, watcher))
@@ -69,19 +64,13 @@
         id = *std::find_if(all.begin(), all.end(),
                            [&](member_id const& w) { return w.node == watcher.node; });
     }
-    auto const start = m_guards.count_from_sending ? round->second : now;
+    auto const start = m_guards.count_from_sending ? *sent : now;
     auto& times = m_ack_times[id];
     times.last = std::max(times.last, start);
     if (permitted || !m_guards.watch_permission)
         times.last_permitted = std::max(times.last_permitted, start);
 }
 
-std::optional<instant> lease_holder::sent_at(std::uint64_t sequence) const
-{
-    auto const round = m_round_sent_at.find(sequence);
-    return round == m_round_sent_at.end() ? std::nullopt : std::optional(round->second);
-}
-
 instant lease_holder::majority_ack_time(std::vector<member_id> const& set,
                                         instant ack_times::*kind) const
 {
--- a/src/coordination/store_reader.cpp
+++ b/src/coordination/store_reader.cpp
@@ -2,6 +2,7 @@
 #include "coordination/store_reader.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace buckthornusher
 {
@@ -19,31 +20,32 @@
         return std::nullopt;
     if (m_list_wanted)
     {
-        m_list = call_id;
-        m_list_sent = now;
+        m_list = call{.id = call_id, .sent = now};
         return store_list{.kind = m_options.kind};
     }
     if (!m_subscribed || m_watch)
         return std::nullopt;
-    m_watch = call_id;
-    m_watch_sent = now;
+    m_watch = call{.id = call_id, .sent = now};
     return store_watch{
         .kind = m_options.kind, .since = revision, .wait = m_options.watch_wait};
 }
 
+instant store_reader::unchanged_until(call const& watch, instant now) const
+{
+    // The store answers without objects at the end of the wait.
+    bool const waited = now - watch.sent >= m_options.watch_wait;
+    return waited ? watch.sent + m_options.watch_wait : watch.sent;
+}
+
 store_reader::outcome store_reader::on_answer(std::uint64_t call_id,
                                               store_answer const& answer, instant now)
 {
-    bool const listed = m_list == call_id;
-    (listed ? m_list : m_watch).reset();
+    bool const listed = is(m_list, call_id);
+    auto const answered = *std::exchange(listed ? m_list : m_watch, std::nullopt);
     if (auto const* found = std::get_if<store_objects>(&answer))
     {
-        // Without objects the store has answered at the end of the wait.
-        bool const waited = !listed && found->objects.empty() &&
-                            now - m_watch_sent >= m_options.watch_wait;
-        m_as_of = listed   ? m_list_sent
-                  : waited ? m_watch_sent + m_options.watch_wait
-                           : m_watch_sent;
+        bool const unchanged = !listed && found->objects.empty();
+        m_as_of = unchanged ? unchanged_until(answered, now) : answered.sent;
         m_backoff = duration{0};
         m_next_call = now + m_options.watch_gap;
         if (!listed)
--- a/src/coordination/store_reader.hpp
+++ b/src/coordination/store_reader.hpp
@@ -53,7 +53,7 @@
 
     bool waits_for(std::uint64_t call_id) const
     {
-        return m_list == call_id || m_watch == call_id;
+        return is(m_list, call_id) || is(m_watch, call_id);
     }
 
     enum class outcome
@@ -70,15 +70,26 @@
     instant as_of() const { return m_as_of; }
 
 private:
+    struct call
+    {
+        std::uint64_t id = 0;
+        instant sent;
+    };
+
+    static bool is(std::optional<call> const& c, std::uint64_t id)
+    {
+        return c && c->id == id;
+    }
+    // Returns until when an empty answer to a watch shows that nothing has changed.
+    instant unchanged_until(call const& watch, instant now) const;
+
     store_reader_options m_options;
     std::mt19937_64 m_random;
-    std::optional<std::uint64_t> m_list;  // call in progress
-    std::optional<std::uint64_t> m_watch; // call in progress
+    std::optional<call> m_list;  // in progress
+    std::optional<call> m_watch; // in progress
     bool m_list_wanted = true;
     bool m_subscribed = false;
     instant m_next_call;
-    instant m_list_sent;
-    instant m_watch_sent;
     instant m_as_of;
     duration m_backoff{0}; // after the last failure; zero after a success
 };
--- a/src/process/ingress.hpp
+++ b/src/process/ingress.hpp
@@ -122,7 +122,8 @@
     void route(http_request request, http_reply const& reply, instant arrived);
     void deny(http_request request, http_reply const& reply, std::string const& service,
               outcome_reason reason, instant arrived);
-    void hold(http_request request, http_reply const& reply, instant arrived);
+    void hold(http_request request, http_reply const& reply, instant arrived,
+              instant now);
     void refuse_unverified(http_request const& request, http_reply const& reply,
                            instant now);
     void review_unverified(instant now);
--- a/src/process/ingress_denials.cpp
+++ b/src/process/ingress_denials.cpp
@@ -33,15 +33,15 @@
     case config_standing::current:
         return refuse_early(request, reply, service, reason, 0us, now);
     case config_standing::verifying:
-        return hold(std::move(request), reply, arrived);
+        return hold(std::move(request), reply, arrived, now);
     case config_standing::unverified:
         return refuse_unverified(request, reply, now);
     }
 }
 
-void ingress::hold(http_request request, http_reply const& reply, instant arrived)
+void ingress::hold(http_request request, http_reply const& reply, instant arrived,
+                   instant now)
 {
-    auto const now = boot_now();
     auto const timeout =
         std::visit([&](auto const& form) { return form.read(request); }, m_options.form)
             .timeout;
--- a/src/process/operator_api.cpp
+++ b/src/process/operator_api.cpp
@@ -147,14 +147,14 @@
     if (request.path() == "/v1/config")
     {
         auto const* config = m_dependencies.coord->copy().config();
-        bool const known =
-            config != nullptr ||
-            m_dependencies.coord->verify_config(boot_now()) == config_standing::current;
-        if (!known)
-            return reply.send(unverified_response());
         if (config == nullptr)
+        {
+            auto const standing = m_dependencies.coord->verify_config(boot_now());
             return reply.send(
-                error_response(404, "no configuration has been written yet"));
+                standing == config_standing::current
+                    ? error_response(404, "no configuration has been written yet")
+                    : unverified_response());
+        }
         return reply.send({.headers = {{"buckthornusher-config-number",
                                         std::to_string(config->number)}},
                            .body = config->document.text()});
--- a/src/version/packed_text.cpp
+++ b/src/version/packed_text.cpp
@@ -1,9 +1,9 @@
 // Implementation of packed_text with zlib; see the header.
 #include "buckthornusher/packed_text.hpp"
 
+#define ZLIB_CONST // input is read only
 #include <zlib.h>
 
-#include <algorithm>
 #include <array>
 #include <stdexcept>
 
@@ -21,9 +21,8 @@
     z_stream stream{};
     if (inflateInit(&stream) != Z_OK)
         return false;
-    auto input = bytes; // zlib takes a mutable pointer
-    stream.next_in = reinterpret_cast<Bytef*>(input.data());
-    stream.avail_in = static_cast<uInt>(input.size());
+    stream.next_in = reinterpret_cast<Bytef const*>(bytes.data());
+    stream.avail_in = static_cast<uInt>(bytes.size());
     std::array<char, 16'384> part{};
     std::size_t length = 0;
     int status = Z_OK;
--- a/tests/coordinator_test.cpp
+++ b/tests/coordinator_test.cpp
@@ -113,6 +113,26 @@
               at_ms(3'010) - (watch_begun + wait));
 }
 
+// Guards against a watch whose answer holds an older version first.
+TEST(coordinator, of_several_versions_of_the_configuration_the_latest_is_held)
+{
+    coordinator only_member(
+        {.self = {"n", 5}, .endpoint = "tcp://a:1", .region = "r", .domain = "d"});
+    only_member.start(at_ms(0));
+    auto const version = [](std::uint64_t number)
+    {
+        return object{.name = config_object,
+                      .version = number,
+                      .value = config_record{.number = number}};
+    };
+    only_member.on_store_answer(
+        list_call(only_member.take_effects(), object_kind::configuration),
+        store_objects{.revision = 9, .objects = {version(7), version(9), version(8)}},
+        at_ms(5));
+    ASSERT_NE(only_member.copy().config(), nullptr);
+    EXPECT_EQ(only_member.copy().config()->number, 9U);
+}
+
 // ---- changes of the replica ----
 
 constexpr std::uint64_t joined_revision = 4;
