--- a/tests/coordinator_property_test.cpp
+++ b/tests/coordinator_property_test.cpp
@@ -216,8 +216,6 @@
     }
 }
 
-// Watchers that can no longer form a majority are replaced even if only one other member
-// is left.
 // Guards against copies of a large document that fill the links between nodes.
 TEST(coordinator_property, a_document_is_sent_to_each_member_once)
 {
@@ -241,6 +239,8 @@
         EXPECT_EQ(count, 1) << "version " << key.first << " to " << key.second;
 }
 
+// Watchers that can no longer form a majority are replaced even if only one other member
+// is left.
 TEST(coordinator_property, two_remaining_members_get_leases)
 {
     for (std::uint64_t seed = 1; seed <= 20; ++seed)
--- a/tests/peer_socket_test.cpp
+++ b/tests/peer_socket_test.cpp
@@ -1,6 +1,7 @@
 // Tests of the socket between nodes.
 #include "connection/peer_socket.hpp"
 
+#include "free_port.hpp"
 #include "process/boot_clock.hpp"
 #include "process/event_loop.hpp"
 
@@ -13,19 +14,15 @@
 #include <pthread.h>
 #include <string>
 #include <thread>
-#include <unistd.h>
 
 namespace buckthornusher
 {
 namespace
 {
 
-std::string own_endpoint(int port)
+std::string endpoint_of(std::size_t number)
 {
-    auto const pid = ::getpid();
-    return "127." + std::to_string(200 + pid / 62'500 % 50) + "." +
-           std::to_string(pid / 250 % 250) + "." + std::to_string(1 + pid % 250) + ":" +
-           std::to_string(port);
+    return "tcp://" + to_string(test::free_address(number));
 }
 
 wire::Envelope message_of(std::uint64_t attempt)
@@ -80,9 +77,9 @@
     ASSERT_EQ(::sigaction(SIGUSR1, &action, &before), 0);
     event_loop loop;
     std::uint64_t received = 0;
-    peer_socket server(loop, "tcp://" + own_endpoint(7'901),
+    peer_socket server(loop, endpoint_of(0),
                        [&](peer_route const&, wire::Envelope const&) { ++received; });
-    peer_socket client(loop, "tcp://" + own_endpoint(7'902),
+    peer_socket client(loop, endpoint_of(1),
                        [](peer_route const&, wire::Envelope const&) {});
     std::uint64_t sent = 0;
     auto const deadline = boot_now() + 60s;
@@ -92,8 +89,7 @@
         while (storm.sent() < signals && boot_now() < deadline)
         {
             for (int i = 0; i < 16; ++i)
-                sent +=
-                    client.send("tcp://" + own_endpoint(7'901), message_of(sent)) ? 1 : 0;
+                sent += client.send(endpoint_of(0), message_of(sent)) ? 1 : 0;
             loop.run_once();
         }
         EXPECT_EQ(storm.sent(), signals);
