--- a/src/connection/wire.cpp
+++ b/src/connection/wire.cpp
@@ -219,6 +219,7 @@
                                     .document = packed_text(w.config().document())});
     case wire::Record::kPackedConfig:
         return decode_packed_config(w.packed_config());
+    case wire::Record::kEvacuation:
     case wire::Record::KIND_NOT_SET:
         break;
     }
--- a/src/process/node.cpp
+++ b/src/process/node.cpp
@@ -341,6 +341,17 @@
         callers.set_limits(to_server_limits(routes->source().limits));
         log_event(log_level::info, "config-in-force",
                   {{"number", std::to_string(config_number)}});
+        report_unknown_words(routes->source());
+    }
+
+    void report_unknown_words(document const& doc)
+    {
+        counts.set("config_unknown_words", doc.unknown_words.size());
+        if (!doc.unknown_words.empty())
+            log_event(log_level::warning, "config-word-unknown",
+                      {{"number", std::to_string(config_number)},
+                       {"count", std::to_string(doc.unknown_words.size())},
+                       {"first", to_string(doc.unknown_words.front())}});
     }
 
     void set_services(document const& doc)
--- a/src/version/config.cpp
+++ b/src/version/config.cpp
@@ -25,6 +25,8 @@
 constexpr std::int64_t max_port = 65'535;
 constexpr std::int64_t max_rank = 100;
 constexpr std::int64_t max_route_attempts = 10;
+constexpr std::int64_t max_cold_rate = 1'000'000;
+constexpr std::int64_t max_cold_ms = 3'600'000;
 
 std::size_t edit_distance(std::string_view a, std::string_view b)
 {
@@ -351,6 +353,8 @@
     route.rank = static_cast<std::uint32_t>(reader.integer("rank", 0, max_rank, 1));
     route.max_attempts = static_cast<std::uint32_t>(
         reader.integer("max_attempts", 1, max_route_attempts, 3));
+    route.regions = reader.texts("regions");
+    route.large_answers = reader.flag("large_answers", false);
     if (!route.prefix.empty() &&
         (route.prefix.front() != '/' || route.prefix.back() != '/'))
         reader.fail("prefix", *table.get("prefix"), "a path that begins and ends with /");
@@ -386,6 +390,9 @@
         std::chrono::milliseconds(reader.integer("latency_ms", 1, 60'000, 19));
     service.connections =
         static_cast<std::uint32_t>(reader.integer("connections", 0, 1'000'000, 0));
+    service.cold_rate = reader.number("cold_rate", 0, max_cold_rate, 0);
+    service.cold_time = reader.milliseconds("cold_ms", 0, max_cold_ms, duration{0});
+    service.health_path = reader.text("health_path", "");
     for (auto const* route : reader.tables("route", true))
         doc.routes.push_back(read_route(*route, path + "route.", name, errors));
     reader.report_unknown_keys();
@@ -582,6 +589,8 @@
                          : r.milliseconds("grace_ms", 100, max_period_ms, 20s);
     settings.drain_limit = r.milliseconds("drain_limit_ms", 100, max_period_ms, 30s);
     settings.config_bound = r.milliseconds("config_bound_ms", 500, max_period_ms, 15s);
+    settings.evacuation_bound =
+        r.milliseconds("evacuation_bound_ms", 0, max_period_ms, duration{0});
     settings.log_level =
         r.choice("log_level", {"debug", "info", "warning", "error"}, "info");
     r.report_unknown_keys();
@@ -613,6 +622,32 @@
     r.report_unknown_keys();
 }
 
+void read_cold(toml::table const& table, node_settings& settings,
+               std::vector<config_error>& errors)
+{
+    constexpr std::int64_t max_ratio = 1'000;
+    constexpr std::int64_t max_reserve = 1'000'000;
+    table_reader r(table, "cold_upstreams.", errors);
+    settings.cold_ratio = r.number("ratio", 0, max_ratio, settings.cold_ratio);
+    settings.cold_reserve = r.number("reserve", 0, max_reserve, settings.cold_reserve);
+    r.report_unknown_keys();
+}
+
+void read_vm(toml::table const& table, node_settings& settings,
+             std::vector<config_error>& errors)
+{
+    constexpr std::int64_t max_memory_mb = 1'048'576;
+    constexpr std::int64_t max_link_mbps = 1'000'000;
+    constexpr std::uint64_t bytes_per_mb = 1'000'000;
+    constexpr double bits_per_mbit = 1e6;
+    table_reader r(table, "vm.", errors);
+    settings.memory_bytes =
+        static_cast<std::uint64_t>(r.integer("memory_mb", 0, max_memory_mb, 0)) *
+        bytes_per_mb;
+    settings.link_bits = r.number("link_mbps", 0, max_link_mbps, 0) * bits_per_mbit;
+    r.report_unknown_keys();
+}
+
 } // namespace
 
 checked<node_settings> parse_settings(std::string_view text)
@@ -635,6 +670,10 @@
     }
     if (auto const* retries = reader.table("retries", true))
         read_retries(*retries, settings, errors);
+    if (auto const* cold = reader.table("cold_upstreams", true))
+        read_cold(*cold, settings, errors);
+    if (auto const* vm = reader.table("vm", true))
+        read_vm(*vm, settings, errors);
     reader.report_unknown_keys();
     if (!errors.empty())
         return errors;
--- a/src/version/config.hpp
+++ b/src/version/config.hpp
@@ -75,6 +75,9 @@
     duration latency{0};            // latency objective; 0: the service's
     std::uint32_t rank = 1;         // priority; 0 is the highest
     std::uint32_t max_attempts = 3; // maximum number of upstreams tried for a request
+    // Regions in which its requests may be served; empty: all.
+    std::vector<std::string> regions;
+    bool large_answers = false; // downloads: the answers' bytes bind, not their work
     friend bool operator==(route_config const&, route_config const&) = default;
 };
 
@@ -96,6 +99,9 @@
     double availability = 0.999;   // objective: share of the requests answered
     duration latency = 19ms;       // objective: bound for 99 % of the answers
     std::uint32_t connections = 0; // maximum per upstream that reports none; 0: default
+    double cold_rate = 0;          // requests per second to a cold upstream; 0: no bound
+    duration cold_time{0};         // for which an upstream is cold after its start
+    std::string health_path;       // of its upstreams' health checks; empty: none
     friend bool operator==(service_config const&, service_config const&) = default;
 };
 
@@ -139,6 +145,9 @@
     caller_limits limits;
     std::vector<department_config> departments; // in migration order
     old_setup_config old_setup;                 // port 0: no old setup
+    // Words that this version does not know. What they stand in is served as carefully as
+    // possible; the rest of the document is not affected.
+    std::vector<config_error> unknown_words;
     friend bool operator==(document const&, document const&) = default;
 };
 
@@ -183,7 +192,16 @@
     // Maximum time for which an upstream that is draining is still sent new requests.
     duration drain_limit = 30s;
     duration config_bound = 15s; // maximum time until a new document is in force
-    double retry_ratio = 0.2;    // retry budget: retries per request, over all nodes
+    // Maximum time from an evacuation of a failure domain until its upstreams get no
+    // requests; 0: evacuations are not read.
+    duration evacuation_bound{0};
+    // Bound on the requests that a cold upstream gets in any second: its service's
+    // `cold_rate` times the ratio, plus the reserve.
+    double cold_ratio = 1;
+    double cold_reserve = 0;
+    std::uint64_t memory_bytes = 0; // of this process; 0: not bounded
+    double link_bits = 0;           // per second, of the VM's link; 0: not known
+    double retry_ratio = 0.2;       // retry budget: retries per request, over all nodes
     double retry_reserve = 50;   // retries allowed in a window in addition to the ratio
     duration retry_window = 10s; // over which the retry budget is counted
     std::string log_level = "info";
--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -169,6 +169,12 @@
          "node.grace_ms: found 1, allowed 100 to 600000"},
         {node + listen + peers + store + "[retries]\nratio = 2.0\n",
          "retries.ratio: found 2.000000, allowed a number between 0 and 1"},
+        {node + listen + peers + store + "[cold_upstreams]\nratio = -1\n",
+         "cold_upstreams.ratio: found -1, allowed 0 to 1000"},
+        {node + listen + peers + store + "[vm]\nmemory_mb = \"x\"\n",
+         "vm.memory_mb: found \"x\", allowed 0 to 1048576"},
+        {node + listen + peers + store + "[vm]\nlink = 10\n",
+         "vm.link: found an unknown key, allowed perhaps \"link_mbps\""},
     };
     for (auto const& [text, message] : cases)
     {
