--- a/src/process/main.cpp
+++ b/src/process/main.cpp
@@ -27,7 +27,7 @@
         std::cerr << path << ": " << to_string(error) << "\n";
 }
 
-int run_node(std::string const& path)
+int run_node(std::string const& path, std::vector<std::string> const& overrides)
 {
     // SIGHUP is ignored until the node runs: it reads its settings at the start anyway.
     // SIGPIPE is ignored so that a closed log pipe does not end the process.
@@ -36,16 +36,16 @@
     auto const text = read_input(path);
     if (!text)
         return exit_bad_input;
-    auto const settings = parse_settings(*text);
+    auto const settings = parse_settings(*text, overrides);
     if (!settings)
         return print_errors(path, settings.error()), exit_bad_input;
     set_up_log({.node = settings.value().name, .level = settings.value().log_level});
     try
     {
-        auto const source = [path]() -> checked<node_settings>
+        auto const source = [path, overrides]() -> checked<node_settings>
         {
             if (auto const again = read_file(path))
-                return parse_settings(*again);
+                return parse_settings(*again, overrides);
             return std::vector{config_error{.found = "a file that cannot be read",
                                             .allowed = "the settings"}};
         };
@@ -84,6 +84,7 @@
 struct command_line
 {
     std::string settings;
+    std::vector<std::string> overrides;
     std::string document_path;
     std::string node;
     std::string production;
@@ -116,6 +117,9 @@
         config->require_subcommand(1);
         run->add_option("--settings", settings, "the process's settings, TOML")
             ->required();
+        run->add_option("--set", overrides,
+                        "section.key=number: replaces a figure of the settings; "
+                        "without a number it changes nothing");
         for (auto* command : {check, diff, apply})
             command->add_option("file", document_path, "the document, TOML")->required();
         for (auto* command : {show, diff, apply, status})
@@ -172,7 +176,7 @@
 int run_command(command_line const& line)
 {
     if (line.run->parsed())
-        return run_node(line.settings);
+        return run_node(line.settings, line.overrides);
     if (line.check->parsed())
         return check_config(line.document_path);
     if (line.explain->parsed())
--- a/src/version/config.cpp
+++ b/src/version/config.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cmath>
 #include <limits>
 #include <optional>
 #include <set>
@@ -27,6 +28,7 @@
 constexpr std::int64_t max_route_attempts = 10;
 constexpr std::int64_t max_cold_rate = 1'000'000;
 constexpr std::int64_t max_cold_ms = 3'600'000;
+constexpr double max_whole_number = 9e15; // below it each whole number is a double
 
 std::size_t edit_distance(std::string_view a, std::string_view b)
 {
@@ -648,14 +650,46 @@
     r.report_unknown_keys();
 }
 
+// Replaces one figure of the settings; see parse_settings().
+void apply_override(toml::table& settings, std::string const& override,
+                    std::vector<config_error>& errors)
+{
+    auto const dot = override.find('.');
+    auto const equals = override.find('=');
+    bool const well_formed = dot != std::string::npos && equals != std::string::npos &&
+                             0 < dot && dot + 1 < equals;
+    double number = 0;
+    auto const* end = override.data() + override.size();
+    auto const* value = override.data() + (well_formed ? equals + 1 : 0);
+    if (well_formed && value == end)
+        return;
+    auto const [stop, error] = std::from_chars(value, end, number);
+    if (!well_formed || error != std::errc{} || stop != end)
+        return errors.push_back({.key = "--set",
+                                 .found = '"' + override + '"',
+                                 .allowed = "section.key=number"});
+    auto const section = override.substr(0, dot);
+    auto const key = override.substr(dot + 1, equals - dot - 1);
+    auto const inserted = settings.insert(section, toml::table{});
+    if (auto* table = inserted.first->second.as_table(); table == nullptr)
+        errors.push_back({.key = section, .found = "no table", .allowed = "a table"});
+    else if (number == std::floor(number) && std::abs(number) <= max_whole_number)
+        table->insert_or_assign(key, static_cast<std::int64_t>(number));
+    else
+        table->insert_or_assign(key, number);
+}
+
 } // namespace
 
-checked<node_settings> parse_settings(std::string_view text)
+checked<node_settings> parse_settings(std::string_view text,
+                                      std::vector<std::string> const& overrides)
 {
     std::vector<config_error> errors;
-    auto const table = parse_toml(text, errors);
+    auto table = parse_toml(text, errors);
     if (!table)
         return errors;
+    for (auto const& override : overrides)
+        apply_override(*table, override, errors);
     node_settings settings;
     table_reader reader(*table, "", errors);
     if (auto const* node = reader.table("node"))
--- a/src/version/config.hpp
+++ b/src/version/config.hpp
@@ -208,7 +208,10 @@
     friend bool operator==(node_settings const&, node_settings const&) = default;
 };
 
-checked<node_settings> parse_settings(std::string_view text);
+// Parses settings. `overrides` are figures "section.key=number" that replace those of the
+// text; one without a number changes nothing.
+checked<node_settings> parse_settings(std::string_view text,
+                                      std::vector<std::string> const& overrides = {});
 
 } // namespace buckthornusher
 
--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -191,6 +191,31 @@
     EXPECT_EQ(advertised.value().advertised_peers, "10.0.0.9:7");
 }
 
+TEST(config, a_figure_of_the_settings_can_be_replaced)
+{
+    std::string const text =
+        "[node]\nname = \"n\"\nregion = \"r\"\ndomain = \"d\"\n"
+        "[listen]\ncallers = \"127.0.0.1:1\"\noperators = \"127.0.0.1:2\"\n"
+        "peers = \"127.0.0.1:3\"\n[store]\naddress = \"127.0.0.1:9000\"\n"
+        "[retries]\nreserve = 4\n";
+    auto const parsed = parse_settings(
+        text, {"vm.memory_mb=160", "vm.link_mbps=", "cold_upstreams.ratio=1.5",
+               "cold_upstreams.reserve=8", "node.evacuation_bound_ms=5000",
+               "retries.reserve=202"});
+    ASSERT_TRUE(parsed) << to_string(parsed.error().front());
+    auto const& settings = parsed.value();
+    EXPECT_EQ(settings.memory_bytes, 160'000'000U);
+    EXPECT_EQ(settings.link_bits, 0);
+    EXPECT_EQ(settings.cold_ratio, 1.5);
+    EXPECT_EQ(settings.cold_reserve, 8);
+    EXPECT_EQ(settings.evacuation_bound, 5s);
+    EXPECT_EQ(settings.retry_reserve, 202);
+    for (auto const* bad : {"", "vm", "vm.memory_mb", "vm.=3", ".memory_mb=3", "vm=3.5",
+                            "vm.memory_mb=many", "vm.memory_mb=1 2", "vm.memory_mb=1e99",
+                            "vm.memory=1", "node.name=3", "nodes.name=3"})
+        EXPECT_TRUE(parse_settings(text, {bad}).has_error()) << bad;
+}
+
 // Returns deploy/settings.toml.in with the placeholders replaced by values of a site.
 // The figures among them are those given.
 std::string filled_settings(std::map<std::string, std::string> const& figures)
