Regions: requests of bound routes stay in their regions

Cause: nothing read route_config.regions. Change: region_rule (pure) bounds a request. Candidates, owners, redirects, retries and the last step before sending keep to it at the caller's node; the agent checks its own region on arrival and directly before the upstream, also by its own document. Planner and assigner give shards of services whose routes are all bound to owners inside only. What no region can take is refused at once with 'no-region' (503, did not run) and a hint. Without bound routes nothing changes.

--- a/include/buckthornusher/outcome.hpp
+++ b/include/buckthornusher/outcome.hpp
@@ -39,6 +39,7 @@
     no_configuration,  // the node has not received a configuration yet
     behind,            // the node's processor is overloaded
     config_unverified, // the node may lack a newer configuration that allows the request
+    no_region,         // the regions to which it is bound have no usable upstream
 };
 
 // Returns the name on the wire, such as "no-route".
--- a/include/buckthornusher/shard_map.hpp
+++ b/include/buckthornusher/shard_map.hpp
@@ -9,6 +9,7 @@
 #define BUCKTHORNUSHER_SHARD_MAP_HPP
 
 #include "buckthornusher/member.hpp"
+#include "buckthornusher/region_rule.hpp"
 
 #include <cstdint>
 #include <string>
@@ -54,6 +55,7 @@
 {
     std::string name;
     std::uint32_t shards = 0;
+    region_bound regions; // in which its shards may be owned
     friend bool operator==(keyed_service const&, keyed_service const&) = default;
 };
 
--- a/src/process/agent.cpp
+++ b/src/process/agent.cpp
@@ -72,6 +72,10 @@
         return finish(w, request_refused{.reason = outcome_reason::stopping,
                                          .retry_after = refusal_retry_after}),
                id;
+    if (outside_regions(w))
+        return finish(w, request_refused{.reason = outcome_reason::no_region,
+                                         .retry_after = region_options{}.retry_after}),
+               id;
     if (w.request.shard)
     {
         shard_id const shard{w.request.service, *w.request.shard};
@@ -288,6 +292,8 @@
     auto reason = now < until ? outcome_reason::none : outcome_reason::deadline;
     if (!accepts_requests(*l, w.request.shard.has_value(), now))
         reason = outcome_reason::not_reached;
+    if (outside_regions(w))
+        reason = outcome_reason::no_region;
     if (w.request.shard)
     {
         // An upstream without grants learns the lease end from the request itself.
@@ -579,6 +585,7 @@
 void agent::set_routes(std::shared_ptr<route_table const> routes)
 {
     m_routes = std::move(routes);
+    set_region_routes();
     auto const& old = m_routes->source().old_setup;
     if (old.port == 0 || m_links.contains(old_setup_link))
         return;
--- a/src/process/agent.hpp
+++ b/src/process/agent.hpp
@@ -22,6 +22,7 @@
 #include "buckthornusher/outcome.hpp"
 #include "buckthornusher/placement.hpp"
 #include "buckthornusher/planned_stop.hpp"
+#include "buckthornusher/region_rule.hpp"
 #include "buckthornusher/upstream_history.hpp"
 #include "buckthornusher/upstream_liveness.hpp"
 #include "buckthornusher/upstream_queue.hpp"
@@ -49,6 +50,7 @@
     std::string service;
     std::optional<std::uint32_t> shard; // set for keyed services only
     http_request request;
+    region_bound regions;      // in which it may run
     std::string id;            // the request id, for logs
     std::string sender;        // the forwarding node, for logs; empty: this node
     std::string operation;     // an operation id, "new" to request one, or empty
@@ -91,6 +93,7 @@
 struct agent_options
 {
     upstream_form form;
+    std::string region;              // of this node
     duration report_interval = 1s;   // between reports of an upstream
     duration drain_limit = 30s;      // a draining upstream gets no new requests after it
     std::uint32_t connections = 110; // if the upstream announces no maximum
@@ -208,6 +211,8 @@
     bool accepts_requests(link const& l, bool keyed_request, instant now) const;
     void admit(active_request& w, instant now);
     bool choose_backend(active_request& w);
+    void set_region_routes();
+    bool outside_regions(active_request& w) const;
     bool check_operation(active_request& w, instant now);
     void start(active_request& w, instant now);
     void start_queued(link& l, instant now);
@@ -231,6 +236,8 @@
     std::map<std::string, link_ptr> m_links; // by service, and the old setup
     upstream_history m_history;
     std::shared_ptr<route_table const> m_routes;
+    std::uint64_t m_routes_number = 0; // of the calls of set_routes()
+    bool m_binds_regions = false;      // m_routes binds a route to regions
     // Unfinished requests of each shard at its upstream and at the old setup. Invariant:
     // a request is sent to one of them only while the other has none.
     struct backend_counts
--- a/src/process/agent_impl.hpp
+++ b/src/process/agent_impl.hpp
@@ -52,7 +52,8 @@
     std::uint64_t epoch = 0;
     link_ptr backend; // destination
     bool old_setup = false;
-    bool counted_in_backends = false;    // in m_backends
+    std::uint64_t regions_of = 0;     // m_routes_number when its regions were determined
+    bool counted_in_backends = false; // in m_backends
     bool counted_in_coordinator = false; // between its try_begin() and end()
     std::optional<operation_id> operation;
     std::optional<http_client::call_id> call;
--- a/src/process/explain.cpp
+++ b/src/process/explain.cpp
@@ -148,6 +148,15 @@
     return "; retry denied by: " + text(*repeat, "denied_by");
 }
 
+std::string describe_no_region(std::vector<log_record> const& records)
+{
+    auto const* outside = last_of(records, "outside");
+    if (outside == nullptr)
+        return "its regions have no usable upstream";
+    return "it is bound to the regions " + text(*outside, "regions") + "; " +
+           text(*outside, "why");
+}
+
 std::string cause_of_reason(std::vector<log_record> const& records, std::string_view why)
 {
     if (why == to_string(outcome_reason::overloaded) ||
@@ -169,6 +178,8 @@
         return "the node had not received a configuration yet";
     if (why == to_string(outcome_reason::config_unverified))
         return "the node could not learn in time whether its configuration is the newest";
+    if (why == to_string(outcome_reason::no_region))
+        return describe_no_region(records);
     if (why == to_string(outcome_reason::no_route) ||
         why == to_string(outcome_reason::no_key))
         return "the node's configuration has no route or shard key for it";
--- a/src/process/ingress.cpp
+++ b/src/process/ingress.cpp
@@ -346,6 +346,8 @@
 void ingress::tick(instant now)
 {
     review_unverified(now);
+    if (m_binds_regions)
+        refresh_upstream_nodes();
     auto const waiting = m_waiting;
     for (auto const id : waiting)
         if (auto* pending = find(id); pending != nullptr && now >= pending->retry_at)
--- a/src/process/ingress.hpp
+++ b/src/process/ingress.hpp
@@ -60,6 +60,7 @@
     std::string domain;
     std::string origin; // the service whose upstream is on this VM; may be empty
     retry_budget_options retries;
+    region_options regions;
 };
 
 class ingress
@@ -82,11 +83,7 @@
     void on_clock(std::string const& node, bool restarted, instant now);
 
     // `number`: the number of the configuration document, for logs.
-    void set_routes(std::shared_ptr<route_table const> routes, std::uint64_t number)
-    {
-        m_routes = std::move(routes);
-        m_config_number = number;
-    }
+    void set_routes(std::shared_ptr<route_table const> routes, std::uint64_t number);
     void set_coordinator(coordinator& coord) { m_coordinator = &coord; }
     void set_retries(retry_budget_options opts) { m_retries.set_options(opts); }
     // Accepts only requests that `stop` allows from now on.
@@ -134,6 +131,14 @@
     offer_choice choose_node(pending_request& pending,
                              std::vector<placement_candidate>& candidate_nodes,
                              instant now);
+    void renew_regions(pending_request& pending) const;
+    void note_known_services(instant now);
+    region_supply supply_of(pending_request const& pending, instant now);
+    bool refuse_without_region(pending_request& pending, instant now);
+    bool refuse_owner_outside(pending_request& pending, member_record const& owner,
+                              assignment const* a, instant now);
+    void refuse_outside(pending_request& pending, std::string const& why, duration after,
+                        instant now);
     upstream_node upstream_node_of(std::string const& service,
                                    std::string const& node) const;
     void make_offer(pending_request& pending, placement_choice const& choice,
@@ -201,6 +206,10 @@
     // The nodes with a local upstream of each service, from the replica's members.
     std::map<std::string, std::vector<upstream_node>> m_upstream_nodes;
     std::uint64_t m_upstream_nodes_change_count = 0;
+    bool m_binds_regions = false; // m_routes binds a route to regions
+    // When the first upstream of each service became known.
+    std::map<std::string, instant> m_known_since;
+    std::map<std::string, instant> m_next_region_log; // by service
     placement m_placement;
     offer_memory m_offers;
     retry_budget m_retries;
--- a/src/process/ingress_impl.hpp
+++ b/src/process/ingress_impl.hpp
@@ -1,8 +1,8 @@
 // Internal types shared by the ingress's source files.
 //
 // ingress.cpp accepts and finishes requests, ingress_denials.cpp handles those that no
-// route allows, ingress_sending.cpp chooses nodes and sends attempts, ingress_results.cpp
-// handles the results of attempts.
+// route allows, ingress_regions.cpp keeps requests in their regions, ingress_sending.cpp
+// chooses nodes and sends attempts, ingress_results.cpp handles the results of attempts.
 #ifndef BUCKTHORNUSHER_PROCESS_INGRESS_IMPL_HPP
 #define BUCKTHORNUSHER_PROCESS_INGRESS_IMPL_HPP
 
@@ -17,6 +17,7 @@
 {
     std::string node;
     std::string endpoint;
+    std::string region;
     distance network_distance = distance::same_domain;
     std::uint32_t slots = 1;
 };
@@ -38,6 +39,8 @@
     instant arrived;
     duration latency_bound{0}; // of the latency objective
     std::uint32_t max_attempts = 1;
+    // The document by which its regions were determined last; 0: none.
+    std::uint64_t regions_of = 0;
     attempt_history attempts;
     owner_search search;  // for the shard's owner
     std::string sent_to;  // the peer with the outstanding attempt; empty: none
@@ -46,9 +49,10 @@
     instant sent_at;
     std::uint64_t attempt_id = 0; // of the last attempt; 0: a delayed dispatch is due
     std::optional<agent::request_id> local_request;
-    std::set<std::string> tried; // nodes that refused or failed it in this round
-    bool last_round = false;     // offers may wait until the request's deadline
-    bool refused = false;        // by an overloaded node, in any round
+    std::set<std::string> tried;  // nodes that refused or failed it in this round
+    bool last_round = false;      // offers may wait until the request's deadline
+    bool refused = false;         // by an overloaded node, in any round
+    bool refused_outside = false; // by a node outside its regions, in any round
     // Whether the current offer is to a node whose last load report had no free slot.
     bool offered_to_full_node = false;
     duration retry_after{0}; // the minimum over all refusals
--- a/src/process/ingress_results.cpp
+++ b/src/process/ingress_results.cpp
@@ -147,12 +147,15 @@
 {
     if (result.reached_upstream)
         pending.attempts.on_arrival();
+    pending.refused_outside =
+        pending.refused_outside || result.reason == outcome_reason::no_region;
     if (pending.retry_after == 0us || result.retry_after < pending.retry_after)
         pending.retry_after = result.retry_after;
     bool const final =
         result.reason == outcome_reason::operation_invalid ||
         result.reason == outcome_reason::operation_running ||
         result.reason == outcome_reason::operations_full ||
+        (pending.request.shard && result.reason == outcome_reason::no_region) ||
         (pending.request.shard && result.reason == outcome_reason::overloaded);
     if (final || now + min_retry_time >= pending.request.deadline)
         return refuse(pending, result.reason, result.retry_after);
--- a/src/process/ingress_sending.cpp
+++ b/src/process/ingress_sending.cpp
@@ -31,6 +31,7 @@
 
 void ingress::dispatch(pending_request& pending, instant now)
 {
+    renew_regions(pending);
     if (pending.request.shard)
         dispatch_keyed(pending, now);
     else
@@ -47,7 +48,9 @@
     auto const target_owner = pending.search.next(by_replica, now);
     auto const* m = target_owner ? copy.serving(target_owner->owner) : nullptr;
     if (m == nullptr)
-        return wait(pending, now);
+        return refuse_without_region(pending, now) ? void() : wait(pending, now);
+    if (refuse_owner_outside(pending, *m, a, now))
+        return;
     pending.trace.add("owner",
                       {{"to", m->id.node},
                        {"epoch", std::to_string(target_owner->epoch)},
@@ -57,6 +60,7 @@
     send_to(pending,
             {.node = m->id.node,
              .endpoint = m->endpoint,
+             .region = m->region,
              .network_distance = distance_to(*m)},
             now);
 }
@@ -74,9 +78,13 @@
     {
         auto const offer = choose_node(pending, candidate_nodes, now);
         if (!offer.choice && !pending.tried.empty())
-            return refuse(pending, outcome_reason::overloaded, pending.retry_after);
+            return refuse(pending,
+                          pending.refused_outside && !pending.refused
+                              ? outcome_reason::no_region
+                              : outcome_reason::overloaded,
+                          pending.retry_after);
         if (!offer.choice)
-            return wait(pending, now);
+            return refuse_without_region(pending, now) ? void() : wait(pending, now);
         if (offer.step == offer_step::refuse)
             return refuse(pending, outcome_reason::overloaded,
                           std::max(pending.retry_after, offer.choice->wait));
@@ -129,7 +137,9 @@
         for (auto const& p : it->second)
             if (p.node == node)
                 return p;
-    return {.node = node, .endpoint = {}};
+    return {.node = node,
+            .endpoint = {},
+            .region = node == m_options.self ? m_options.region : std::string()};
 }
 
 void ingress::make_offer(pending_request& pending, placement_choice const& choice,
@@ -164,9 +174,10 @@
 {
     auto const now = boot_now();
     std::vector<placement_candidate> found;
-    auto const add = [&](std::string const& node, distance away, std::uint32_t slots)
+    auto const add = [&](std::string const& node, std::string const& region,
+                         distance away, std::uint32_t slots)
     {
-        if (!pending.tried.contains(node))
+        if (pending.request.regions.allows(region) && !pending.tried.contains(node))
             found.push_back({.node = node,
                              .away = away,
                              .slots = slots,
@@ -174,11 +185,11 @@
     };
     if (auto const own = m_agent.load(pending.request.service, "", now);
         own && own->accepting)
-        add(m_options.self, distance::same_domain, own->slots);
+        add(m_options.self, m_options.region, distance::same_domain, own->slots);
     auto const it = m_upstream_nodes.find(pending.request.service);
     if (it != m_upstream_nodes.end())
         for (auto const& p : it->second)
-            add(p.node, p.network_distance, p.slots);
+            add(p.node, p.region, p.network_distance, p.slots);
     return found;
 }
 
@@ -203,9 +214,11 @@
             if (!t.draining)
                 m_upstream_nodes[t.service].push_back({.node = id.node,
                                                        .endpoint = m.endpoint,
+                                                       .region = m.region,
                                                        .network_distance = distance_to(m),
                                                        .slots = t.slots});
     }
+    note_known_services(boot_now());
     m_placement.keep_only(nodes);
     m_retries.set_nodes(live);
 }
@@ -219,6 +232,9 @@
 
 void ingress::send_to(pending_request& pending, upstream_node const& target, instant now)
 {
+    if (!pending.request.regions.allows(target.region))
+        return refuse_outside(pending, target.node + " is in " + target.region,
+                              m_options.regions.retry_after, now);
     if (target.node == m_options.self)
         return run_locally(pending);
     auto const stamp = m_table.stamp(target.node, target.endpoint, now);
--- a/src/process/node.cpp
+++ b/src/process/node.cpp
@@ -19,6 +19,7 @@
 #include "process/overloaded.hpp"
 #include "process/part_options.hpp"
 #include "process/peer_table.hpp"
+#include "process/region_routes.hpp"
 #include "process/shard_handover.hpp"
 #include "process/state_log.hpp"
 #include "process/upstream_announcements.hpp"
@@ -88,6 +89,7 @@
           store_state("store", settings.store), coord(make_coordinator({}, {})),
           local(loop, *coord,
                 {.form = make_upstream_form(settings.form),
+                 .region = settings.region,
                  .report_interval = settings.report_interval,
                  .drain_limit = settings.drain_limit,
                  .tick_period = request_period,
@@ -363,7 +365,9 @@
         {
             if (!service.keyed)
                 continue;
-            services.push_back({.name = service.name, .shards = service.shards});
+            services.push_back({.name = service.name,
+                                .shards = service.shards,
+                                .regions = owner_regions_of(doc, service.name)});
             // An unfenced upstream may still run a request of an earlier owner until the
             // longest request time has passed.
             if (!service.fenced)
--- a/src/process/request_wire.cpp
+++ b/src/process/request_wire.cpp
@@ -58,7 +58,7 @@
 request_result decode(wire::Reply const& in)
 {
     auto const reason =
-        in.reason() <= static_cast<std::uint32_t>(outcome_reason::config_unverified)
+        in.reason() <= static_cast<std::uint32_t>(outcome_reason::no_region)
             ? static_cast<outcome_reason>(in.reason())
             : outcome_reason::none;
     switch (in.outcome())
@@ -98,6 +98,8 @@
     request.rank = in.rank();
     request.epoch = in.epoch();
     request.repeatable = in.repeatable();
+    request.regions =
+        region_bound(std::vector<std::string>(in.regions().begin(), in.regions().end()));
     request.request.method = in.method();
     request.request.target = in.target();
     request.request.body = in.body();
@@ -118,6 +120,8 @@
     out.set_rank(request.rank);
     out.set_epoch(request.epoch);
     out.set_repeatable(request.repeatable);
+    for (auto& name : request.regions.names())
+        out.add_regions(std::move(name));
     out.set_method(request.request.method);
     out.set_target(request.request.target);
     out.set_body(request.request.body);
--- a/src/request/outcome.cpp
+++ b/src/request/outcome.cpp
@@ -48,6 +48,8 @@
         return "behind";
     case outcome_reason::config_unverified:
         return "configuration-unverified";
+    case outcome_reason::no_region:
+        return "no-region";
     }
     return "none";
 }
--- a/tests/agent_test.cpp
+++ b/tests/agent_test.cpp
@@ -93,6 +93,77 @@
     std::map<std::string, request_result> results;
 };
 
+// Returns the routes of a document with one route, bound to the regions.
+std::shared_ptr<route_table const> bound_to(std::string const& regions)
+{
+    auto parsed = parse_document("environment = \"t\"\n[service.s]\nkeyed = false\n"
+                                 "[[service.s.route]]\nprefix = \"/\"\nregions = [" +
+                                 regions + "]\n");
+    return std::make_shared<route_table const>(std::move(parsed).value());
+}
+
+class agent_in_region : public agent_test
+{
+protected:
+    agent_in_region() : here(loop, coord, {.region = "here"})
+    {
+        here.on_report(report_of(1), boot_now());
+    }
+
+    void run_here(std::string const& target, region_bound regions)
+    {
+        auto request = make_request(target, true);
+        request.regions = std::move(regions);
+        request.deadline = request.due = request.start_until = boot_now() + 5s;
+        here.run(std::move(request), [this, target](request_result result)
+                 { results.emplace(target, std::move(result)); });
+    }
+
+    bool refused_outside(std::string const& target) const
+    {
+        auto const it = results.find(target);
+        auto const* r =
+            it == results.end() ? nullptr : std::get_if<request_refused>(&it->second);
+        return r != nullptr && r->reason == outcome_reason::no_region &&
+               !r->reached_upstream;
+    }
+
+    agent here;
+};
+
+TEST_F(agent_in_region, refuses_a_request_bound_to_others)
+{
+    run_here("/outside", region_bound({"there"}));
+    EXPECT_TRUE(refused_outside("/outside"));
+    run_here("/inside", region_bound({"there", "here"}));
+    serve_until([&] { return !arrived.empty(); });
+    EXPECT_EQ(arrived, std::vector<std::string>{"/inside"});
+}
+
+TEST_F(agent_in_region, checks_requests_of_older_senders_by_its_own_document)
+{
+    here.set_routes(bound_to("\"there\""));
+    run_here("/outside", {});
+    EXPECT_TRUE(refused_outside("/outside"));
+    here.set_routes(bound_to("\"here\""));
+    run_here("/none", region_bound({"there"}));
+    EXPECT_TRUE(refused_outside("/none"));
+    EXPECT_TRUE(arrived.empty());
+}
+
+// The document changes the regions while a request waits for a slot.
+TEST_F(agent_in_region, a_queued_request_keeps_to_the_new_regions_too)
+{
+    run_here("/running", region_bound({"here"}));
+    serve_until([&] { return arrived.size() == 1; });
+    run_here("/queued", region_bound({"here"}));
+    here.set_routes(bound_to("\"there\""));
+    replies.front().send({.status = 200});
+    serve_until([&] { return results.contains("/queued"); });
+    EXPECT_TRUE(refused_outside("/queued"));
+    EXPECT_EQ(arrived.size(), 1U);
+}
+
 class stopping_agent : public agent_test
 {
 };
--- a/tests/ingress_test.cpp
+++ b/tests/ingress_test.cpp
@@ -45,6 +45,14 @@
         }
         if (!message.has_forward())
             return;
+        forwards.push_back(decode(message.forward()));
+        out.mutable_reply()->set_attempt(message.forward().attempt());
+        if (next_result)
+        {
+            encode(*std::exchange(next_result, {}), *out.mutable_reply());
+            peers.reply(route, out);
+            return;
+        }
         request_answered const answer{.response = {.status = 200, .body = name}};
         out.mutable_reply()->set_attempt(message.forward().attempt());
         encode(answer, *out.mutable_reply());
@@ -53,6 +61,8 @@
 
     std::string name;
     bool answers_hello = true;
+    std::vector<upstream_request> forwards;
+    std::optional<request_result> next_result; // instead of its answer
     peer_socket peers;
 };
 
@@ -90,9 +100,12 @@
                                              .region = "here",
                                              .domain = "here-1",
                                              .known = two_nodes()}),
-          local(loop, coord, {}),
-          requests(loop, coord, local, peers, table, counts,
-                   {.form = {}, .self = "own", .region = "here", .domain = "here-1"}),
+          local(loop, coord, {}), requests(loop, coord, local, peers, table, counts,
+                                           {.form = {},
+                                            .self = "own",
+                                            .region = "here",
+                                            .domain = "here-1",
+                                            .regions = {.settle_time = 0ms}}),
           near_node(loop, "near", 1), far_node(loop, "far", 2),
           callers(loop, {.address = test::free_address(3)},
                   [this](http_request request, http_reply const& reply)
@@ -123,10 +136,34 @@
             loop.run_once();
     }
 
-    http_response call()
+    void set_document(std::string const& text, std::uint64_t number)
+    {
+        auto parsed = parse_document("environment = \"t\"\n" + text);
+        requests.set_routes(
+            std::make_shared<route_table const>(std::move(parsed).value()), number);
+    }
+
+    // Of an unkeyed service, a route for each of the regions.
+    static std::string bound_routes(std::string const& first, std::string const& second)
+    {
+        return "[service.s]\nkeyed = false\n"
+               "[[service.s.route]]\nprefix = \"/s/\"\nregions = [" +
+               first +
+               "]\n"
+               "[[service.s.route]]\nprefix = \"/t/\"\nregions = [" +
+               second + "]\n";
+    }
+
+    void wait_for_clocks()
+    {
+        wait_for_clock("near", 1);
+        wait_for_clock("far", 2);
+    }
+
+    http_response call(std::string const& target = "/s/x")
     {
         std::optional<http_result> result;
-        client.call({.method = "GET", .target = "/s/x"}, 10s,
+        client.call({.method = "GET", .target = target}, 10s,
                     [&](http_result r) { result = std::move(r); });
         while (!result)
             loop.run_once();
@@ -171,5 +208,132 @@
     EXPECT_FALSE(table.stamp("near", endpoint_of(1), now));
 }
 
+// ---- routes bound to regions, with callers in all of them ----
+
+std::string reason_of(http_response const& response)
+{
+    for (auto const& h : response.headers)
+        if (h.name == "buckthornusher-reason")
+            return h.value;
+    return {};
+}
+
+TEST_F(ingress_test, sends_a_request_to_its_regions_only)
+{
+    wait_for_clocks();
+    set_document(bound_routes("\"there\"", "\"here\", \"elsewhere\""), 2);
+    for (int i = 0; i < 20; ++i)
+    {
+        EXPECT_EQ(call("/s/x").body, "far");
+        EXPECT_EQ(call("/t/x").body, "near");
+    }
+    EXPECT_EQ(far_node.forwards.size(), 20U);
+    EXPECT_EQ(far_node.forwards.front().regions, region_bound({"there"}));
+}
+
+TEST_F(ingress_test, refuses_at_once_if_no_upstream_in_the_regions_is_known)
+{
+    wait_for_clocks();
+    set_document(bound_routes("\"elsewhere\"", ""), 2);
+    auto const before = boot_now();
+    auto const response = call("/s/x");
+    EXPECT_LT(boot_now() - before, 200ms);
+    EXPECT_EQ(response.status, 503);
+    EXPECT_EQ(reason_of(response), "no-region");
+    EXPECT_EQ(call("/t/x").status, 200);
+    EXPECT_TRUE(far_node.forwards.empty());
+}
+
+TEST_F(ingress_test, a_request_refused_in_its_region_is_not_sent_to_others)
+{
+    wait_for_clocks();
+    set_document(bound_routes("\"there\"", ""), 2);
+    // Each is asked in both rounds.
+    far_node.next_result = request_refused{.reason = outcome_reason::overloaded};
+    EXPECT_EQ(call("/s/x").body, "far");
+    EXPECT_TRUE(near_node.forwards.empty());
+    EXPECT_EQ(far_node.forwards.size(), 2U);
+}
+
+TEST_F(ingress_test, a_node_that_knows_a_newer_document_refuses_by_its_regions)
+{
+    wait_for_clocks();
+    near_node.next_result = request_refused{.reason = outcome_reason::no_region};
+    EXPECT_EQ(call("/s/x").body, "far");
+}
+
+class keyed_ingress_test : public ingress_test
+{
+protected:
+    // All shards are owned by `owner`, and the route is bound to `regions`.
+    void set_owner(std::string const& owner, std::string const& successor,
+                   std::string const& regions)
+    {
+        wait_for_clocks();
+        shard_group_record group{.service = "k", .first_shard = 0, .assignments = {}};
+        group.assignments.resize(4,
+                                 {.owner = {.node = owner, .generation = 1}, .epoch = 3});
+        if (!successor.empty())
+            for (auto& a : group.assignments)
+                a.successor = {.node = successor, .generation = 1};
+        auto known = two_nodes();
+        known.apply({.name = shard_group_object("k", 0), .version = 3, .value = group});
+        other.emplace(coordinator_options{.self = {"own", 1},
+                                          .endpoint = endpoint_of(0),
+                                          .region = "here",
+                                          .domain = "here-1",
+                                          .known = std::move(known)});
+        requests.set_coordinator(*other);
+        set_document("[service.k]\nshards = 4\n[[service.k.route]]\nprefix = "
+                     "\"/k/\"\nregions = [" +
+                         regions + "]\n",
+                     2);
+    }
+
+    static std::string retry_after_ms(http_response const& response)
+    {
+        for (auto const& h : response.headers)
+            if (h.name == "buckthornusher-retry-after-ms")
+                return h.value;
+        return {};
+    }
+
+    std::optional<coordinator> other;
+};
+
+TEST_F(keyed_ingress_test, sends_to_an_owner_inside)
+{
+    set_owner("far", "", "\"there\"");
+    EXPECT_EQ(call("/k/1").body, "far");
+}
+
+TEST_F(keyed_ingress_test, refuses_at_once_if_the_owner_is_outside)
+{
+    set_owner("far", "", "\"here\"");
+    auto const response = call("/k/1");
+    EXPECT_EQ(response.status, 503);
+    EXPECT_EQ(reason_of(response), "no-region");
+    EXPECT_EQ(retry_after_ms(response), "1000");
+    EXPECT_TRUE(far_node.forwards.empty());
+}
+
+TEST_F(keyed_ingress_test, hints_at_a_move_into_the_regions)
+{
+    set_owner("far", "near", "\"here\"");
+    auto const response = call("/k/1");
+    EXPECT_EQ(reason_of(response), "no-region");
+    EXPECT_EQ(retry_after_ms(response), "300");
+    EXPECT_TRUE(far_node.forwards.empty());
+}
+
+TEST_F(keyed_ingress_test, is_not_redirected_to_an_owner_outside)
+{
+    set_owner("far", "", "\"there\"");
+    far_node.next_result =
+        request_moved{.owner = {.node = "near", .generation = 1}, .epoch = 4};
+    EXPECT_EQ(reason_of(call("/k/1")), "no-region");
+    EXPECT_TRUE(near_node.forwards.empty());
+}
+
 } // namespace
 } // namespace buckthornusher
