Next step: one pure decision about a request, carried out by the ingress

What callers saw: nothing; where a request goes was decided between sends and timers of the shell, where each new veto needed a place of its own and no test without sockets reached it. Change: next_step has the order of vetoes (regions, reach, evacuation, refusal in this round) and the rounds of offers; values in, one of send, run here, wait, refuse out. The ingress gathers the values, asks for clocks and carries the action out. Behaviour is meant to be unchanged; all draws of one decision now follow from one number.

--- a/src/process/ingress.hpp
+++ b/src/process/ingress.hpp
@@ -22,6 +22,7 @@
 #include "buckthornusher/attempt_history.hpp"
 #include "buckthornusher/burn.hpp"
 #include "buckthornusher/coordinator.hpp"
+#include "buckthornusher/next_step.hpp"
 #include "buckthornusher/offer_memory.hpp"
 #include "buckthornusher/owner_search.hpp"
 #include "buckthornusher/placement.hpp"
@@ -110,7 +111,6 @@
         instant until; // then it is refused
     };
     struct upstream_node; // a node with a local upstream
-    struct offer_choice;
     using pending_request_id = std::uint64_t;
 
     pending_request& create_pending_request(http_request request, http_reply const& reply,
@@ -128,25 +128,22 @@
     void dispatch(pending_request& pending, instant now);
     void dispatch_keyed(pending_request& pending, instant now);
     void dispatch_unkeyed(pending_request& pending, instant now);
-    offer_choice choose_node(pending_request& pending,
-                             std::vector<placement_candidate>& candidate_nodes,
-                             instant now);
     void renew_regions(pending_request& pending) const;
     void note_known_services(instant now);
-    region_supply supply_of(pending_request const& pending, instant now);
-    bool refuse_without_region(pending_request& pending, instant now);
-    bool refuse_owner_outside(pending_request& pending, member_record const& owner,
-                              assignment const* a, instant now);
+    step_options steps() const;
+    step_request limits_of(pending_request const& pending, instant now) const;
+    step_upstreams known_upstreams(pending_request const& pending, instant now);
+    region_supply known_supply(pending_request const& pending, instant now);
+    void carry_out(pending_request& pending, step_action const& action, instant now);
     void refuse_outside(pending_request& pending, std::string const& why, duration after,
                         instant now);
     upstream_node upstream_node_of(std::string const& service,
                                    std::string const& node) const;
-    void make_offer(pending_request& pending, placement_choice const& choice,
-                    upstream_node const& target, std::size_t candidate_count,
-                    instant now);
+    void make_offer(pending_request& pending, std::string const& node,
+                    offer_terms const& terms, instant now);
     void send_to(pending_request& pending, upstream_node const& target, instant now);
     void run_locally(pending_request& pending);
-    void wait(pending_request& pending, instant now);
+    void wait(pending_request& pending, instant until, instant now);
     void refuse_after_long_wait(pending_request& pending, instant now);
     void record_offer_result(pending_request& pending, request_result const& result);
     void record_round_trip(pending_request const& pending, wire::Reply const& reply,
@@ -183,8 +180,6 @@
     void on_deadline(pending_request_id id);
     void refresh_upstream_nodes();
     distance distance_to(member_record const& m) const;
-    std::vector<placement_candidate> begin_last_round(pending_request& pending);
-    std::vector<placement_candidate> candidates(pending_request const& pending) const;
     pending_request* find(pending_request_id id);
 
     event_loop& m_loop;
--- a/src/process/ingress_impl.hpp
+++ b/src/process/ingress_impl.hpp
@@ -22,13 +22,6 @@
     std::uint32_t slots = 1;
 };
 
-// The next step for an unkeyed request. `choice` is empty if there is no candidate node.
-struct ingress::offer_choice
-{
-    std::optional<placement_choice> choice;
-    offer_step step = offer_step::ask;
-};
-
 // Invariant: at most one of `local_request` and `sent_to` is set; each is cleared before
 // the request is dispatched again.
 struct ingress::pending_request
@@ -49,13 +42,9 @@
     instant sent_at;
     std::uint64_t attempt_id = 0; // of the last attempt; 0: a delayed dispatch is due
     std::optional<agent::request_id> local_request;
-    std::set<std::string> tried;  // nodes that refused or failed it in this round
-    bool last_round = false;      // offers may wait until the request's deadline
-    bool refused = false;         // by an overloaded node, in any round
-    bool refused_outside = false; // by a node outside its regions, in any round
+    request_progress progress;
     // Whether the current offer is to a node whose last load report had no free slot.
     bool offered_to_full_node = false;
-    duration retry_after{0}; // the minimum over all refusals
     std::optional<instant> waiting_since;
     instant retry_at; // next dispatch of a waiting request; sooner on a replica change
     timer_service::timer_id timer;
--- a/src/process/ingress_regions.cpp
+++ b/src/process/ingress_regions.cpp
@@ -50,54 +50,19 @@
         m_known_since.try_emplace(entry.first, now);
 }
 
-region_supply ingress::supply_of(pending_request const& pending, instant now)
+step_options ingress::steps() const
 {
-    auto const& service = pending.request.service;
-    auto const& bound = pending.request.regions;
-    region_supply supply;
-    auto const add = [&](std::string const& region)
-    {
-        (bound.allows(region) ? supply.inside : supply.outside) = true;
-    };
-    if (auto const own = m_agent.load(service, "", now); own && own->accepting)
-        add(m_options.region);
-    if (auto const it = m_upstream_nodes.find(service); it != m_upstream_nodes.end())
-        for (auto const& p : it->second)
-            add(p.region);
-    if (supply.inside || supply.outside)
-        supply.known_since = m_known_since.try_emplace(service, now).first->second;
-    return supply;
+    return {.offers = {}, .regions = m_options.regions};
 }
 
-// Refuses the request if no node in its regions can be chosen and none is about to become
-// known. Returns whether it did.
-bool ingress::refuse_without_region(pending_request& pending, instant now)
+// Returns what is known of the upstreams inside and outside the request's regions;
+// nothing if it is not bound.
+region_supply ingress::known_supply(pending_request const& pending, instant now)
 {
     if (!pending.request.regions.bound())
-        return false;
+        return {};
     refresh_upstream_nodes();
-    auto const after = refusal_without_upstream(
-        pending.request.regions, supply_of(pending, now), now, m_options.regions);
-    if (after)
-        refuse_outside(pending, "no upstream there can be used", *after, now);
-    return after.has_value();
-}
-
-// Refuses the request if its shard is owned outside its regions. Returns whether it did.
-bool ingress::refuse_owner_outside(pending_request& pending, member_record const& owner,
-                                   assignment const* a, instant now)
-{
-    auto const& copy = m_coordinator->copy();
-    auto const* next =
-        a != nullptr && a->successor ? copy.serving(a->successor) : nullptr;
-    auto const after = refusal_at_owner(
-        pending.request.regions, owner.region,
-        next == nullptr ? std::optional<std::string>() : next->region, m_options.regions);
-    if (after)
-        refuse_outside(pending,
-                       "the shard is owned by " + owner.id.node + " in " + owner.region,
-                       *after, now);
-    return after.has_value();
+    return supply_of(known_upstreams(pending, now), pending.request.regions);
 }
 
 void ingress::refuse_outside(pending_request& pending, std::string const& why,
--- a/src/process/ingress_results.cpp
+++ b/src/process/ingress_results.cpp
@@ -40,13 +40,13 @@
         if (refused->reason == outcome_reason::stale)
             m_table.on_refused_as_stale(node, pending->request.deadline, now);
         else
-            pending->tried.insert(node);
+            pending->progress.tried.insert(node);
     }
     auto const* answered = std::get_if<request_answered>(&result);
     bool const failed = std::holds_alternative<request_unknown>(result) ||
                         (answered != nullptr && answered->failed);
     if (failed)
-        pending->tried.insert(node); // a retry prefers another node
+        pending->progress.tried.insert(node); // a retry prefers another node
     end_attempt(*pending, failed, now);
     trace_result(*pending, result, node);
     on_result(*pending, std::move(result), now);
@@ -109,7 +109,7 @@
     auto const* refused = std::get_if<request_refused>(&result);
     bool const no_room =
         refused != nullptr && refused->reason == outcome_reason::overloaded;
-    pending.refused = pending.refused || no_room;
+    pending.progress.refused = pending.progress.refused || no_room;
     if (std::exchange(pending.offered_to_full_node, false))
         m_offers.note(pending.request.request_class, !no_room);
 }
@@ -147,10 +147,11 @@
 {
     if (result.reached_upstream)
         pending.attempts.on_arrival();
-    pending.refused_outside =
-        pending.refused_outside || result.reason == outcome_reason::no_region;
-    if (pending.retry_after == 0us || result.retry_after < pending.retry_after)
-        pending.retry_after = result.retry_after;
+    pending.progress.refused_outside =
+        pending.progress.refused_outside || result.reason == outcome_reason::no_region;
+    if (pending.progress.retry_after == 0us ||
+        result.retry_after < pending.progress.retry_after)
+        pending.progress.retry_after = result.retry_after;
     bool const final =
         result.reason == outcome_reason::operation_invalid ||
         result.reason == outcome_reason::operation_running ||
@@ -267,7 +268,7 @@
         pending->trace.add("lost", {{"at", node}, {"certain", confirmed ? "yes" : "no"}});
         if (abandon_attempt(*pending, now))
         {
-            pending->tried.insert(node);
+            pending->progress.tried.insert(node);
             dispatch(*pending, now);
         }
         else if (confirmed)
--- a/src/process/ingress_sending.cpp
+++ b/src/process/ingress_sending.cpp
@@ -4,6 +4,7 @@
 #include "buckthornusher/owner_wait.hpp"
 #include "process/boot_clock.hpp"
 #include "process/event_loop.hpp"
+#include "process/overloaded.hpp"
 #include "process/request_wire.hpp"
 
 #include "wire.pb.h"
@@ -14,9 +15,6 @@
 namespace
 {
 constexpr duration resend_delay = 20ms;
-// Interval at which a waiting request is dispatched again if the replica does not change.
-constexpr duration waiting_retry_interval = 100ms;
-constexpr offer_options offers{};
 constexpr double exchange_mean_weight = 0.1; // of the newest exchange in the average
 
 std::size_t size_of(std::vector<http_header> const& headers, std::string const& body)
@@ -27,6 +25,12 @@
     return size;
 }
 
+bool sends(step_action const& action)
+{
+    return std::holds_alternative<send_to_node>(action) ||
+           std::holds_alternative<run_here>(action);
+}
+
 } // namespace
 
 void ingress::dispatch(pending_request& pending, instant now)
@@ -38,6 +42,16 @@
         dispatch_unkeyed(pending, now);
 }
 
+step_request ingress::limits_of(pending_request const& pending, instant now) const
+{
+    step_request request{.regions = pending.request.regions,
+                         .deadline = pending.request.deadline,
+                         .stopping = {}};
+    if (!accepts(pending.request.deadline, now))
+        request.stopping = stopping_retry_after();
+    return request;
+}
+
 void ingress::dispatch_keyed(pending_request& pending, instant now)
 {
     auto const& copy = m_coordinator->copy();
@@ -45,18 +59,28 @@
         copy.find_assignment({pending.request.service, *pending.request.shard});
     auto const by_replica =
         a == nullptr ? named_owner{} : named_owner{.owner = a->owner, .epoch = a->epoch};
-    auto const target_owner = pending.search.next(by_replica, now);
-    auto const* m = target_owner ? copy.serving(target_owner->owner) : nullptr;
-    if (m == nullptr)
-        return refuse_without_region(pending, now) ? void() : wait(pending, now);
-    if (refuse_owner_outside(pending, *m, a, now))
-        return;
-    pending.trace.add("owner",
-                      {{"to", m->id.node},
-                       {"epoch", std::to_string(target_owner->epoch)},
-                       {"told", *target_owner == by_replica ? "by-replica" : "by-node"},
-                       {"replica", std::to_string(copy.revision())}});
-    pending.request.epoch = target_owner->epoch;
+    auto const named = pending.search.next(by_replica, now);
+    auto const* m = named ? copy.serving(named->owner) : nullptr;
+    auto const* next =
+        a != nullptr && a->successor ? copy.serving(a->successor) : nullptr;
+    std::optional<step_owner> owner;
+    if (m != nullptr)
+        owner = step_owner{.node = m->id.node,
+                           .region = m->region,
+                           .here = m->id.node == m_options.self,
+                           .successor = {}};
+    if (owner && next != nullptr)
+        owner->successor = next->region;
+    auto const step = next_keyed_step(
+        limits_of(pending, now), owner,
+        owner ? region_supply{} : known_supply(pending, now), now, steps());
+    if (!sends(step.action))
+        return carry_out(pending, step.action, now);
+    pending.trace.add("owner", {{"to", m->id.node},
+                                {"epoch", std::to_string(named->epoch)},
+                                {"told", *named == by_replica ? "by-replica" : "by-node"},
+                                {"replica", std::to_string(copy.revision())}});
+    pending.request.epoch = named->epoch;
     send_to(pending,
             {.node = m->id.node,
              .endpoint = m->endpoint,
@@ -68,65 +92,56 @@
 void ingress::dispatch_unkeyed(pending_request& pending, instant now)
 {
     refresh_upstream_nodes();
+    auto const& service = pending.request.service;
     auto const& request_class = pending.request.request_class;
-    if (auto const load = m_agent.load(pending.request.service, request_class, now))
+    if (auto const load = m_agent.load(service, request_class, now))
         m_placement.on_load(m_options.self, *load, now, request_class);
-    auto candidate_nodes = candidates(pending);
-    if (candidate_nodes.empty() && !pending.tried.empty() && !pending.last_round)
-        candidate_nodes = begin_last_round(pending);
+    auto upstreams = known_upstreams(pending, now);
+    placement_request const cost{.exchange_bytes = exchange_bytes(pending),
+                                 .rank = pending.request.rank,
+                                 .request_class = request_class};
     for (;;)
     {
-        auto const offer = choose_node(pending, candidate_nodes, now);
-        if (!offer.choice && !pending.tried.empty())
-            return refuse(pending,
-                          pending.refused_outside && !pending.refused
-                              ? outcome_reason::no_region
-                              : outcome_reason::overloaded,
-                          pending.retry_after);
-        if (!offer.choice)
-            return refuse_without_region(pending, now) ? void() : wait(pending, now);
-        if (offer.step == offer_step::refuse)
-            return refuse(pending, outcome_reason::overloaded,
-                          std::max(pending.retry_after, offer.choice->wait));
-        auto const& node = offer.choice->node;
-        auto const target = upstream_node_of(pending.request.service, node);
-        if (node == m_options.self || m_table.stamp(node, target.endpoint, now))
-            return make_offer(pending, *offer.choice, target, candidate_nodes.size(),
-                              now);
+        auto const step =
+            next_unkeyed_step(limits_of(pending, now), pending.progress, cost, upstreams,
+                              m_placement, m_offers, m_random(), now, steps());
+        if (step.begins_last_round)
+        {
+            pending.progress.last_round = true;
+            pending.progress.tried.clear();
+            for (auto& c : upstreams.candidates)
+                c.unreachable = false;
+        }
+        auto const* send = std::get_if<send_to_node>(&step.action);
+        if (send == nullptr ||
+            m_table.stamp(send->node, upstream_node_of(service, send->node).endpoint,
+                          now))
+            return carry_out(pending, step.action, now);
         // The node's clock is not known yet and was requested by stamp(); another node
         // may take the request without that delay.
-        std::erase_if(candidate_nodes, [&](auto const& c) { return c.node == node; });
-        if (candidate_nodes.empty())
-            return wait(pending, now);
+        for (auto& c : upstreams.candidates)
+            c.unreachable = c.unreachable || c.place.node == send->node;
     }
 }
 
-// Chooses the node to offer the request to from the candidates in `candidate_nodes`.
-// Begins the last round, with all nodes as candidates again, when the first round is
-// exhausted.
-ingress::offer_choice
-ingress::choose_node(pending_request& pending,
-                     std::vector<placement_candidate>& candidate_nodes, instant now)
+// Carries out the step of an unkeyed request, or one that sends nothing.
+void ingress::carry_out(pending_request& pending, step_action const& action, instant now)
 {
-    placement_request const request{.exchange_bytes = exchange_bytes(pending),
-                                    .rank = pending.request.rank,
-                                    .request_class = pending.request.request_class};
-    for (;;)
-    {
-        auto choice = m_placement.choose(candidate_nodes, request, m_random(), now);
-        if (!choice)
-            return {};
-        auto const step = next_offer(*choice,
-                                     {.last_round = pending.last_round,
-                                      .refused_by = pending.tried.size(),
-                                      .refused = pending.refused,
-                                      .offer_if_full = m_offers.worth_offering(
-                                          pending.request.request_class, m_random())},
-                                     pending.request.deadline - now, offers);
-        if (step != offer_step::last_round)
-            return {.choice = std::move(choice), .step = step};
-        candidate_nodes = begin_last_round(pending);
-    }
+    std::visit(
+        overloaded{
+            [&](send_to_node const& send)
+            { make_offer(pending, send.node, *send.terms, now); },
+            [&](run_here const& run)
+            { make_offer(pending, m_options.self, *run.terms, now); },
+            [&](wait_until const& until) { wait(pending, until.at, now); },
+            [&](refuse_with const& refusal)
+            {
+                if (refusal.reason == outcome_reason::no_region)
+                    return refuse_outside(pending, refusal.why, refusal.retry_after, now);
+                refuse(pending, refusal.reason, refusal.retry_after);
+            },
+        },
+        action);
 }
 
 ingress::upstream_node ingress::upstream_node_of(std::string const& service,
@@ -142,54 +157,52 @@
             .region = node == m_options.self ? m_options.region : std::string()};
 }
 
-void ingress::make_offer(pending_request& pending, placement_choice const& choice,
-                         upstream_node const& target, std::size_t candidate_count,
-                         instant now)
+void ingress::make_offer(pending_request& pending, std::string const& node,
+                         offer_terms const& terms, instant now)
 {
+    auto const& choice = terms.choice;
     pending.offered_to_full_node = choice.full;
-    bool const has_alternatives = candidate_count > 1;
-    pending.request.start_until = has_alternatives && !pending.last_round
-                                      ? now + offers.first_round_max_wait
-                                      : pending.request.deadline;
+    pending.request.start_until = terms.start_until;
     pending.trace.add("placed",
-                      {{"to", choice.node},
+                      {{"to", node},
                        {"expected_ms", in_ms(choice.expected)},
-                       {"of", std::to_string(candidate_count)},
-                       {"had_no_room", std::to_string(pending.tried.size())},
-                       {"round", pending.last_round ? "last" : "first"},
+                       {"of", std::to_string(terms.candidates)},
+                       {"had_no_room", std::to_string(pending.progress.tried.size())},
+                       {"round", pending.progress.last_round ? "last" : "first"},
                        {"full", choice.full ? "yes" : "no"},
                        {"patience_ms", in_ms(pending.request.start_until - now)},
-                       {"load", m_placement.describe(choice.node, now)}});
-    send_to(pending, target, now);
-}
-
-std::vector<placement_candidate> ingress::begin_last_round(pending_request& pending)
-{
-    pending.last_round = true;
-    pending.tried.clear();
-    return candidates(pending);
+                       {"load", m_placement.describe(node, now)}});
+    send_to(pending, upstream_node_of(pending.request.service, node), now);
 }
 
-std::vector<placement_candidate> ingress::candidates(pending_request const& pending) const
+// Returns the upstreams of the request's service that can be chosen; next_step.hpp has
+// the vetoes against them.
+step_upstreams ingress::known_upstreams(pending_request const& pending, instant now)
 {
-    auto const now = boot_now();
-    std::vector<placement_candidate> found;
-    auto const add = [&](std::string const& node, std::string const& region,
-                         distance away, std::uint32_t slots)
+    auto const& service = pending.request.service;
+    step_upstreams found;
+    auto const add = [&](upstream_node const& p, bool here)
     {
-        if (pending.request.regions.allows(region) && !pending.tried.contains(node))
-            found.push_back({.node = node,
-                             .away = away,
-                             .slots = slots,
-                             .silence = m_table.silence(node, now)});
+        found.candidates.push_back({.place = {.node = p.node,
+                                              .away = p.network_distance,
+                                              .slots = p.slots,
+                                              .silence = m_table.silence(p.node, now)},
+                                    .region = p.region,
+                                    .here = here});
     };
-    if (auto const own = m_agent.load(pending.request.service, "", now);
-        own && own->accepting)
-        add(m_options.self, m_options.region, distance::same_domain, own->slots);
-    auto const it = m_upstream_nodes.find(pending.request.service);
+    if (auto const own = m_agent.load(service, "", now); own && own->accepting)
+        add({.node = m_options.self,
+             .endpoint = {},
+             .region = m_options.region,
+             .network_distance = distance::same_domain,
+             .slots = own->slots},
+            true);
+    auto const it = m_upstream_nodes.find(service);
     if (it != m_upstream_nodes.end())
         for (auto const& p : it->second)
-            add(p.node, p.region, p.network_distance, p.slots);
+            add(p, false);
+    if (pending.request.regions.bound() && !found.candidates.empty())
+        found.known_since = m_known_since.try_emplace(service, now).first->second;
     return found;
 }
 
@@ -239,7 +252,8 @@
         return run_locally(pending);
     auto const stamp = m_table.stamp(target.node, target.endpoint, now);
     if (!stamp)
-        return wait(pending, now);
+        return carry_out(pending, wait_or_refuse(limits_of(pending, now), now, steps()),
+                         now);
     m_waiting.erase(pending.id);
     pending.attempt_id = m_next_id++;
     wire::Envelope message;
@@ -258,7 +272,7 @@
     out.set_start_within(left(pending.request.start_until));
     if (!m_peers.send(target.endpoint, message))
     {
-        pending.tried.insert(target.node);
+        pending.progress.tried.insert(target.node);
         return dispatch_later(pending, now);
     }
     pending.sent_to = target.node;
@@ -294,7 +308,7 @@
                             std::holds_alternative<request_unknown>(result);
                         m_placement.on_done(m_options.self, failed, now);
                         if (failed || std::holds_alternative<request_refused>(result))
-                            waiting->tried.insert(m_options.self);
+                            waiting->progress.tried.insert(m_options.self);
                         trace_result(*waiting, result, m_options.self);
                         on_result(*waiting, std::move(result), now);
                     });
@@ -303,12 +317,10 @@
 }
 
 // Queues the request until an owner, an upstream or a peer's clock is known.
-void ingress::wait(pending_request& pending, instant now)
+void ingress::wait(pending_request& pending, instant until, instant now)
 {
-    if (!accepts(pending.request.deadline, now))
-        return refuse(pending, outcome_reason::stopping, stopping_retry_after());
     m_waiting.insert(pending.id);
-    pending.retry_at = now + waiting_retry_interval;
+    pending.retry_at = until;
     if (pending.waiting_since)
         return;
     pending.waiting_since = now;
