Upstreams: a cold upstream gets no more requests in a second than it bears

Cause: `warm_up_left` was read and used by nobody. Change: start_limit counts what was sent in the last second, and what is not written yet, and spaces the starts; the queue of the upstream makes requests wait for it or refuses them. Cold is by the upstream's report, after failed or several lost connections until the next report, and after a silence. Other nodes learn the rate and its end by the load, and count fewer slots. Log upstream-cold and upstream-warm, metric upstream_cold_ms. Only for services with cold_rate.

--- a/include/buckthornusher/placement.hpp
+++ b/include/buckthornusher/placement.hpp
@@ -20,6 +20,9 @@
 // answer each further request is assumed to wait for the ones before: a node that is
 // lost, or that all nodes try at once, gets one request of each.
 //
+// A cold upstream may start few requests per second. Until it is warm it counts as having
+// only as many slots as these occupy, so that not every node queues requests there.
+//
 // A node that has not answered a probe is expected to answer later by as long as it has
 // been silent.
 //
@@ -67,6 +70,10 @@
     duration until_slot{0};    // until a slot is free, ignoring the waiting requests
     std::vector<rank_backlog> backlog; // most urgent rank first
     bool accepting = true;             // false: the upstream is draining or gone
+    // While the upstream is cold: requests per second that may start there, and for how
+    // long. 0: not bounded.
+    double start_rate = 0;
+    duration bounded_for{0};
     friend bool operator==(upstream_load const&, upstream_load const&) = default;
 };
 
--- a/include/buckthornusher/upstream_queue.hpp
+++ b/include/buckthornusher/upstream_queue.hpp
@@ -23,16 +23,21 @@
 // become slow or starts cold, and for a mix of short and long requests in which long
 // requests of other upstreams make the short ones.
 //
+// A cold upstream gets a bounded number of requests per second (start_limit.hpp); those
+// beyond it wait as for a slot, and are refused if they cannot start in time.
+//
 // Service times are estimated for each class of requests (a route), as requests of one
 // upstream differ far more between classes than within one.
 //
 // Cost: O(queue) for arrive(), start_next() and clear(), and for expire() once more for
-// each request that has become late; O(ranks) for backlog(), O(classes) for leave(), and
-// O(log queue) otherwise. Memory is bounded by `max_queue`, `slots` and the classes.
+// each request that has become late; O(ranks) for backlog(), and O(queue) while the
+// upstream is cold; O(classes) for leave(), and O(log queue) otherwise. Memory is bounded
+// by `max_queue`, `slots` and the classes.
 #ifndef BUCKTHORNUSHER_UPSTREAM_QUEUE_HPP
 #define BUCKTHORNUSHER_UPSTREAM_QUEUE_HPP
 
 #include "buckthornusher/placement.hpp"
+#include "buckthornusher/start_limit.hpp"
 #include "buckthornusher/time.hpp"
 
 #include <compare>
@@ -121,14 +126,23 @@
     // Returns the expected time until a slot is free, by the classes of the running
     // requests and ignoring the waiting ones.
     duration until_free_slot() const;
+    // Returns the time until a request may start, with an empty queue.
+    duration until_start(instant now) const;
     // Returns the time for which the waiting requests occupy all slots, by rank.
     std::vector<rank_backlog> backlog() const;
+    // Returns the same, or the time until they may have started if that is longer.
+    std::vector<rank_backlog> backlog(instant now) const;
     duration expected_service(std::string const& request_class) const;
     // Returns the same, or nothing before the first request of the class has completed.
     std::optional<duration> known_service(std::string const& request_class) const;
     // Returns the mean over all classes, weighted by their frequency.
     duration mean_service() const;
 
+    // Bounds the starts while the upstream is cold. The caller tells it what it learns of
+    // the upstream and when a running request has been written.
+    start_limit& starts() { return m_starts; }
+    start_limit const& starts() const { return m_starts; }
+
     std::uint32_t slots() const { return m_options.slots; }
     std::uint32_t limit() const { return static_cast<std::uint32_t>(m_limit); }
     std::uint32_t running() const { return static_cast<std::uint32_t>(m_running.size()); }
@@ -158,10 +172,11 @@
     };
     void enqueue(queued_request const& r, duration service,
                  queue_position const& position);
-    void mark_running(queued_request const& r);
+    void mark_running(queued_request const& r, instant now);
     void adjust_limit(bool crowded, bool shed);
     bool has_slot() const { return m_options.slots > 0 && m_running.size() < limit(); }
-    duration wait_until(std::set<queue_position>::const_iterator end) const;
+    bool may_start(instant now) const { return has_slot() && m_starts.may_start(now); }
+    duration wait_until(std::set<queue_position>::const_iterator end, instant now) const;
     bool is_small(duration service) const;
     bool is_late(duration service, instant due, instant now) const;
     // `wait`: until the requests before its position have started.
@@ -184,6 +199,7 @@
     std::map<std::string, double> m_slot_time;   // recent slot time by class, decaying
     double m_longest_us = 0; // of the classes with a share of the slots
     double m_limit;          // 1 <= m_limit <= max(1, slots)
+    start_limit m_starts;    // knows the running requests
     // Moving averages of the share of requests that the upstream shed.
     double m_shed_crowded = 0;
     double m_shed_uncrowded = 0;
--- a/src/connection/http_client.cpp
+++ b/src/connection/http_client.cpp
@@ -447,6 +447,12 @@
     return true;
 }
 
+bool http_client::has_sent(call_id id) const
+{
+    auto const it = m_impl->calls.find(id);
+    return it == m_impl->calls.end() || it->second->any_sent;
+}
+
 std::size_t http_client::incomplete_bytes() const
 {
     return m_impl->incomplete_bytes;
--- a/src/connection/http_client.hpp
+++ b/src/connection/http_client.hpp
@@ -113,6 +113,8 @@
     // Cancels the call if none of its bytes have left this process. Returns false if some
     // have, or if the call has ended.
     bool cancel_if_unsent(call_id id);
+    // Returns whether bytes of the call have left this process, or it has ended.
+    bool has_sent(call_id id) const;
 
     std::size_t connections() const;
     std::size_t incomplete_bytes() const; // received for incomplete responses
--- a/src/process/agent.cpp
+++ b/src/process/agent.cpp
@@ -324,6 +324,7 @@
         connection);
     if (auto* still = find(id))
         still->call = call;
+    note_written(*l, boot_now());
 }
 
 void agent::start_queued(link& l, instant now)
@@ -358,6 +359,7 @@
         auto const& failure = result.error();
         bool const cancelled = failure.failed_step == http_failure::step::cancelled;
         l.connect_failed = failure.failed_step == http_failure::step::connect;
+        note_failure(l, failure, took, now);
         w.trace.add("upstream", {{"outcome", "no-answer"},
                                  {"step", to_string(failure.failed_step)},
                                  {"peer", failure.peer},
@@ -614,6 +616,7 @@
     for (auto const& entry : links)
     {
         auto& queue = entry.second->queue;
+        note_written(*entry.second, now);
         refuse_all(queue.expire(now), outcome_reason::overloaded, queue.mean_service());
         start_queued(*entry.second, now);
         auto& l = *entry.second;
--- a/src/process/agent.hpp
+++ b/src/process/agent.hpp
@@ -98,6 +98,9 @@
     // The longest lease of an earlier process of this node, which may have granted keys
     // to an upstream until the end of that lease.
     duration max_lease = lease_options{}.max_lease_duration();
+    // Bound on the requests to a cold upstream, for services with a `cold_rate`.
+    double cold_ratio = 1;
+    double cold_reserve = 0;
 };
 
 class agent
@@ -197,6 +200,10 @@
     bool expects_shards(link& l, std::string const& service, instant now) const;
     std::set<std::uint32_t> busy_shards(std::string const& service) const;
     bool keyed(std::string const& service) const;
+    void learn_warm_up(link& l, upstream_report const& report, instant now) const;
+    void note_written(link& l, instant now);
+    void note_failure(link& l, http_failure const& failure, duration took,
+                      instant now) const;
     void try_begin(active_request& w, instant now);
     void wait_for_shard(active_request& w);
     void mark_departed(instant now);
--- a/src/process/agent_impl.hpp
+++ b/src/process/agent_impl.hpp
@@ -29,6 +29,7 @@
     std::size_t granted_shards = 0;         // in the last answer to a report
     std::optional<instant> expecting_since; // incoming shards, from then on
     dependency state;
+    bool logged_cold = false;
 
     bool draining() const
     {
--- a/src/process/agent_upstreams.cpp
+++ b/src/process/agent_upstreams.cpp
@@ -77,13 +77,18 @@
         auto const before = std::exchange(l, make_link(report));
         l->drained_before = m_history.was_draining(report.incarnation);
         if (before != nullptr)
+        {
+            learn_warm_up(*l, report, now);
+            l->queue.starts().continue_from(before->queue.starts(), now);
             refuse_all(before->queue.clear(), outcome_reason::upstream_refused,
                        refusal_retry_after);
+        }
     }
     bool const began_to_drain =
         report.state == upstream_state::draining && !l->draining();
     l->report = report;
     l->queue.set_slots(usable_slots(report));
+    learn_warm_up(*l, report, now);
     l->reported_at = now;
     l->connect_failed = false;
     if (began_to_drain)
@@ -306,14 +311,17 @@
         return std::nullopt;
     auto const& l = *it->second;
     bool const silent = is_silent(l, now);
+    auto const& starts = l.queue.starts();
     return upstream_load{
         .slots = l.queue.limit(),
         .running = l.queue.running(),
         .waiting = static_cast<std::uint32_t>(l.queue.queued()),
         .service = l.queue.known_service(request_class).value_or(duration{0}),
-        .until_slot = l.queue.until_free_slot(),
-        .backlog = l.queue.backlog(),
-        .accepting = !l.draining() && !silent && !l.connect_failed && !m_closing};
+        .until_slot = l.queue.until_start(now),
+        .backlog = l.queue.backlog(now),
+        .accepting = !l.draining() && !silent && !l.connect_failed && !m_closing,
+        .start_rate = starts.is_cold(now) ? starts.start_rate() : 0,
+        .bounded_for = starts.cold_for(now)};
 }
 
 bool agent::is_silent(link const& l, instant now) const
--- a/src/process/operator_api.cpp
+++ b/src/process/operator_api.cpp
@@ -291,6 +291,8 @@
                       load->running);
                 m.set("upstream_waiting{service=\"" + service.name + "\"}",
                       load->waiting);
+                m.set("upstream_cold_ms{service=\"" + service.name + "\"}",
+                      static_cast<std::uint64_t>(load->bounded_for / 1ms));
             }
     auto const log = current_log_counts();
     m.set("log_lines_total", log.lines);
--- a/src/process/request_wire.cpp
+++ b/src/process/request_wire.cpp
@@ -5,12 +5,23 @@
 
 #include "wire.pb.h"
 
+#include <algorithm>
+#include <cmath>
+
 namespace buckthornusher
 {
 
 namespace
 {
 
+constexpr std::uint64_t max_bound_us = 3'600'000'000; // of what a load says of the future
+
+// A figure that is negative or no number says nothing.
+double decode_figure(double value)
+{
+    return std::isfinite(value) && value > 0 ? value : 0;
+}
+
 void encode_result(request_answered const& answered, wire::Reply& out)
 {
     out.set_outcome(wire::Reply::ANSWERED);
@@ -137,6 +148,8 @@
     out.set_service(static_cast<std::uint64_t>(load.service.count()));
     out.set_accepting(load.accepting);
     out.set_until_slot(static_cast<std::uint64_t>(load.until_slot.count()));
+    out.set_start_rate(load.start_rate);
+    out.set_bounded_for(static_cast<std::uint64_t>(load.bounded_for.count()));
     for (auto const& b : load.backlog)
     {
         auto& rank = *out.add_backlog();
@@ -151,13 +164,16 @@
     {
         return duration(static_cast<duration::rep>(us));
     };
-    upstream_load load{.slots = in.slots(),
-                       .running = in.running(),
-                       .waiting = in.waiting(),
-                       .service = from_us(in.service()),
-                       .until_slot = from_us(in.until_slot()),
-                       .backlog = {},
-                       .accepting = in.accepting()};
+    upstream_load load{
+        .slots = in.slots(),
+        .running = in.running(),
+        .waiting = in.waiting(),
+        .service = from_us(in.service()),
+        .until_slot = from_us(in.until_slot()),
+        .backlog = {},
+        .accepting = in.accepting(),
+        .start_rate = decode_figure(in.start_rate()),
+        .bounded_for = from_us(std::min<std::uint64_t>(in.bounded_for(), max_bound_us))};
     for (auto const& b : in.backlog())
         load.backlog.push_back({.rank = b.rank(), .time = from_us(b.time())});
     return load;
--- a/src/request/placement.cpp
+++ b/src/request/placement.cpp
@@ -31,6 +31,16 @@
     return std::chrono::duration_cast<duration>(std::chrono::duration<double>(s));
 }
 
+// Returns the number of requests that the upstream can have at once; fewer than its slots
+// while it is cold. `age`: of the report.
+double usable_slots(upstream_load const& load, double service_s, duration age)
+{
+    auto const slots = static_cast<double>(std::max(1U, load.slots));
+    if (load.start_rate <= 0 || age >= load.bounded_for)
+        return slots;
+    return std::clamp(load.start_rate * service_s, 1.0, slots);
+}
+
 // Returns the expected wait of a request of the rank: it waits for the queued requests of
 // the same or a more urgent rank.
 duration expected_wait(upstream_load const& load, std::uint32_t rank, duration service)
@@ -174,8 +184,9 @@
     auto const& e = it->second;
     if (now < e.avoid_until)
         return std::nullopt;
-    auto const slots = std::max(1U, e.load ? e.load->slots : c.slots);
     auto const s = seconds(service);
+    auto const slots = e.load ? usable_slots(*e.load, s, now - e.load_received)
+                              : static_cast<double>(std::max(1U, c.slots));
     double busy = 0;
     double wait = 0;
     bool load_known = false;
--- a/src/request/upstream_queue.cpp
+++ b/src/request/upstream_queue.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace buckthornusher
 {
@@ -82,12 +83,20 @@
     return from_us(std::round(1 / ends_per_us));
 }
 
-duration upstream_queue::wait_until(std::set<queue_position>::const_iterator end) const
+duration upstream_queue::until_start(instant now) const
+{
+    return std::max(until_free_slot(), m_starts.until_start(0, now));
+}
+
+duration upstream_queue::wait_until(std::set<queue_position>::const_iterator end,
+                                    instant now) const
 {
     duration ahead{0};
-    for (auto it = m_queue.begin(); it != end; ++it)
+    std::size_t requests = 0;
+    for (auto it = m_queue.begin(); it != end; ++it, ++requests)
         ahead += m_waiting.at(it->id).service;
-    return until_free_slot() + ahead / static_cast<duration::rep>(limit());
+    return std::max(until_free_slot() + ahead / static_cast<duration::rep>(limit()),
+                    m_starts.until_start(requests, now));
 }
 
 std::vector<rank_backlog> upstream_queue::backlog() const
@@ -99,6 +108,25 @@
     return by_rank;
 }
 
+std::vector<rank_backlog> upstream_queue::backlog(instant now) const
+{
+    auto by_rank = backlog();
+    if (!m_starts.is_cold(now))
+        return by_rank;
+    auto const from = m_starts.until_start(0, now);
+    auto started = from; // when the ranks so far may have started
+    std::size_t requests = 0;
+    auto it = m_queue.begin();
+    for (auto& b : by_rank)
+    {
+        for (; it != m_queue.end() && it->rank <= b.rank; ++it)
+            ++requests;
+        auto const end = m_starts.until_start(requests, now);
+        b.time = std::max(b.time, end - std::exchange(started, end));
+    }
+    return by_rank;
+}
+
 void upstream_queue::enqueue(queued_request const& r, duration service,
                              queue_position const& position)
 {
@@ -132,8 +160,9 @@
     return now + wait + service + service / margin_divisor <= end;
 }
 
-void upstream_queue::mark_running(queued_request const& r)
+void upstream_queue::mark_running(queued_request const& r, instant now)
 {
+    m_starts.on_start(r.id, now);
     bool const crowded =
         static_cast<double>(m_running.size()) >= m_options.slots * min_limit_share;
     m_running.emplace(r.id,
@@ -147,14 +176,14 @@
     if (m_options.slots == 0)
         return has_no_room{.retry_after = max_retry_after};
     auto const service = expected_service(r.request_class);
-    if (has_slot() && m_queue.empty())
+    if (may_start(now) && m_queue.empty())
     {
-        mark_running(r);
+        mark_running(r, now);
         return starts_now{};
     }
     queue_position const position{
         .rank = r.rank, .late = is_late(service, r.due, now), .due = r.due, .id = r.id};
-    auto const wait = wait_until(m_queue.lower_bound(position));
+    auto const wait = wait_until(m_queue.lower_bound(position), now);
     if (!has_room(r, position.late, wait, service, now))
         return has_no_room{.retry_after = std::clamp(wait, duration(min_retry_after),
                                                      duration(max_retry_after))};
@@ -179,12 +208,15 @@
     m_limit = std::max(1.0, m_limit);
 }
 
-void upstream_queue::leave(std::uint64_t id, request_end end, duration took,
-                           instant /*now*/)
+void upstream_queue::leave(std::uint64_t id, request_end end, duration took, instant now)
 {
     auto const it = m_running.find(id);
     if (it == m_running.end())
         return;
+    if (end == request_end::not_sent)
+        m_starts.on_not_counted(id);
+    else
+        m_starts.on_sent(id, now);
     auto const ended = std::move(it->second);
     m_running.erase(it);
     bool const answered =
@@ -233,7 +265,7 @@
 
 std::optional<std::uint64_t> upstream_queue::start_next(instant now)
 {
-    if (!has_slot())
+    if (!may_start(now))
         return std::nullopt;
     auto chosen = m_queue.end();
     for (auto it = m_queue.begin(); it != m_queue.end(); ++it)
@@ -253,7 +285,7 @@
     if (chosen == m_queue.end())
         return std::nullopt;
     auto const id = chosen->id;
-    mark_running(m_waiting.at(id).request);
+    mark_running(m_waiting.at(id).request, now);
     cancel(id);
     return id;
 }
@@ -284,7 +316,7 @@
     auto w = m_waiting.at(id);
     cancel(id);
     w.position.late = true;
-    auto const wait = wait_until(m_queue.lower_bound(w.position));
+    auto const wait = wait_until(m_queue.lower_bound(w.position), now);
     if (!has_room(w.request, true, wait, w.service, now))
         return false;
     enqueue(w.request, w.service, w.position);
