Upstreams: what an upstream tells of its load counts

What callers saw: on VMs that others make slow, requests were queued by times learnt before, and a restarted node sent its upstream more than it could take. Cause: the load that upstreams add to their answers was not read. Change: platform/upstream_form reads it; broken values are counted and ignored. Times are learnt without the VM's slowness and expected with it, here and at the other nodes (Load.speed); requests at the upstream that the node does not know of take slots until a later answer, a second at most. Metrics upstream_slowness_percent and upstream_loads_broken_total.

--- a/include/buckthornusher/placement.hpp
+++ b/include/buckthornusher/placement.hpp
@@ -23,6 +23,9 @@
 // A cold upstream may start few requests per second. Until it is warm it counts as having
 // only as many slots as these occupy, so that not every node queues requests there.
 //
+// An upstream may tell how long work takes on its VM now. Times are learnt without this
+// slowness and expected with it, as far as the report is recent.
+//
 // A node that has not answered a probe is expected to answer later by as long as it has
 // been silent.
 //
@@ -74,6 +77,7 @@
     // long. 0: not bounded.
     double start_rate = 0;
     duration bounded_for{0};
+    double slowness = 1; // how long work takes on its VM now; part of `service`
     friend bool operator==(upstream_load const&, upstream_load const&) = default;
 };
 
--- a/include/buckthornusher/upstream_queue.hpp
+++ b/include/buckthornusher/upstream_queue.hpp
@@ -26,6 +26,9 @@
 // A cold upstream gets a bounded number of requests per second (start_limit.hpp); those
 // beyond it wait as for a slot, and are refused if they cannot start in time.
 //
+// The upstream may tell how long work takes on its VM now (reported_load.hpp). Times are
+// learnt without this slowness and expected with it.
+//
 // Service times are estimated for each class of requests (a route), as requests of one
 // upstream differ far more between classes than within one.
 //
@@ -40,6 +43,7 @@
 #include "buckthornusher/start_limit.hpp"
 #include "buckthornusher/time.hpp"
 
+#include <algorithm>
 #include <compare>
 #include <cstdint>
 #include <map>
@@ -123,6 +127,11 @@
     // starts and none is accepted; those that wait do so until they expire.
     void set_slots(std::uint32_t slots);
 
+    // How long work takes at the upstream now; 1: as usual.
+    void set_slowness(double slowness) { m_slowness = slowness; }
+    // So many of the slots are used by requests that are not in this queue. One is left.
+    void set_occupied(std::uint32_t slots) { m_occupied = slots; }
+
     // Returns the expected time until a slot is free, by the classes of the running
     // requests and ignoring the waiting ones.
     duration until_free_slot() const;
@@ -144,7 +153,11 @@
     start_limit const& starts() const { return m_starts; }
 
     std::uint32_t slots() const { return m_options.slots; }
-    std::uint32_t limit() const { return static_cast<std::uint32_t>(m_limit); }
+    std::uint32_t limit() const
+    {
+        auto const all = static_cast<std::uint32_t>(m_limit);
+        return all - std::min(all - 1, m_occupied);
+    }
     std::uint32_t running() const { return static_cast<std::uint32_t>(m_running.size()); }
     std::size_t queued() const { return m_queue.size(); }
 
@@ -169,6 +182,7 @@
         std::string request_class;
         bool crowded = false; // started with half of the slots or more in use
         duration expected{0}; // its service time
+        double slowness = 1;  // of the upstream when it started
     };
     void enqueue(queued_request const& r, duration service,
                  queue_position const& position);
@@ -183,7 +197,8 @@
     bool has_room(queued_request const& r, bool late, duration wait, duration service,
                   instant now) const;
     bool requeue_as_late(std::uint64_t id, instant now);
-    void update_service(std::string const& request_class, duration took);
+    // `slowness`: of the upstream while the request ran.
+    void update_service(std::string const& request_class, duration took, double slowness);
     void update_slot_time(std::string const& request_class, duration took);
     void update_longest_service();
 
@@ -194,12 +209,14 @@
     std::set<queue_position> m_queue;
     std::map<std::uint64_t, waiting> m_waiting;
     std::map<std::uint32_t, duration> m_backlog; // sum of `service`, by rank
-    std::map<std::string, double> m_service_us;  // by class
-    double m_mean_us = 0;                        // over all classes
+    std::map<std::string, double> m_service_us;  // by class, at slowness 1
+    double m_mean_us = 0;                        // over all classes, at slowness 1
     std::map<std::string, double> m_slot_time;   // recent slot time by class, decaying
-    double m_longest_us = 0; // of the classes with a share of the slots
+    double m_longest_us = 0; // of the classes with a share of the slots, at slowness 1
     double m_limit;          // 1 <= m_limit <= max(1, slots)
-    start_limit m_starts;    // knows the running requests
+    double m_slowness = 1;
+    std::uint32_t m_occupied = 0;
+    start_limit m_starts; // knows the running requests
     // Moving averages of the share of requests that the upstream shed.
     double m_shed_crowded = 0;
     double m_shed_uncrowded = 0;
--- a/src/connection/upstream_form.hpp
+++ b/src/connection/upstream_form.hpp
@@ -27,6 +27,7 @@
     // add_call_headers().
     bool is_response_to(http_request const& request, http_response const& response) const;
     answer_meaning meaning(http_response const& response) const;
+    load_word load(http_response const&) const { return load_not_told{}; }
 };
 
 using upstream_form = std::variant<native_upstream_form, platform::upstream_form>;
--- a/src/process/agent.cpp
+++ b/src/process/agent.cpp
@@ -314,6 +314,7 @@
          {"hold_ms", w.request.shard && l->grants
                          ? in_ms(l->grants->held_until(*w.request.shard, w.epoch) - now)
                          : "-"}});
+    l->condition.on_running(l->queue.running(), now);
     auto const id = w.id;
     auto const connection = l->answered.contains(w.request.id, now)
                                 ? call_connection::unused
@@ -378,6 +379,7 @@
     }
     l.connect_failed = false;
     l.answered_at = now;
+    note_load(l, result.value(), now);
     auto const meaning = std::visit(
         [&](auto const& form) { return form.meaning(result.value()); }, m_options.form);
     w.trace.add("upstream", {{"outcome", meaning_name(meaning)},
@@ -617,6 +619,7 @@
     {
         auto& queue = entry.second->queue;
         note_written(*entry.second, now);
+        apply_condition(*entry.second, now);
         refuse_all(queue.expire(now), outcome_reason::overloaded, queue.mean_service());
         start_queued(*entry.second, now);
         auto& l = *entry.second;
--- a/src/process/agent.hpp
+++ b/src/process/agent.hpp
@@ -157,6 +157,8 @@
     // Returns the load of the service's upstream, with the service time of the class.
     std::optional<upstream_load>
     load(std::string const& service, std::string const& request_class, instant now) const;
+    // Returns the number of answers whose load meant nothing.
+    std::uint64_t broken_loads() const { return m_broken_loads; }
     // Returns how long received messages may have waited for the event loop.
     duration lag() const { return m_lag.value(); }
     // Returns the capacity of each keyed service and its shards' request rates, as moving
@@ -202,6 +204,8 @@
     bool keyed(std::string const& service) const;
     void learn_warm_up(link& l, upstream_report const& report, instant now) const;
     void note_written(link& l, instant now);
+    void note_load(link& l, http_response const& response, instant now);
+    void apply_condition(link& l, instant now) const;
     void note_failure(link& l, http_failure const& failure, duration took,
                       instant now) const;
     void try_begin(active_request& w, instant now);
@@ -257,6 +261,7 @@
     request_sampler m_sampler;
     std::mt19937_64 m_random;
     request_id m_next_id = 1;
+    std::uint64_t m_broken_loads = 0;
     loop_lag m_lag;
     std::optional<planned_stop> m_stop;
     bool m_closing = false;
--- a/src/process/agent_impl.hpp
+++ b/src/process/agent_impl.hpp
@@ -3,6 +3,7 @@
 #define BUCKTHORNUSHER_PROCESS_AGENT_IMPL_HPP
 
 #include "buckthornusher/answered_memory.hpp"
+#include "buckthornusher/reported_load.hpp"
 #include "process/agent.hpp"
 #include "process/state_log.hpp"
 
@@ -24,6 +25,7 @@
     instant draining_since;      // long ago if it drained before
     http_client http;
     upstream_queue queue;
+    upstream_condition condition;
     answered_memory answered = answered_memory({});
     std::optional<grant_table> grants;      // if it serves granted keys only
     std::size_t granted_shards = 0;         // in the last answer to a report
--- a/src/process/agent_starts.cpp
+++ b/src/process/agent_starts.cpp
@@ -1,8 +1,10 @@
-// Implementation of the agent: what it tells the bound on the starts at a cold upstream
-// (start_limit.hpp). See agent.hpp.
+// Implementation of the agent: what it learns of an upstream beside its answers, for the
+// bound on the starts at a cold one (start_limit.hpp) and from the load that it tells
+// (reported_load.hpp). See agent.hpp.
 #include "process/agent_impl.hpp"
 
 #include "process/log.hpp"
+#include "process/overloaded.hpp"
 
 namespace buckthornusher
 {
@@ -66,4 +68,30 @@
         l.queue.starts().on_connection_lost(now);
 }
 
+// Must precede the end of the answered request in the queue.
+void agent::note_load(link& l, http_response const& response, instant now)
+{
+    auto const word =
+        std::visit([&](auto const& form) { return form.load(response); }, m_options.form);
+    std::visit(overloaded{[](load_not_told const&) {},
+                          [&](load_broken const&)
+                          {
+                              ++m_broken_loads;
+                              log_event(log_level::warning, "upstream-load-broken",
+                                        {{"life", to_string(l.report.incarnation)}});
+                          },
+                          [&](reported_load const& load)
+                          {
+                              l.condition.on_answer(load, l.queue.running(), now);
+                              apply_condition(l, now);
+                          }},
+               word);
+}
+
+void agent::apply_condition(link& l, instant now) const
+{
+    l.queue.set_slowness(l.condition.slowness(now));
+    l.queue.set_occupied(l.condition.occupied(l.report.slots, now));
+}
+
 } // namespace buckthornusher
--- a/src/process/agent_upstreams.cpp
+++ b/src/process/agent_upstreams.cpp
@@ -321,7 +321,8 @@
         .backlog = l.queue.backlog(now),
         .accepting = !l.draining() && !silent && !l.connect_failed && !m_closing,
         .start_rate = starts.is_cold(now) ? starts.start_rate() : 0,
-        .bounded_for = starts.cold_for(now)};
+        .bounded_for = starts.cold_for(now),
+        .slowness = l.condition.slowness(now)};
 }
 
 bool agent::is_silent(link const& l, instant now) const
--- a/src/process/operator_api.cpp
+++ b/src/process/operator_api.cpp
@@ -281,6 +281,7 @@
           static_cast<std::uint64_t>(coord.subscriptions(now).config_age / 1ms));
     auto const lease_left = std::max(coord.lease_until() - now, duration{0});
     m.set("lease_left_ms", static_cast<std::uint64_t>(lease_left / 1ms));
+    m.set("upstream_loads_broken_total", m_dependencies.local.broken_loads());
     m.set("loop_lag_ms", static_cast<std::uint64_t>(m_dependencies.local.lag() / 1ms));
     if (routes != nullptr)
         for (auto const& service : routes->source().services)
@@ -293,6 +294,8 @@
                       load->waiting);
                 m.set("upstream_cold_ms{service=\"" + service.name + "\"}",
                       static_cast<std::uint64_t>(load->bounded_for / 1ms));
+                m.set("upstream_slowness_percent{service=\"" + service.name + "\"}",
+                      static_cast<std::uint64_t>(load->slowness * 100));
             }
     auto const log = current_log_counts();
     m.set("log_lines_total", log.lines);
--- a/src/process/request_wire.cpp
+++ b/src/process/request_wire.cpp
@@ -1,6 +1,7 @@
 // Conversion of upstream requests, their results and load reports to and from protobuf.
 #include "process/request_wire.hpp"
 
+#include "buckthornusher/reported_load.hpp"
 #include "connection/wire.hpp"
 
 #include "wire.pb.h"
@@ -150,6 +151,7 @@
     out.set_until_slot(static_cast<std::uint64_t>(load.until_slot.count()));
     out.set_start_rate(load.start_rate);
     out.set_bounded_for(static_cast<std::uint64_t>(load.bounded_for.count()));
+    out.set_speed(load.slowness == 1 ? 0 : load.slowness);
     for (auto const& b : load.backlog)
     {
         auto& rank = *out.add_backlog();
@@ -173,7 +175,8 @@
         .backlog = {},
         .accepting = in.accepting(),
         .start_rate = decode_figure(in.start_rate()),
-        .bounded_for = from_us(std::min<std::uint64_t>(in.bounded_for(), max_bound_us))};
+        .bounded_for = from_us(std::min<std::uint64_t>(in.bounded_for(), max_bound_us)),
+        .slowness = fade_slowness(in.speed(), duration{0})};
     for (auto const& b : in.backlog())
         load.backlog.push_back({.rank = b.rank(), .time = from_us(b.time())});
     return load;
--- a/src/request/placement.cpp
+++ b/src/request/placement.cpp
@@ -1,6 +1,8 @@
 // Choice of an upstream for a request without a key; see the header.
 #include "buckthornusher/placement.hpp"
 
+#include "buckthornusher/reported_load.hpp"
+
 #include <algorithm>
 #include <cmath>
 #include <limits>
@@ -73,7 +75,8 @@
 void placement::on_load(std::string const& node, upstream_load const& load, instant now,
                         std::string const& request_class)
 {
-    m_times.note(node, request_class, load.service, now);
+    auto const usual = from_seconds(seconds(load.service) / load.slowness);
+    m_times.note(node, request_class, load.slowness == 1 ? load.service : usual, now);
     auto& e = m_entries[node];
     e.load = load;
     e.load_received = now;
@@ -184,7 +187,8 @@
     auto const& e = it->second;
     if (now < e.avoid_until)
         return std::nullopt;
-    auto const s = seconds(service);
+    auto const s = seconds(service) *
+                   (e.load ? fade_slowness(e.load->slowness, now - e.load_received) : 1);
     auto const slots = e.load ? usable_slots(*e.load, s, now - e.load_received)
                               : static_cast<double>(std::max(1U, c.slots));
     double busy = 0;
--- a/src/request/upstream_queue.cpp
+++ b/src/request/upstream_queue.cpp
@@ -56,7 +56,8 @@
 upstream_queue::known_service(std::string const& request_class) const
 {
     auto const it = m_service_us.find(request_class);
-    return it == m_service_us.end() ? std::nullopt : std::optional(from_us(it->second));
+    return it == m_service_us.end() ? std::nullopt
+                                    : std::optional(from_us(it->second * m_slowness));
 }
 
 duration upstream_queue::expected_service(std::string const& request_class) const
@@ -66,7 +67,7 @@
 
 duration upstream_queue::mean_service() const
 {
-    return m_mean_us > 0 ? from_us(m_mean_us) : m_options.default_service;
+    return m_mean_us > 0 ? from_us(m_mean_us * m_slowness) : m_options.default_service;
 }
 
 // With all slots in use, each running request ends at the rate 1 / its service time.
@@ -137,7 +138,8 @@
 
 bool upstream_queue::is_small(duration service) const
 {
-    return static_cast<double>(service.count()) * small_class_ratio <= m_longest_us;
+    return static_cast<double>(service.count()) * small_class_ratio <=
+           m_longest_us * m_slowness;
 }
 
 bool upstream_queue::is_late(duration service, instant due, instant now) const
@@ -165,10 +167,10 @@
     m_starts.on_start(r.id, now);
     bool const crowded =
         static_cast<double>(m_running.size()) >= m_options.slots * min_limit_share;
-    m_running.emplace(r.id,
-                      running_request{.request_class = r.request_class,
-                                      .crowded = crowded,
-                                      .expected = expected_service(r.request_class)});
+    m_running.emplace(r.id, running_request{.request_class = r.request_class,
+                                            .crowded = crowded,
+                                            .expected = expected_service(r.request_class),
+                                            .slowness = m_slowness});
 }
 
 queue_verdict upstream_queue::arrive(queued_request const& r, instant now)
@@ -230,7 +232,7 @@
     // A failure is often reported before the work is done, and must not make the upstream
     // seem fast.
     if (end == request_end::completed || took > ended.expected)
-        update_service(ended.request_class, took);
+        update_service(ended.request_class, took, (ended.slowness + m_slowness) / 2);
     update_longest_service();
 }
 
@@ -252,13 +254,14 @@
             m_longest_us = std::max(m_longest_us, service);
 }
 
-void upstream_queue::update_service(std::string const& request_class, duration took)
+void upstream_queue::update_service(std::string const& request_class, duration took,
+                                    double slowness)
 {
     auto const add = [](double& mean, double sample)
     {
         mean = mean <= 0 ? sample : mean + sample_weight * (sample - mean);
     };
-    auto const sample = static_cast<double>(took.count());
+    auto const sample = static_cast<double>(took.count()) / slowness;
     add(m_service_us[request_class], sample);
     add(m_mean_us, sample);
 }
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -95,6 +95,49 @@
     EXPECT_TRUE(upstream_form{}.is_response_to(request, answer));
 }
 
+load_word load_of(std::string const& text)
+{
+    return upstream_form{}.load({.headers = {{"x-buckthornusher-instance-load", text}}});
+}
+
+TEST(platform_upstreams, a_load_is_read_and_one_that_means_nothing_is_told_apart)
+{
+    EXPECT_EQ(upstream_form{}.load({}), load_word(load_not_told{}));
+    EXPECT_EQ(load_of("3,1,12"),
+              load_word(reported_load{.running = 3, .waiting = 1, .slots = 12}));
+    EXPECT_EQ(load_of("3,1,12,250"),
+              load_word(reported_load{
+                  .running = 3, .waiting = 1, .slots = 12, .slowness = 2.5}));
+    EXPECT_EQ(load_of("0, 0, 5, 100"),
+              load_word(reported_load{.slots = 5, .slowness = 1}));
+    for (std::string const broken : {"",
+                                     ",",
+                                     "3",
+                                     "3,1",
+                                     "3,1,",
+                                     "3,1,12,",
+                                     "3,1,12,100,1",
+                                     "-3,1,12",
+                                     "3,-1,12",
+                                     "3,1,-12",
+                                     "3,1,0",
+                                     "3,1,12,0",
+                                     "3,1,12,-100",
+                                     "a,b,c",
+                                     "3;1;12",
+                                     "3,1,12x",
+                                     "nan,1,12",
+                                     "3,1,inf",
+                                     "3,1,12,nan",
+                                     "3,1,12,inf",
+                                     "3,1,12,1000000",
+                                     "99999999999999999999,1,12",
+                                     "3,1,4294967297",
+                                     "1e400,0,1",
+                                     "3,1,12,100%"})
+        EXPECT_EQ(load_of(broken), load_word(load_broken{})) << broken;
+}
+
 TEST(platform_upstreams, responses_are_classified_by_status_and_headers)
 {
     auto const meaning = [](int status, http_headers headers)
