--- a/include/buckthornusher/upstream_queue.hpp
+++ b/include/buckthornusher/upstream_queue.hpp
@@ -23,18 +23,27 @@
 // become slow or starts cold, and for a mix of short and long requests in which long
 // requests of other upstreams make the short ones.
 //
+// A cold upstream gets a bounded number of requests per second (start_limit.hpp); those
+// beyond it wait as for a slot, and are refused if they cannot start in time.
+//
+// The upstream may tell how long work takes on its VM now (reported_load.hpp). Times are
+// learnt without this slowness and expected with it.
+//
 // Service times are estimated for each class of requests (a route), as requests of one
 // upstream differ far more between classes than within one.
 //
 // Cost: O(queue) for arrive(), start_next() and clear(), and for expire() once more for
-// each request that has become late; O(ranks) for backlog(), O(classes) for leave(), and
-// O(log queue) otherwise. Memory is bounded by `max_queue`, `slots` and the classes.
+// each request that has become late; O(ranks) for backlog(), and O(queue) while the
+// upstream is cold; O(classes) for leave(), and O(log queue) otherwise. Memory is bounded
+// by `max_queue`, `slots` and the classes.
 #ifndef BUCKTHORNUSHER_UPSTREAM_QUEUE_HPP
 #define BUCKTHORNUSHER_UPSTREAM_QUEUE_HPP
 
 #include "buckthornusher/placement.hpp"
+#include "buckthornusher/start_limit.hpp"
 #include "buckthornusher/time.hpp"
 
+#include <algorithm>
 #include <compare>
 #include <cstdint>
 #include <map>
@@ -118,19 +127,37 @@
     // starts and none is accepted; those that wait do so until they expire.
     void set_slots(std::uint32_t slots);
 
+    // How long work takes at the upstream now; 1: as usual.
+    void set_slowness(double slowness) { m_slowness = slowness; }
+    // So many of the slots are used by requests that are not in this queue. One is left.
+    void set_occupied(std::uint32_t slots) { m_occupied = slots; }
+
     // Returns the expected time until a slot is free, by the classes of the running
     // requests and ignoring the waiting ones.
     duration until_free_slot() const;
+    // Returns the time until a request may start, with an empty queue.
+    duration until_start(instant now) const;
     // Returns the time for which the waiting requests occupy all slots, by rank.
     std::vector<rank_backlog> backlog() const;
+    // Returns the same, or the time until they may have started if that is longer.
+    std::vector<rank_backlog> backlog(instant now) const;
     duration expected_service(std::string const& request_class) const;
     // Returns the same, or nothing before the first request of the class has completed.
     std::optional<duration> known_service(std::string const& request_class) const;
     // Returns the mean over all classes, weighted by their frequency.
     duration mean_service() const;
 
+    // Bounds the starts while the upstream is cold. The caller tells it what it learns of
+    // the upstream and when a running request has been written.
+    start_limit& starts() { return m_starts; }
+    start_limit const& starts() const { return m_starts; }
+
     std::uint32_t slots() const { return m_options.slots; }
-    std::uint32_t limit() const { return static_cast<std::uint32_t>(m_limit); }
+    std::uint32_t limit() const
+    {
+        auto const all = static_cast<std::uint32_t>(m_limit);
+        return all - std::min(all - 1, m_occupied);
+    }
     std::uint32_t running() const { return static_cast<std::uint32_t>(m_running.size()); }
     std::size_t queued() const { return m_queue.size(); }
 
@@ -155,20 +182,23 @@
         std::string request_class;
         bool crowded = false; // started with half of the slots or more in use
         duration expected{0}; // its service time
+        double slowness = 1;  // of the upstream when it started
     };
     void enqueue(queued_request const& r, duration service,
                  queue_position const& position);
-    void mark_running(queued_request const& r);
+    void mark_running(queued_request const& r, instant now);
     void adjust_limit(bool crowded, bool shed);
     bool has_slot() const { return m_options.slots > 0 && m_running.size() < limit(); }
-    duration wait_until(std::set<queue_position>::const_iterator end) const;
+    bool may_start(instant now) const { return has_slot() && m_starts.may_start(now); }
+    duration wait_until(std::set<queue_position>::const_iterator end, instant now) const;
     bool is_small(duration service) const;
     bool is_late(duration service, instant due, instant now) const;
     // `wait`: until the requests before its position have started.
     bool has_room(queued_request const& r, bool late, duration wait, duration service,
                   instant now) const;
     bool requeue_as_late(std::uint64_t id, instant now);
-    void update_service(std::string const& request_class, duration took);
+    // `slowness`: of the upstream while the request ran.
+    void update_service(std::string const& request_class, duration took, double slowness);
     void update_slot_time(std::string const& request_class, duration took);
     void update_longest_service();
 
@@ -179,11 +209,14 @@
     std::set<queue_position> m_queue;
     std::map<std::uint64_t, waiting> m_waiting;
     std::map<std::uint32_t, duration> m_backlog; // sum of `service`, by rank
-    std::map<std::string, double> m_service_us;  // by class
-    double m_mean_us = 0;                        // over all classes
+    std::map<std::string, double> m_service_us;  // by class, at slowness 1
+    double m_mean_us = 0;                        // over all classes, at slowness 1
     std::map<std::string, double> m_slot_time;   // recent slot time by class, decaying
-    double m_longest_us = 0; // of the classes with a share of the slots
+    double m_longest_us = 0; // of the classes with a share of the slots, at slowness 1
     double m_limit;          // 1 <= m_limit <= max(1, slots)
+    double m_slowness = 1;
+    std::uint32_t m_occupied = 0;
+    start_limit m_starts; // knows the running requests
     // Moving averages of the share of requests that the upstream shed.
     double m_shed_crowded = 0;
     double m_shed_uncrowded = 0;
--- a/src/process/agent.cpp
+++ b/src/process/agent.cpp
@@ -320,6 +320,7 @@
          {"hold_ms", w.request.shard && l->grants
                          ? in_ms(l->grants->held_until(*w.request.shard, w.epoch) - now)
                          : "-"}});
+    l->condition.on_running(l->queue.running(), now);
     auto const id = w.id;
     auto const connection = l->answered.contains(w.request.id, now)
                                 ? call_connection::unused
@@ -330,6 +331,7 @@
         connection);
     if (auto* still = find(id))
         still->call = call;
+    note_written(*l, boot_now());
 }
 
 void agent::start_queued(link& l, instant now)
@@ -364,6 +366,7 @@
         auto const& failure = result.error();
         bool const cancelled = failure.failed_step == http_failure::step::cancelled;
         l.connect_failed = failure.failed_step == http_failure::step::connect;
+        note_failure(l, failure, took, now);
         w.trace.add("upstream", {{"outcome", "no-answer"},
                                  {"step", to_string(failure.failed_step)},
                                  {"peer", failure.peer},
@@ -382,6 +385,7 @@
     }
     l.connect_failed = false;
     l.answered_at = now;
+    note_load(l, result.value(), now);
     auto const meaning = std::visit(
         [&](auto const& form) { return form.meaning(result.value()); }, m_options.form);
     w.trace.add("upstream", {{"outcome", meaning_name(meaning)},
@@ -621,6 +625,8 @@
     for (auto const& entry : links)
     {
         auto& queue = entry.second->queue;
+        note_written(*entry.second, now);
+        apply_condition(*entry.second, now);
         refuse_all(queue.expire(now), outcome_reason::overloaded, queue.mean_service());
         start_queued(*entry.second, now);
         auto& l = *entry.second;
--- a/src/request/placement.cpp
+++ b/src/request/placement.cpp
@@ -1,6 +1,8 @@
 // Choice of an upstream for a request without a key; see the header.
 #include "buckthornusher/placement.hpp"
 
+#include "buckthornusher/reported_load.hpp"
+
 #include <algorithm>
 #include <cmath>
 #include <limits>
@@ -31,6 +33,16 @@
     return std::chrono::duration_cast<duration>(std::chrono::duration<double>(s));
 }
 
+// Returns the number of requests that the upstream can have at once; fewer than its slots
+// while it is cold. `age`: of the report.
+double usable_slots(upstream_load const& load, double service_s, duration age)
+{
+    auto const slots = static_cast<double>(std::max(1U, load.slots));
+    if (load.start_rate <= 0 || age >= load.bounded_for)
+        return slots;
+    return std::clamp(load.start_rate * service_s, 1.0, slots);
+}
+
 // Returns the expected wait of a request of the rank: it waits for the queued requests of
 // the same or a more urgent rank.
 duration expected_wait(upstream_load const& load, std::uint32_t rank, duration service)
@@ -63,7 +75,8 @@
 void placement::on_load(std::string const& node, upstream_load const& load, instant now,
                         std::string const& request_class)
 {
-    m_times.note(node, request_class, load.service, now);
+    auto const usual = from_seconds(seconds(load.service) / load.slowness);
+    m_times.note(node, request_class, load.slowness == 1 ? load.service : usual, now);
     auto& e = m_entries[node];
     e.load = load;
     e.load_received = now;
@@ -174,8 +187,10 @@
     auto const& e = it->second;
     if (now < e.avoid_until)
         return std::nullopt;
-    auto const slots = std::max(1U, e.load ? e.load->slots : c.slots);
-    auto const s = seconds(service);
+    auto const s = seconds(service) *
+                   (e.load ? fade_slowness(e.load->slowness, now - e.load_received) : 1);
+    auto const slots = e.load ? usable_slots(*e.load, s, now - e.load_received)
+                              : static_cast<double>(std::max(1U, c.slots));
     double busy = 0;
     double wait = 0;
     bool load_known = false;
