Evacuation: a failure domain gets no requests from the bound after its entry was accepted

What callers saw: entries of the kind 'evacuations' were not read; requests went on to the upstreams of a domain that operators wanted empty.

Change: subscribers read the kind and send digests of it to the other members; who hears none reads the store itself. Entries choose no upstream there, the node beside it refuses in time and truthfully, keyed shards move with handover. 'buckthornusher domain evacuate, restore, list'. Without node.evacuation_bound nothing is read, sent or changed.

--- a/include/buckthornusher/coordinator.hpp
+++ b/include/buckthornusher/coordinator.hpp
@@ -29,6 +29,7 @@
 #define BUCKTHORNUSHER_COORDINATOR_HPP
 
 #include "buckthornusher/config_standing.hpp"
+#include "buckthornusher/evacuation.hpp"
 #include "buckthornusher/eviction.hpp"
 #include "buckthornusher/lease.hpp"
 #include "buckthornusher/messages.hpp"
@@ -38,6 +39,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -67,6 +69,9 @@
     duration max_config_age = 2s;
     // How long the store holds a watch of the configuration open without changes.
     duration config_watch_wait = 2s;
+    // From then on after an evacuation was accepted no request reaches an upstream of the
+    // domain; see evacuation.hpp. 0: evacuations are not read.
+    duration evacuation_bound{0};
     lease_options lease;
     plan_options planning;
     guards guard;
@@ -138,6 +143,8 @@
     std::uint64_t config_bytes_sent = 0;
     std::uint64_t config_documents_received = 0;
     std::uint64_t config_bytes_received = 0;
+    std::uint64_t evacuation_digests_sent = 0;
+    std::uint64_t evacuation_stand_ins = 0; // times that evidence was found too old
     friend bool operator==(coordinator_counts const&,
                            coordinator_counts const&) = default;
 };
@@ -149,6 +156,8 @@
     bool fleet = false;
     bool configuration = false;
     duration config_age{0};
+    bool evacuations = false;
+    duration evacuation_age{0}; // the same, of the evacuations
     friend bool operator==(store_subscriptions const&,
                            store_subscriptions const&) = default;
 };
@@ -221,6 +230,11 @@
     config_standing verify_config(instant now);
     // Returns the answer to a pull from any member, known or not.
     deltas answer(pull const& request);
+    // Returns what a member that pulls is told of evacuations, as a message of its own;
+    // nothing if there were none.
+    std::optional<deltas> known_evacuations() const;
+    // Returns nothing if the domain is not evacuated.
+    std::optional<evacuation_window> evacuation(std::string const& domain) const;
     // The node from which the present configuration came; empty: the store.
     std::string const& config_sender() const;
     replica const& copy() const;
--- a/include/buckthornusher/messages.hpp
+++ b/include/buckthornusher/messages.hpp
@@ -56,7 +56,12 @@
     friend bool operator==(refused const&, refused const&) = default;
 };
 
-// All changes of fleet objects in (from, to], and optionally the configuration.
+// The name under which a message states up to which version it has all evacuations.
+inline constexpr char const* evacuations_complete = "evacuation.";
+
+// All changes of fleet objects in (from, to], and optionally the configuration. Or, as a
+// digest, all evacuations, with an object without a value that is named
+// `evacuations_complete` if the sender has just read them; its version is theirs.
 struct deltas
 {
     std::uint64_t from = 0;
--- a/include/buckthornusher/record.hpp
+++ b/include/buckthornusher/record.hpp
@@ -30,12 +30,23 @@
     friend bool operator==(config_record const&, config_record const&) = default;
 };
 
-using record = std::variant<member_record, shard_group_record, config_record>;
+// Operators want the upstreams of a failure domain to get no requests.
+struct evacuation_record
+{
+    std::string domain;
+    friend bool operator==(evacuation_record const&, evacuation_record const&) = default;
+};
+
+using record =
+    std::variant<member_record, shard_group_record, config_record, evacuation_record>;
 
 // Names of objects in the store.
 std::string member_object(std::string const& node);
 std::string shard_group_object(std::string const& service, std::uint32_t first_shard);
 inline constexpr char const* config_object = "configuration";
+std::string evacuation_object(std::string_view domain);
+// Returns the domain if the object is an evacuation. The view is part of the name.
+std::optional<std::string_view> evacuated_domain(std::string_view object);
 // Returns the name of the object that holds the record.
 std::string object_name(record const& value);
 // Returns whether an object of this name can be a member or a shard group.
@@ -46,6 +57,7 @@
 {
     fleet,         // members and shard groups, written by nodes
     configuration, // written by operators
+    evacuations,   // written by operators
 };
 
 // Returns the kind of the object with that name.
--- a/include/buckthornusher/replica.hpp
+++ b/include/buckthornusher/replica.hpp
@@ -7,9 +7,9 @@
 //
 // Objects come from the store and from peers, in any order and more than once; for each
 // name the highest version wins, so the copy never goes back. The copy includes all
-// changes of fleet objects up to `revision`, and all changes of the configuration up to
-// `config_revision`. Deletions are kept as objects without a value so that they reach
-// peers.
+// changes of fleet objects up to `revision`, all changes of the configuration up to
+// `config_revision`, and all changes of evacuations up to `evacuation_revision`.
+// Deletions are kept as objects without a value so that they reach peers.
 //
 // The copy may lag behind the store. Safety does not depend on its freshness: an owner
 // loses a shard only by its own release or when its lease has been ended.
@@ -22,6 +22,7 @@
 
 #include <map>
 #include <set>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -53,6 +54,20 @@
     // Notes that the configuration is complete up to `to`.
     void note_config_revision(std::uint64_t to);
 
+    std::uint64_t evacuation_revision() const { return m_evacuation_revision; }
+    // Notes that the evacuations are complete up to `to`.
+    void note_evacuation_revision(std::uint64_t to);
+    // Returns all evacuations, also those that have ended.
+    std::vector<object> evacuations() const;
+    bool is_evacuated(std::string_view domain) const
+    {
+        return m_evacuated.contains(domain);
+    }
+    std::set<std::string, std::less<>> const& evacuated_domains() const
+    {
+        return m_evacuated;
+    }
+
     // Returns the fleet objects with versions above `since`.
     std::vector<object> changed_since(std::uint64_t since) const;
 
@@ -84,14 +99,23 @@
     // The same, for member records only.
     std::uint64_t member_change_count() const { return m_member_change_count; }
 
+    // The same, for evacuations only.
+    std::uint64_t evacuation_change_count() const { return m_evacuation_change_count; }
+
 private:
+    void note_evacuation(std::string_view domain, bool evacuated);
+
     std::uint64_t m_revision = 0;
     std::uint64_t m_config_revision = 0;
+    std::uint64_t m_evacuation_revision = 0;
     std::uint64_t m_change_count = 0;
     std::uint64_t m_member_change_count = 0;
+    std::uint64_t m_evacuation_change_count = 0;
     std::map<std::string, object> m_objects;
     // Exactly the versions in m_objects.
     std::set<std::pair<std::uint64_t, std::string>> m_by_version;
+    // The domains of the evacuations among m_objects that have a value.
+    std::set<std::string, std::less<>> m_evacuated;
     std::map<member_id, member_record> m_members; // the present values among m_objects
     // By service and shard group number; null where the group is unknown. Points into
     // m_objects.
--- a/src/connection/wire.cpp
+++ b/src/connection/wire.cpp
@@ -109,6 +109,11 @@
     w.set_document(c.document.text());
 }
 
+void encode_to(evacuation_record const& e, wire::Record& out)
+{
+    out.mutable_evacuation()->set_domain(e.domain);
+}
+
 // Between nodes a configuration's document stays compressed.
 void encode_for_peers(record const& value, wire::Record& out)
 {
@@ -220,6 +225,9 @@
     case wire::Record::kPackedConfig:
         return decode_packed_config(w.packed_config());
     case wire::Record::kEvacuation:
+        if (w.evacuation().domain().empty())
+            return decode_error{.step = "evacuation record", .reason = "no domain"};
+        return record(evacuation_record{.domain = w.evacuation().domain()});
     case wire::Record::KIND_NOT_SET:
         break;
     }
--- a/src/coordination/assigner.cpp
+++ b/src/coordination/assigner.cpp
@@ -107,7 +107,7 @@
             {.id = m.owner(),
              .domain = m.domain,
              .capacity = std::max(1.0, static_cast<double>(t->slots)),
-             .draining = m.draining || t->draining,
+             .draining = m.draining || t->draining || copy.is_evacuated(m.domain),
              .silent = hears_most && load->is_silent(m.id.node, now)});
     }
     for (std::uint32_t shard = 0; shard < service.shards; ++shard)
@@ -149,8 +149,9 @@
             ++change;
         bool const has_change = change != changes.end() && change->shard == shard;
         auto const* successor = a.successor ? copy.serving(a.successor) : nullptr;
-        bool const successor_fit =
-            successor != nullptr && can_own(*successor, service.name);
+        bool const successor_fit = successor != nullptr &&
+                                   can_own(*successor, service.name) &&
+                                   !copy.is_evacuated(successor->domain);
         if (has_no_owner(copy, a))
         {
             if (unfenced.contains(a.owner) || !may_place)
--- a/src/coordination/coordinator.cpp
+++ b/src/coordination/coordinator.cpp
@@ -251,11 +251,14 @@
             fleet.push_back(o);
     apply_changes(m.from, m.to, fleet, from, now);
     apply_config(m.objects, from, now);
+    apply_digest(m.objects, from, now);
 }
 
 void coordinator::impl::on(member_id const& from, pull const& m, instant /*now*/)
 {
     send(from, answer(m)); // an empty answer also counts as contact
+    if (!copy.evacuations().empty())
+        send(from, evacuation_digest(false));
 }
 
 void coordinator::impl::on(member_id const& /*from*/, released const& m, instant now)
@@ -292,6 +295,7 @@
         call(std::move(*operation));
     if (auto operation = config_reader.next(next_call_id, copy.config_revision(), now))
         call(std::move(*operation));
+    read_evacuations(now);
 }
 
 bool coordinator::impl::is_behind_for_long(instant now) const
@@ -454,6 +458,8 @@
         return s.on_fleet_read(call_id, answer, now), s.read_store(now);
     if (s.config_reader.waits_for(call_id))
         return s.on_config_read(call_id, answer, now), s.read_store(now);
+    if (s.evacuation_reader.waits_for(call_id))
+        return s.on_evacuations_read(call_id, answer, now), s.read_store(now);
     if (std::holds_alternative<store_no_answer>(answer))
         ++s.counts.store_no_answers;
     if (auto const decision = s.writer.on_answer(call_id, answer, now))
@@ -609,7 +615,10 @@
 {
     return {.fleet = m_impl->fleet_reader.subscribed(),
             .configuration = m_impl->config_reader.subscribed(),
-            .config_age = m_impl->config_age(now)};
+            .config_age = m_impl->config_age(now),
+            .evacuations = m_impl->evacuation_reader.subscribed(),
+            .evacuation_age = std::min<duration>(
+                m_impl->evacuations.age(now).value_or(unknown_age), unknown_age)};
 }
 
 config_standing coordinator::verify_config(instant now)
@@ -624,6 +633,18 @@
     return m_impl->answer(request);
 }
 
+std::optional<deltas> coordinator::known_evacuations() const
+{
+    return m_impl->copy.evacuations().empty()
+               ? std::nullopt
+               : std::optional(m_impl->evacuation_digest(false));
+}
+
+std::optional<evacuation_window> coordinator::evacuation(std::string const& domain) const
+{
+    return m_impl->evacuations.window(domain);
+}
+
 std::string const& coordinator::config_sender() const
 {
     return m_impl->config_sender;
--- a/src/coordination/coordinator_config.cpp
+++ b/src/coordination/coordinator_config.cpp
@@ -11,9 +11,6 @@
 namespace
 {
 
-// Sent and logged if nothing is known of the store.
-constexpr duration unknown_age = 1h;
-
 // Returns the configuration, or null if it is not among the objects. A watch may report
 // several versions; the latest counts.
 object const* find_config(std::vector<object> const& objects)
--- a/src/coordination/coordinator_impl.hpp
+++ b/src/coordination/coordinator_impl.hpp
@@ -1,7 +1,8 @@
 // The state of a coordinator, and its handlers for each event.
 //
 // The implementation is split by subject: coordinator.cpp (events, replica, store),
-// coordinator_membership.cpp, coordinator_evictions.cpp and coordinator_assignments.cpp.
+// coordinator_config.cpp, coordinator_evacuations.cpp, coordinator_membership.cpp,
+// coordinator_evictions.cpp and coordinator_assignments.cpp.
 #ifndef BUCKTHORNUSHER_COORDINATION_COORDINATOR_IMPL_HPP
 #define BUCKTHORNUSHER_COORDINATION_COORDINATOR_IMPL_HPP
 
@@ -9,6 +10,7 @@
 
 #include "coordination/assigner.hpp"
 #include "coordination/config_sync.hpp"
+#include "coordination/evacuation_sync.hpp"
 #include "coordination/placement_gate.hpp"
 #include "coordination/store_reader.hpp"
 #include "coordination/store_writer.hpp"
@@ -22,6 +24,8 @@
 // ranked; each rank waits for takeover_delay_per_rank longer than the one before it.
 inline constexpr std::size_t max_workers_per_task = 3;
 inline constexpr duration takeover_delay_per_rank = 500ms;
+// Sent and logged as an age if nothing is known of the store.
+inline constexpr duration unknown_age = 1h;
 
 struct coordinator::impl
 {
@@ -54,9 +58,15 @@
           config_reader({.kind = object_kind::configuration,
                          .watch_wait = opts.config_watch_wait,
                          .seed = opts.seed + 1}),
-          config({.max_age = opts.max_config_age})
+          evacuation_reader(
+              {.kind = object_kind::evacuations,
+               .watch_wait = evacuation_times_for(opts.evacuation_bound).watch_wait,
+               .seed = opts.seed + 2}),
+          config({.max_age = opts.max_config_age}), evacuations(opts.evacuation_bound)
     {
         config.hold(copy.version_of(config_object));
+        for (auto const& domain : copy.evacuated_domains())
+            evacuations.note_old(domain);
     }
 
     static constexpr duration fleet_watch_gap = 200ms;
@@ -69,7 +79,9 @@
     shard_ownership shards;
     store_reader fleet_reader;
     store_reader config_reader;
+    store_reader evacuation_reader; // makes no calls unless evacuations are read
     config_sync config;
+    evacuation_sync evacuations;
     coordinator_counts counts;
     std::vector<effect> effects;
 
@@ -233,6 +245,20 @@
     void note_epoch(std::string const& peer, shard_id const& shard, std::uint64_t epoch,
                     instant now);
 
+    // ---- evacuations ----
+
+    void read_evacuations(instant now);
+    void on_evacuations_read(std::uint64_t call_id, store_answer const& answer,
+                             instant now);
+    // Returns whether any of the objects brought something new.
+    bool apply_evacuations(std::vector<object> const& objects, instant now);
+    // Applies and relays a digest, if the objects are one.
+    void apply_digest(std::vector<object> const& objects, member_id const& sender,
+                      instant now);
+    // Returns all evacuations. `current`: they have just been read.
+    deltas evacuation_digest(bool current) const;
+    void send_digest(std::optional<member_id> const& sender, bool current);
+
     // ---- membership and lease ----
 
     void end_membership(bool planned);
--- a/src/coordination/replica.cpp
+++ b/src/coordination/replica.cpp
@@ -10,6 +10,7 @@
 {
 constexpr std::string_view member_prefix = "member.";
 constexpr std::string_view shard_group_prefix = "shards.";
+constexpr std::string_view evacuation_prefix = "evacuation.";
 
 struct object_namer
 {
@@ -22,6 +23,10 @@
         return shard_group_object(g.service, g.first_shard);
     }
     std::string operator()(config_record const& /*c*/) const { return config_object; }
+    std::string operator()(evacuation_record const& e) const
+    {
+        return evacuation_object(e.domain);
+    }
 };
 
 } // namespace
@@ -37,6 +42,19 @@
            std::to_string(first_shard / shards_per_group);
 }
 
+std::string evacuation_object(std::string_view domain)
+{
+    return std::string(evacuation_prefix) + std::string(domain);
+}
+
+std::optional<std::string_view> evacuated_domain(std::string_view object)
+{
+    bool const names_one =
+        object.starts_with(evacuation_prefix) && object.size() > evacuation_prefix.size();
+    return names_one ? std::optional(object.substr(evacuation_prefix.size()))
+                     : std::nullopt;
+}
+
 std::string object_name(record const& value)
 {
     return std::visit(object_namer{}, value);
@@ -49,7 +67,10 @@
 
 object_kind kind_of(std::string_view name)
 {
-    return name == config_object ? object_kind::configuration : object_kind::fleet;
+    if (name == config_object)
+        return object_kind::configuration;
+    return name.starts_with(evacuation_prefix) ? object_kind::evacuations
+                                               : object_kind::fleet;
 }
 
 bool replica::apply(object const& o)
@@ -70,6 +91,8 @@
     ++m_change_count;
     if (o.name.starts_with(member_prefix))
         ++m_member_change_count;
+    if (auto const domain = evacuated_domain(o.name))
+        note_evacuation(*domain, o.value.has_value());
     if (!known.value)
         return true;
     if (auto const* member = std::get_if<member_record>(&*known.value))
@@ -109,6 +132,29 @@
     return missing;
 }
 
+void replica::note_evacuation(std::string_view domain, bool evacuated)
+{
+    ++m_evacuation_change_count;
+    if (evacuated)
+        m_evacuated.emplace(domain);
+    else if (auto const it = m_evacuated.find(domain); it != m_evacuated.end())
+        m_evacuated.erase(it);
+}
+
+void replica::note_evacuation_revision(std::uint64_t to)
+{
+    m_evacuation_revision = std::max(m_evacuation_revision, to);
+}
+
+std::vector<object> replica::evacuations() const
+{
+    std::vector<object> found;
+    for (auto it = m_objects.lower_bound(std::string(evacuation_prefix));
+         it != m_objects.end() && it->first.starts_with(evacuation_prefix); ++it)
+        found.push_back(it->second);
+    return found;
+}
+
 void replica::note_config_revision(std::uint64_t to)
 {
     m_config_revision = std::max(m_config_revision, to);
--- a/src/process/agent.cpp
+++ b/src/process/agent.cpp
@@ -256,6 +256,8 @@
 // limit is reached.
 bool agent::accepts_requests(link const& l, bool keyed_request, instant now) const
 {
+    if (!node_may_start(m_coordinator->evacuation(m_options.domain), keyed_request, now))
+        return false;
     if (!l.draining())
         return true;
     return keyed_request && now - l.draining_since < m_options.drain_limit - drain_margin;
--- a/src/process/agent.hpp
+++ b/src/process/agent.hpp
@@ -92,6 +92,7 @@
 {
     upstream_form form;
     duration report_interval = 1s;   // between reports of an upstream
+    std::string domain = {};         // the failure domain of the upstreams
     duration drain_limit = 30s;      // a draining upstream gets no new requests after it
     std::uint32_t connections = 110; // if the upstream announces no maximum
     duration tick_period = 20ms;     // between calls of tick()
@@ -205,6 +206,7 @@
     bool is_superseded(upstream_incarnation const& unreported) const;
     upstream_evidence evidence_of(link const& l, instant now) const;
     bool is_silent(link const& l, instant now) const;
+    bool is_evacuated() const;
     bool accepts_requests(link const& l, bool keyed_request, instant now) const;
     void admit(active_request& w, instant now);
     bool choose_backend(active_request& w);
--- a/src/process/agent_upstreams.cpp
+++ b/src/process/agent_upstreams.cpp
@@ -305,7 +305,7 @@
     if (it == m_links.end())
         return std::nullopt;
     auto const& l = *it->second;
-    bool const silent = is_silent(l, now);
+    bool const unfit = is_silent(l, now) || is_evacuated();
     return upstream_load{
         .slots = l.queue.limit(),
         .running = l.queue.running(),
@@ -313,7 +313,12 @@
         .service = l.queue.known_service(request_class).value_or(duration{0}),
         .until_slot = l.queue.until_free_slot(),
         .backlog = l.queue.backlog(),
-        .accepting = !l.draining() && !silent && !l.connect_failed && !m_closing};
+        .accepting = !l.draining() && !unfit && !l.connect_failed && !m_closing};
+}
+
+bool agent::is_evacuated() const
+{
+    return m_coordinator->evacuation(m_options.domain).has_value();
 }
 
 bool agent::is_silent(link const& l, instant now) const
--- a/src/process/ingress.hpp
+++ b/src/process/ingress.hpp
@@ -142,6 +142,7 @@
     void send_to(pending_request& pending, upstream_node const& target, instant now);
     void run_locally(pending_request& pending);
     void wait(pending_request& pending, instant now);
+    bool only_evacuated(std::string const& service, instant now);
     void refuse_after_long_wait(pending_request& pending, instant now);
     void record_offer_result(pending_request& pending, request_result const& result);
     void record_round_trip(pending_request const& pending, wire::Reply const& reply,
@@ -201,6 +202,9 @@
     // The nodes with a local upstream of each service, from the replica's members.
     std::map<std::string, std::vector<upstream_node>> m_upstream_nodes;
     std::uint64_t m_upstream_nodes_change_count = 0;
+    std::uint64_t m_evacuation_change_count = 0; // when m_upstream_nodes was built
+    // Services with upstreams in evacuated domains, which are not among m_upstream_nodes.
+    std::set<std::string> m_evacuated_services;
     placement m_placement;
     offer_memory m_offers;
     retry_budget m_retries;
--- a/src/process/ingress_sending.cpp
+++ b/src/process/ingress_sending.cpp
@@ -48,6 +48,13 @@
     auto const* m = target_owner ? copy.serving(target_owner->owner) : nullptr;
     if (m == nullptr)
         return wait(pending, now);
+    if (!entry_may_send(m_coordinator->evacuation(m->domain), true, now))
+    {
+        // The shard moves, unless there is nowhere to go.
+        if (only_evacuated(pending.request.service, now))
+            return refuse(pending, outcome_reason::no_owner, no_owner_retry_after);
+        return wait(pending, now);
+    }
     pending.trace.add("owner",
                       {{"to", m->id.node},
                        {"epoch", std::to_string(target_owner->epoch)},
@@ -75,6 +82,8 @@
         auto const offer = choose_node(pending, candidate_nodes, now);
         if (!offer.choice && !pending.tried.empty())
             return refuse(pending, outcome_reason::overloaded, pending.retry_after);
+        if (!offer.choice && only_evacuated(pending.request.service, now))
+            return refuse(pending, outcome_reason::no_owner, no_owner_retry_after);
         if (!offer.choice)
             return wait(pending, now);
         if (offer.step == offer_step::refuse)
@@ -182,13 +191,26 @@
     return found;
 }
 
+// Whether the service has upstreams, all of them in evacuated domains.
+bool ingress::only_evacuated(std::string const& service, instant now)
+{
+    refresh_upstream_nodes();
+    if (!m_evacuated_services.contains(service) || m_upstream_nodes.contains(service))
+        return false;
+    auto const own = m_agent.load(service, "", now);
+    return !own || !own->accepting;
+}
+
 void ingress::refresh_upstream_nodes()
 {
     auto const& copy = m_coordinator->copy();
-    if (m_upstream_nodes_change_count == copy.member_change_count())
+    if (m_upstream_nodes_change_count == copy.member_change_count() &&
+        m_evacuation_change_count == copy.evacuation_change_count())
         return;
     m_upstream_nodes_change_count = copy.member_change_count();
+    m_evacuation_change_count = copy.evacuation_change_count();
     m_upstream_nodes.clear();
+    m_evacuated_services.clear();
     std::vector<std::string> nodes{m_options.self};
     std::uint32_t live = 0;
     for (auto const& [id, m] : copy.members())
@@ -197,6 +219,12 @@
             continue;
         ++live;
         nodes.push_back(id.node);
+        if (copy.is_evacuated(m.domain))
+        {
+            for (auto const& t : m.targets)
+                m_evacuated_services.insert(t.service);
+            continue;
+        }
         if (id.node == m_options.self || m.draining)
             continue;
         for (auto const& t : m.targets)
--- a/src/process/main.cpp
+++ b/src/process/main.cpp
@@ -99,6 +99,12 @@
     CLI::App* apply = config->add_subcommand("apply", "replace the document in force");
     CLI::App* promote = config->add_subcommand(
         "promote", "copy the trial environment's document to production, unchanged");
+    std::string failure_domain;
+    CLI::App* domain = app.add_subcommand("domain", "failure domains");
+    CLI::App* evacuate =
+        domain->add_subcommand("evacuate", "send nothing more to a domain's upstreams");
+    CLI::App* restore = domain->add_subcommand("restore", "take a domain back");
+    CLI::App* list = domain->add_subcommand("list", "print the evacuated domains");
     CLI::App* status = app.add_subcommand("status", "the fleet as a node sees it");
     std::vector<std::string> nodes;
     bool html = false;
@@ -122,7 +128,10 @@
                         "without a number it changes nothing");
         for (auto* command : {check, diff, apply})
             command->add_option("file", document_path, "the document, TOML")->required();
-        for (auto* command : {show, diff, apply, status})
+        domain->require_subcommand(1);
+        for (auto* command : {evacuate, restore})
+            command->add_option("name", failure_domain, "the failure domain")->required();
+        for (auto* command : {show, diff, apply, status, evacuate, restore, list})
             command->add_option("--node", node, "a node's operator listener, IP:port")
                 ->required();
         promote->add_option("--trial", node, "a node of the trial environment")
@@ -194,6 +203,12 @@
         return config_diff(*node, line.document_path);
     if (line.apply->parsed())
         return config_apply(*node, line.document_path, line.expected);
+    if (line.evacuate->parsed())
+        return domain_evacuate(*node, line.failure_domain);
+    if (line.restore->parsed())
+        return domain_restore(*node, line.failure_domain);
+    if (line.list->parsed())
+        return domain_list(*node);
     if (line.status->parsed())
         return show_status(*node, line.json);
     auto const production = parse_address(line.production);
--- a/src/process/node.cpp
+++ b/src/process/node.cpp
@@ -89,6 +89,7 @@
           local(loop, *coord,
                 {.form = make_upstream_form(settings.form),
                  .report_interval = settings.report_interval,
+                 .domain = settings.domain,
                  .drain_limit = settings.drain_limit,
                  .tick_period = request_period,
                  .max_lease = make_lease_options(settings).max_lease_duration()}),
@@ -208,6 +209,7 @@
                 max_config_age, settings.config_bound - config_apply_reserve),
             .config_watch_wait = std::min<duration>(
                 max_config_watch, settings.config_bound / watches_per_config_bound),
+            .evacuation_bound = settings.evacuation_bound,
             .lease = make_lease_options(settings),
             .planning = {},
             .guard = {},
@@ -458,10 +460,16 @@
     void answer_pull(peer_route const& route, wire::Envelope const& message)
     {
         auto const pull_request = decode_control(message);
-        auto const changes = coord->answer(std::get<pull>(*pull_request));
+        reply_to(route, coord->answer(std::get<pull>(*pull_request)));
+        if (auto const evacuations = coord->known_evacuations())
+            reply_to(route, *evacuations);
+    }
+
+    void reply_to(peer_route const& route, control_message const& answer)
+    {
         wire::Envelope out;
         encode(coord->self(), *out.mutable_sender());
-        encode(control_message(changes), out);
+        encode(answer, out);
         peers.reply(route, out);
     }
 
--- a/src/process/operator_api.cpp
+++ b/src/process/operator_api.cpp
@@ -5,6 +5,8 @@
 #include "process/boot_clock.hpp"
 #include "process/log.hpp"
 
+#include <nlohmann/json.hpp>
+
 #include <algorithm>
 #include <charconv>
 #include <sstream>
@@ -50,6 +52,19 @@
     }
 }
 
+// Names from the store may have any characters.
+void write_texts(std::ostream& out, std::set<std::string, std::less<>> const& texts)
+{
+    char const* separator = "";
+    for (auto const& text : texts)
+    {
+        out << separator
+            << nlohmann::json(text).dump(-1, ' ', false,
+                                         nlohmann::json::error_handler_t::replace);
+        separator = ",";
+    }
+}
+
 void write_burn_windows(std::ostream& out, burn_recorder const& burn,
                         std::string const& service)
 {
@@ -128,6 +143,38 @@
         "the change was written");
 }
 
+// The store write that evacuates the domain or takes it back.
+store_write evacuation_write(replica const& copy, std::string const& domain,
+                             bool evacuates)
+{
+    auto const name = evacuation_object(domain);
+    if (evacuates)
+        return {.name = name,
+                .expected = 0,
+                .value = record(evacuation_record{.domain = domain})};
+    return {.name = name, .expected = copy.version_of(name), .value = {}};
+}
+
+http_response evacuation_response(store_answer const& answer, std::string const& domain,
+                                  bool evacuates)
+{
+    auto const done = http_response{
+        .body = domain + (evacuates ? " is evacuated\n" : " is taken back\n")};
+    if (std::holds_alternative<store_written>(answer))
+        return done;
+    if (auto const* conflict = std::get_if<store_conflict>(&answer))
+    {
+        bool const is_so = conflict->current.value.has_value() == evacuates;
+        return is_so ? done
+                     : error_response(
+                           409, "conflict: another change was written first; try again");
+    }
+    if (std::holds_alternative<store_refused>(answer))
+        return error_response(503, "the store refused the change; try again");
+    return error_response(504, "unknown: the store did not answer; list the evacuated "
+                               "domains to see whether the change was written");
+}
+
 } // namespace
 
 void operator_api::handle(http_request request, http_reply reply)
@@ -136,6 +183,10 @@
         return announce(request, reply);
     if (request.path() == "/v1/config" && request.method == "PUT")
         return put_config(request, reply);
+    if (request.path() == "/v1/evacuations" && request.method == "GET")
+        return list_evacuations(reply);
+    if (request.path() == "/v1/evacuations")
+        return change_evacuation(request, reply);
     if (request.path() == "/metrics")
         return reply.send({.body = metrics_text()});
     if (request.path() == "/v1/burn")
@@ -206,6 +257,35 @@
                               { reply.send(config_response(answer, number)); });
 }
 
+void operator_api::list_evacuations(http_reply const& reply) const
+{
+    std::string text;
+    for (auto const& domain : m_dependencies.coord->copy().evacuated_domains())
+        text += domain + "\n";
+    reply.send({.body = std::move(text)});
+}
+
+void operator_api::change_evacuation(http_request const& request, http_reply const& reply)
+{
+    bool const evacuates = request.method == "PUT";
+    if (!evacuates && request.method != "DELETE")
+        return reply.send(error_response(405, "GET, PUT or DELETE"));
+    auto const domain = std::string(find_query(request.query(), "domain"));
+    if (!is_plain_domain(domain))
+        return reply.send(error_response(400, "missing or invalid parameter: domain=NAME "
+                                              "(letters, digits, '-', '_' and '.')"));
+    if (m_dependencies.settings.evacuation_bound == duration{0})
+        return reply.send(error_response(
+            409, "this deployment reads no evacuations: node.evacuation_bound_ms is 0"));
+    auto const& copy = m_dependencies.coord->copy();
+    if (!evacuates && !copy.is_evacuated(domain))
+        return reply.send(error_response(404, domain + " is not evacuated"));
+    m_dependencies.store.call(
+        evacuation_write(copy, domain, evacuates),
+        [reply, domain, evacuates](store_answer const& answer)
+        { reply.send(evacuation_response(answer, domain, evacuates)); });
+}
+
 std::string operator_api::status_json() const
 {
     auto const& coord = *m_dependencies.coord;
@@ -218,7 +298,9 @@
         << ",\"shards\":" << coord.shards().owned()
         << ",\"running\":" << coord.shards().running() << ",\"config\":"
         << (coord.copy().config() == nullptr ? 0 : coord.copy().config()->number)
-        << ",\"members\":[";
+        << ",\"evacuated\":[";
+    write_texts(out, coord.copy().evacuated_domains());
+    out << "],\"members\":[";
     write_members(out, coord.copy());
     out << "]}\n";
     return out.str();
@@ -279,6 +361,11 @@
     m.set("configuration_version", m_dependencies.requests.config_number());
     m.set("config_age_ms",
           static_cast<std::uint64_t>(coord.subscriptions(now).config_age / 1ms));
+    m.set("evacuated_domains", coord.copy().evacuated_domains().size());
+    m.set("evacuation_age_ms",
+          static_cast<std::uint64_t>(coord.subscriptions(now).evacuation_age / 1ms));
+    m.set("evacuation_digests_sent_total", c.evacuation_digests_sent);
+    m.set("evacuation_stand_ins_total", c.evacuation_stand_ins);
     auto const lease_left = std::max(coord.lease_until() - now, duration{0});
     m.set("lease_left_ms", static_cast<std::uint64_t>(lease_left / 1ms));
     m.set("loop_lag_ms", static_cast<std::uint64_t>(m_dependencies.local.lag() / 1ms));
--- a/src/process/operator_api.hpp
+++ b/src/process/operator_api.hpp
@@ -7,11 +7,14 @@
 //   GET  /v1/burn                        error budget burn by service, JSON
 //   GET  /v1/config                      the current configuration document
 //   PUT  /v1/config?expected=NUMBER      replaces document NUMBER
+//   GET  /v1/evacuations                 the evacuated failure domains, one per line
+//   PUT  /v1/evacuations?domain=NAME     evacuates a domain
+//   DELETE /v1/evacuations?domain=NAME   takes a domain back
 //
-// Errors: 400 bad parameters, 404 unknown path or no configuration, 409 the current
-// document is another than NUMBER, 422 invalid document, 503 the node cannot tell yet
-// whether its document is the newest, 504 the store did not answer and the outcome of the
-// write is unknown.
+// Errors: 400 bad parameters, 404 unknown path, no configuration or domain not evacuated,
+// 409 the current document is another than NUMBER, or the deployment reads no
+// evacuations, 422 invalid document, 503 the node cannot tell yet whether its document is
+// the newest, 504 the store did not answer and the outcome of the write is unknown.
 //
 // The parameter `life` is the upstream's incarnation. The metric `chunk_writes_total`
 // counts writes of shard groups.
@@ -54,6 +57,8 @@
 
 private:
     void announce(http_request const& request, http_reply const& reply);
+    void list_evacuations(http_reply const& reply) const;
+    void change_evacuation(http_request const& request, http_reply const& reply);
     void put_config(http_request const& request, http_reply const& reply);
     std::string status_json() const;
     std::string burn_json() const;
--- a/src/process/operator_client.cpp
+++ b/src/process/operator_client.cpp
@@ -1,6 +1,7 @@
 // Implementation of the operators' commands; see the header.
 #include "process/operator_client.hpp"
 
+#include "buckthornusher/evacuation.hpp"
 #include "connection/http_client.hpp"
 #include "process/burn_report.hpp"
 #include "process/event_loop.hpp"
@@ -68,6 +69,31 @@
     }
 }
 
+int change_evacuation(node_address const& node, std::string const& method,
+                      std::string const& domain)
+{
+    if (!is_plain_domain(domain))
+        return std::cerr << domain << ": not the name of a failure domain\n",
+               exit_bad_input;
+    auto const response =
+        call(node, {.method = method, .target = "/v1/evacuations?domain=" + domain});
+    if (!response)
+        return exit_failed;
+    (response->status == 200 ? std::cout : std::cerr) << response->body;
+    switch (response->status)
+    {
+    case 200:
+        return exit_ok;
+    case 409:
+        return exit_conflict;
+    case 400:
+    case 404:
+        return exit_bad_input;
+    default:
+        return exit_failed;
+    }
+}
+
 std::multiset<std::string> lines_of(std::string const& text)
 {
     std::istringstream in(text);
@@ -114,6 +140,10 @@
               << field_text(status, "config") << ", shards owned "
               << field_text(status, "shards") << ", lease valid for "
               << field_text(status, "lease_ms") << " ms\n\n";
+    if (auto const evacuated = status.fields().find("evacuated");
+        evacuated != status.fields().end())
+        for (auto const& domain : evacuated->second.list_value().values())
+            std::cout << "evacuated: " << domain.string_value() << "\n";
     constexpr int id_width = 34;
     constexpr int width = 14;
     std::cout << std::left << std::setw(id_width) << "member" << std::setw(width)
@@ -149,6 +179,25 @@
     return parsed;
 }
 
+int domain_evacuate(node_address const& node, std::string const& domain)
+{
+    return change_evacuation(node, "PUT", domain);
+}
+
+int domain_restore(node_address const& node, std::string const& domain)
+{
+    return change_evacuation(node, "DELETE", domain);
+}
+
+int domain_list(node_address const& node)
+{
+    auto const response = call(node, {.method = "GET", .target = "/v1/evacuations"});
+    if (!response)
+        return exit_failed;
+    (response->status == 200 ? std::cout : std::cerr) << response->body;
+    return response->status == 200 ? exit_ok : exit_failed;
+}
+
 int config_show(node_address const& node)
 {
     auto const response = call(node, {.method = "GET", .target = "/v1/config"});
--- a/src/process/operator_client.hpp
+++ b/src/process/operator_client.hpp
@@ -43,6 +43,13 @@
 int config_promote(node_address const& trial, node_address const& production,
                    std::uint64_t expected);
 
+// Evacuates a failure domain, or takes it back.
+int domain_evacuate(node_address const& node, std::string const& domain);
+int domain_restore(node_address const& node, std::string const& domain);
+
+// Prints the evacuated domains that the node knows of, one per line.
+int domain_list(node_address const& node);
+
 // Prints the fleet as the node sees it: as a table, or with `json` the unchanged
 // response.
 int show_status(node_address const& node, bool json);
--- a/src/process/state_log.cpp
+++ b/src/process/state_log.cpp
@@ -50,6 +50,7 @@
     log_lease_changes(coord, now);
     log_watch_changes(coord, now);
     log_config_changes(coord, now);
+    log_evacuation_changes(coord);
 }
 
 void state_log::log_member_changes(coordinator const& coord)
@@ -119,6 +120,30 @@
     };
     log_watch_change("fleet", m_watches_fleet, subscriptions.fleet);
     log_watch_change("configuration", m_watches_config, subscriptions.configuration);
+    log_watch_change("evacuations", m_watches_evacuations, subscriptions.evacuations);
+}
+
+void state_log::log_evacuation_changes(coordinator const& coord)
+{
+    auto const& copy = coord.copy();
+    if (m_evacuation_change_count == copy.evacuation_change_count())
+        return;
+    m_evacuation_change_count = copy.evacuation_change_count();
+    auto const& present = copy.evacuated_domains();
+    auto const log_domain = [&](char const* event, std::string const& domain)
+    {
+        log_event(
+            log_level::info, event,
+            {{"domain", domain},
+             {"version", std::to_string(copy.version_of(evacuation_object(domain)))}});
+    };
+    for (auto const& domain : present)
+        if (!m_evacuated.contains(domain))
+            log_domain("domain-evacuated", domain);
+    for (auto const& domain : m_evacuated)
+        if (!present.contains(domain))
+            log_domain("domain-restored", domain);
+    m_evacuated = present;
 }
 
 void state_log::log_config_changes(coordinator const& coord, instant now)
--- a/src/process/state_log.hpp
+++ b/src/process/state_log.hpp
@@ -1,5 +1,6 @@
 // Logs changes of this process's state: its lease, the shards it owns, its watches on the
-// store, the fleet's members, and the availability of its dependencies.
+// store, the fleet's members, evacuated domains, and the availability of its
+// dependencies.
 //
 // Only changes are logged, with the data behind them: the replica's revision, ages, and
 // for a dependency the step that failed. Cost: O(1) for a call without a change,
@@ -12,6 +13,7 @@
 #include "buckthornusher/coordinator.hpp"
 
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -50,6 +52,7 @@
     void log_lease_changes(coordinator const& coord, instant now);
     void log_watch_changes(coordinator const& coord, instant now);
     void log_config_changes(coordinator const& coord, instant now);
+    void log_evacuation_changes(coordinator const& coord);
 
     struct logged_member
     {
@@ -68,6 +71,9 @@
     bool m_watches_fleet = false;
     bool m_watches_config = false;
     std::uint64_t m_config_version = 0;
+    bool m_watches_evacuations = false;
+    std::uint64_t m_evacuation_change_count = 0;
+    std::set<std::string, std::less<>> m_evacuated; // domains
 };
 
 } // namespace buckthornusher
--- a/tests/fake_fleet.hpp
+++ b/tests/fake_fleet.hpp
@@ -14,6 +14,7 @@
 //   - no member's copy of the configuration goes back to an older version, and no member
 //     holds a lease with one older than the store's when its process started;
 //   - the grants of upstreams do not overlap (grant_checker);
+//   - no execution begins in an evacuated domain after the bound;
 //   - every shard is served again after the faults end.
 //
 // The same options and actions give the same run. Not thread-safe.
@@ -99,6 +100,7 @@
     duration unfenced_wait = 0ms;
     // Upstreams serve only keys that are granted in answers to their reports.
     bool granted_upstreams = false;
+    duration evacuation_bound{0};
 };
 
 class fake_fleet
@@ -169,6 +171,21 @@
     std::function<bool(member_id const& from, member_id const& to,
                        control_message const&)>
         drop;
+    // If set, called for each store call of a member; true: it gets no answer and has no
+    // effect.
+    std::function<bool(std::uint32_t member, store_operation const&)> lose_call;
+    // An operator evacuates a domain or takes it back; the store acknowledges at once.
+    void set_evacuated(std::uint32_t domain, bool evacuated);
+    // Returns the coordinator of the member's process; null while it is down.
+    coordinator const* process(std::uint32_t member) const
+    {
+        return m_members[member].coord.get();
+    }
+    instant clock_of(std::uint32_t member) const { return local_time(m_members[member]); }
+    std::uint32_t domain_of(std::uint32_t member) const
+    {
+        return m_members[member].domain;
+    }
 
 private:
     struct event
@@ -290,6 +307,7 @@
                                 .services = {{.name = "s", .shards = m_options.shards}},
                                 .unfenced_wait = m_options.unfenced_wait,
                                 .granted_upstreams = m_options.granted_upstreams,
+                                .evacuation_bound = m_options.evacuation_bound,
                                 .lease = m_options.lease,
                                 .planning = {},
                                 .guard = m_options.guard,
@@ -536,7 +554,7 @@
                 [this, id](member& x)
                 { x.coord->on_store_answer(id, store_no_answer{}, local_time(x)); });
         };
-        if (!store_reachable(m))
+        if (!store_reachable(m) || (lose_call && lose_call(i, e.operation)))
             return no_answer();
         if (auto const* watch = std::get_if<store_watch>(&e.operation))
             return poll_watch(i, m.boot_count, e.id, *watch, m_now + watch->wait);
@@ -724,6 +742,10 @@
         auto const executor = incarnation_of(m);
         if (m.upstream && !m.upstream->holds(id.index, m_now))
             return m.coord->end(id); // the upstream rejects the request
+        if (!node_may_start(m.coord->evacuation("d" + std::to_string(m.domain)), true,
+                            now))
+            return m.coord->end(id);
+        check_evacuation(m);
         begin_execution(executor, id.index, run.epoch);
         // The upstream continues while its node is paused.
         schedule(m_now + length, [this, shard = id.index, executor, epoch = run.epoch]
@@ -732,6 +754,16 @@
                            [id](member& x) { x.coord->end(id); });
     }
 
+    void check_evacuation(member const& m)
+    {
+        auto const since = m_evacuated_at.find(m.domain);
+        if (since != m_evacuated_at.end() &&
+            m_now > since->second + m_options.evacuation_bound)
+            fail("n" + std::to_string(m.index) + " executes in domain " +
+                 std::to_string(m.domain) + ", evacuated at " +
+                 std::to_string(since->second.count() / 1'000) + " ms");
+    }
+
     // Returns the current incarnation of the member's upstream.
     static owner_id incarnation_of(member const& m)
     {
@@ -857,6 +889,7 @@
     std::uint64_t m_compacted_revision = 0; // earlier watches get store_history_lost
     std::map<std::string, object> m_store;
     std::uint64_t m_store_calls = 0;
+    std::map<std::uint32_t, true_time> m_evacuated_at; // domains
 
     grant_checker m_grant_checker;
     std::map<std::uint32_t, shard_state> m_shards;
@@ -872,6 +905,23 @@
     std::map<std::uint32_t, true_time> m_cut_domains;
 };
 
+inline void fake_fleet::set_evacuated(std::uint32_t domain, bool evacuated)
+{
+    auto const name = "d" + std::to_string(domain);
+    auto const it = m_store.find(evacuation_object(name));
+    bool const present = it != m_store.end() && it->second.value;
+    store_write write{.name = evacuation_object(name),
+                      .expected = present ? it->second.version : 0,
+                      .value = {}};
+    if (evacuated)
+        write.value = evacuation_record{.domain = name};
+    execute(write);
+    if (!evacuated)
+        m_evacuated_at.erase(domain);
+    else if (m_options.evacuation_bound > duration{0})
+        m_evacuated_at.try_emplace(domain, m_now);
+}
+
 inline void fake_fleet::begin_fault(action const& a)
 {
     if (trace)
