--- a/include/buckthornusher/next_step.hpp
+++ b/include/buckthornusher/next_step.hpp
@@ -11,7 +11,8 @@
 //
 // Among the others the earliest expected answer wins (placement.hpp), whose terms are
 // what a cold upstream may start, room, link and urgency. A request with a key has one
-// candidate, the owner of its shard, and the first two vetoes.
+// candidate, the owner of its shard, and the vetoes but the last; while an evacuated
+// owner hands its shard over, the request waits.
 //
 // Built for a service that is full on nearly all of its nodes, for nodes that come and
 // go, and for upstreams that only some requests may use.
@@ -53,6 +54,7 @@
 {
     region_bound regions;
     instant deadline;
+    bool only_evacuated = false; // no upstream but in evacuated domains
     // Set if this node stops too soon to let the request wait: the retry hint.
     std::optional<duration> stopping;
     friend bool operator==(step_request const&, step_request const&) = default;
@@ -75,12 +77,14 @@
     std::string node;
     std::string region;
     bool here = false;                    // this node
+    bool evacuated = false;               // its domain is, and no request may be sent
     std::optional<std::string> successor; // the region to which the shard is moving
     friend bool operator==(step_owner const&, step_owner const&) = default;
 };
 
 struct step_options
 {
+    duration evacuated_retry_after = std::chrono::milliseconds(300);
     offer_options offers;
     region_options regions;
     // Interval at which a waiting request is decided on again if nothing changes.
--- a/src/process/agent_upstreams.cpp
+++ b/src/process/agent_upstreams.cpp
@@ -310,7 +310,7 @@
     if (it == m_links.end())
         return std::nullopt;
     auto const& l = *it->second;
-    bool const silent = is_silent(l, now);
+    bool const unfit = is_silent(l, now) || is_evacuated();
     auto const& starts = l.queue.starts();
     return upstream_load{
         .slots = l.queue.limit(),
@@ -319,12 +319,17 @@
         .service = l.queue.known_service(request_class).value_or(duration{0}),
         .until_slot = l.queue.until_start(now),
         .backlog = l.queue.backlog(now),
-        .accepting = !l.draining() && !silent && !l.connect_failed && !m_closing,
+        .accepting = !l.draining() && !unfit && !l.connect_failed && !m_closing,
         .start_rate = starts.is_cold(now) ? starts.start_rate() : 0,
         .bounded_for = starts.cold_for(now),
         .slowness = l.condition.slowness(now)};
 }
 
+bool agent::is_evacuated() const
+{
+    return m_coordinator->evacuation(m_options.domain).has_value();
+}
+
 bool agent::is_silent(link const& l, instant now) const
 {
     return buckthornusher::is_silent(evidence_of(l, now), m_options.report_interval);
--- a/src/process/ingress.hpp
+++ b/src/process/ingress.hpp
@@ -131,7 +131,7 @@
     void renew_regions(pending_request& pending) const;
     void note_known_services(instant now);
     step_options steps() const;
-    step_request limits_of(pending_request const& pending, instant now) const;
+    step_request limits_of(pending_request const& pending, instant now);
     step_upstreams known_upstreams(pending_request const& pending, instant now);
     region_supply known_supply(pending_request const& pending, instant now);
     void carry_out(pending_request& pending, step_action const& action, instant now);
@@ -144,6 +144,7 @@
     void send_to(pending_request& pending, upstream_node const& target, instant now);
     void run_locally(pending_request& pending);
     void wait(pending_request& pending, instant until, instant now);
+    bool only_evacuated(std::string const& service, instant now);
     void refuse_after_long_wait(pending_request& pending, instant now);
     void record_offer_result(pending_request& pending, request_result const& result);
     void record_round_trip(pending_request const& pending, wire::Reply const& reply,
@@ -205,6 +206,9 @@
     // When the first upstream of each service became known.
     std::map<std::string, instant> m_known_since;
     std::map<std::string, instant> m_next_region_log; // by service
+    std::uint64_t m_evacuation_change_count = 0;      // when m_upstream_nodes was built
+    // Services with upstreams in evacuated domains, which are not among m_upstream_nodes.
+    std::set<std::string> m_evacuated_services;
     placement m_placement;
     offer_memory m_offers;
     retry_budget m_retries;
--- a/src/process/ingress_sending.cpp
+++ b/src/process/ingress_sending.cpp
@@ -42,10 +42,11 @@
         dispatch_unkeyed(pending, now);
 }
 
-step_request ingress::limits_of(pending_request const& pending, instant now) const
+step_request ingress::limits_of(pending_request const& pending, instant now)
 {
     step_request request{.regions = pending.request.regions,
                          .deadline = pending.request.deadline,
+                         .only_evacuated = only_evacuated(pending.request.service, now),
                          .stopping = {}};
     if (!accepts(pending.request.deadline, now))
         request.stopping = stopping_retry_after();
@@ -65,10 +66,12 @@
         a != nullptr && a->successor ? copy.serving(a->successor) : nullptr;
     std::optional<step_owner> owner;
     if (m != nullptr)
-        owner = step_owner{.node = m->id.node,
-                           .region = m->region,
-                           .here = m->id.node == m_options.self,
-                           .successor = {}};
+        owner = step_owner{
+            .node = m->id.node,
+            .region = m->region,
+            .here = m->id.node == m_options.self,
+            .evacuated = !entry_may_send(m_coordinator->evacuation(m->domain), true, now),
+            .successor = {}};
     if (owner && next != nullptr)
         owner->successor = next->region;
     auto const step = next_keyed_step(
@@ -206,13 +209,26 @@
     return found;
 }
 
+// Whether the service has upstreams, all of them in evacuated domains.
+bool ingress::only_evacuated(std::string const& service, instant now)
+{
+    refresh_upstream_nodes();
+    if (!m_evacuated_services.contains(service) || m_upstream_nodes.contains(service))
+        return false;
+    auto const own = m_agent.load(service, "", now);
+    return !own || !own->accepting;
+}
+
 void ingress::refresh_upstream_nodes()
 {
     auto const& copy = m_coordinator->copy();
-    if (m_upstream_nodes_change_count == copy.member_change_count())
+    if (m_upstream_nodes_change_count == copy.member_change_count() &&
+        m_evacuation_change_count == copy.evacuation_change_count())
         return;
     m_upstream_nodes_change_count = copy.member_change_count();
+    m_evacuation_change_count = copy.evacuation_change_count();
     m_upstream_nodes.clear();
+    m_evacuated_services.clear();
     std::vector<std::string> nodes{m_options.self};
     std::uint32_t live = 0;
     for (auto const& [id, m] : copy.members())
@@ -221,6 +237,12 @@
             continue;
         ++live;
         nodes.push_back(id.node);
+        if (copy.is_evacuated(m.domain))
+        {
+            for (auto const& t : m.targets)
+                m_evacuated_services.insert(t.service);
+            continue;
+        }
         if (id.node == m_options.self || m.draining)
             continue;
         for (auto const& t : m.targets)
--- a/src/request/next_step.cpp
+++ b/src/request/next_step.cpp
@@ -104,6 +104,17 @@
 }
 
 // All that could be asked refused the request, or nobody is there to be asked.
+// The step of a request whose upstreams are all in evacuated domains, or none are known.
+step_action wait_for_other_domain(step_request const& request, instant now,
+                                  step_options const& opts)
+{
+    if (request.only_evacuated)
+        return refuse_with{.reason = outcome_reason::no_owner,
+                           .retry_after = opts.evacuated_retry_after,
+                           .why = {}};
+    return wait_or_refuse(request, now, opts);
+}
+
 step_action without_choice(step_request const& request, request_progress const& progress,
                            offer_rounds const& rounds, region_supply const& supply,
                            instant now, step_options const& opts)
@@ -119,7 +130,7 @@
         return refuse_with{.reason = outcome_reason::no_region,
                            .retry_after = *after,
                            .why = "no upstream there can be used"};
-    return wait_or_refuse(request, now, opts);
+    return wait_for_other_domain(request, now, opts);
 }
 
 } // namespace
@@ -227,6 +238,8 @@
                                       .retry_after = *after,
                                       .why = "the shard is owned by " + owner->node +
                                              " in " + owner->region}};
+    if (owner->evacuated)
+        return {.action = wait_for_other_domain(request, now, opts)};
     if (owner->here)
         return {.action = run_here{}};
     return {.action = send_to_node{.node = owner->node, .terms = {}}};
