--- /dev/null
+++ b/src/request/memory_budget.cpp
@@ -0,0 +1,104 @@
+// Implementation of the memory budget; see the header.
+#include "buckthornusher/memory_budget.hpp"
+
+#include <algorithm>
+
+namespace buckthornusher
+{
+
+namespace
+{
+
+constexpr std::uint64_t max_reserve_divisor = 4; // of the budget
+
+// Returns the index of the best holder for which `eligible` holds.
+template <class Eligible, class Better>
+std::optional<std::size_t> best(std::vector<memory_holder> const& holders,
+                                Eligible eligible, Better better)
+{
+    std::optional<std::size_t> found;
+    for (std::size_t i = 0; i < holders.size(); ++i)
+        if (eligible(holders[i]) && (!found || better(holders[i], holders[*found])))
+            found = i;
+    return found;
+}
+
+bool holds_more(memory_holder const& a, memory_holder const& b)
+{
+    return a.bytes > b.bytes;
+}
+
+bool slower(memory_holder const& a, memory_holder const& b)
+{
+    return a.last_progress < b.last_progress;
+}
+
+} // namespace
+
+memory_options make_memory_options(std::uint64_t process_bytes)
+{
+    memory_options opts;
+    if (process_bytes > 0)
+        opts.process_bytes = process_bytes;
+    return opts;
+}
+
+memory_budget::memory_budget(memory_options opts) : m_options(opts)
+{
+    auto const left =
+        opts.process_bytes - std::min(opts.process_bytes, opts.program_bytes);
+    m_limit = std::max(left, opts.min_bytes);
+}
+
+bool memory_budget::has_room(std::uint64_t before, std::uint64_t after) const
+{
+    if (after <= before)
+        return true;
+    auto const reserve =
+        after > m_options.large_bytes
+            ? std::min(m_options.ordinary_reserve, m_limit / max_reserve_divisor)
+            : 0;
+    auto const others = m_held - std::min(m_held, before);
+    auto const allowed = m_limit - reserve;
+    return others <= allowed && after <= allowed - others;
+}
+
+bool memory_hold::try_set(std::uint64_t bytes)
+{
+    if (m_budget != nullptr && !m_budget->has_room(m_bytes, bytes))
+        return false;
+    set(bytes);
+    return true;
+}
+
+void memory_hold::set(std::uint64_t bytes)
+{
+    if (m_budget != nullptr)
+        m_budget->m_held += bytes - m_bytes; // modulo 2^64, also when it shrinks
+    m_bytes = bytes;
+}
+
+std::optional<std::size_t> choose_victim(std::vector<memory_holder> const& holders,
+                                         victim_search search, instant now,
+                                         memory_options const& opts)
+{
+    auto const large = [&](memory_holder const& h)
+    {
+        return h.bytes > opts.large_bytes;
+    };
+    auto const stalled = [&](memory_holder const& h)
+    {
+        return h.bytes > 0 && now - h.last_progress >= opts.patience;
+    };
+    if (auto const found = best(
+            holders, [&](auto const& h) { return large(h) && stalled(h); }, holds_more))
+        return found;
+    if (search == victim_search::stalled)
+        return best(holders, stalled, holds_more);
+    if (auto const found = best(holders, large, slower))
+        return found;
+    return best(
+        holders, [](auto const& h) { return h.bytes > 0; }, slower);
+}
+
+} // namespace buckthornusher
