Memory: one budget bounds what clients and peers make a process hold

Callers saw: a node that ran out of memory when many clients sent large bodies, stopped just short of their end, or did not read long answers. Cause: http_server held every incomplete body, request and unwritten answer; the peer socket's queues were bounded in messages only, and bodies were copied up to four times. Change: the budget counts them; a request that finds no room gets 503 before it is passed on; a stalled or the slowest connection is closed; a peer without room answers overloaded; long bodies are moved to the socket, not copied. Messages between nodes may have 80 MiB (before: 16, and a longer one ended the connection with all that it carried).

--- a/include/buckthornusher/memory_budget.hpp
+++ b/include/buckthornusher/memory_budget.hpp
@@ -59,6 +59,11 @@
     // Whether the budget is exceeded, as answers are held without asking.
     bool exceeded() const { return m_held > m_limit; }
 
+    // Parts that are bounded by themselves: answers being read from one upstream, and
+    // long messages to peers that are not sent yet.
+    std::uint64_t max_incomplete_answers() const;
+    std::uint64_t max_queued_messages() const;
+
     // Counted for operators.
     void note_refused() { ++m_refused; }
     void note_closed() { ++m_closed; }
--- a/src/connection/http_client.cpp
+++ b/src/connection/http_client.cpp
@@ -21,6 +21,18 @@
 // A connection is not reused within this time before its peer may close it.
 constexpr duration idle_margin = 1s;
 constexpr duration sweep_period = 500ms;
+// Bodies up to this size are written together with their header.
+constexpr std::size_t max_joined_body_bytes = 65'536;
+constexpr int first_interim_status = 100;
+constexpr int switching_protocols = 101; // never asked for
+constexpr int first_final_status = 200;
+constexpr int last_status = 599;
+
+bool is_status(int status)
+{
+    return first_interim_status <= status && status <= last_status &&
+           status != switching_protocols;
+}
 
 // A call and its state. Lives from call() until `done` is called.
 struct running_call
@@ -66,7 +78,8 @@
     std::optional<running_call> call;
     std::optional<response_reader> reader;
     std::string out;
-    std::size_t written = 0; // of `out`
+    std::size_t written = 0;       // of `out`, and then of the call's body
+    bool body_follows_out = false; // it is long, and not in `out`
     bool reused = false;
     bool unmatched_message = false; // a message that was not the response arrived
     bool any_sent = false;
@@ -77,6 +90,7 @@
     void start(running_call c);
     void on_writable();
     void on_readable();
+    std::string_view unwritten() const;
     void flush();
     void take_bytes(std::string_view bytes);
     bool add_received_bytes(std::size_t count);
@@ -96,7 +110,8 @@
     client->calls[call->id] = this;
     if (header_value(call->request.headers, "host") == nullptr)
         call->request.headers.push_back({"Host", to_string(client->opts.peer)});
-    out = serialize(call->request);
+    body_follows_out = call->request.body.size() > max_joined_body_bytes;
+    out = body_follows_out ? serialize_header(call->request) : serialize(call->request);
     written = 0;
     any_sent = false;
     any_received = false;
@@ -119,11 +134,24 @@
     flush();
 }
 
+// Returns bytes of the request to write next; none if it has been written, or has ended.
+std::string_view http_client::connection::unwritten() const
+{
+    if (written < out.size())
+        return std::string_view(out).substr(written);
+    if (!body_follows_out || !call)
+        return {};
+    return std::string_view(call->request.body).substr(written - out.size());
+}
+
 void http_client::connection::flush()
 {
-    while (watch.is_open() && written < out.size())
+    while (watch.is_open())
     {
-        auto const put = tcp_write(watch.fd(), std::string_view(out).substr(written));
+        auto const next = unwritten();
+        if (next.empty())
+            break;
+        auto const put = tcp_write(watch.fd(), next);
         if (put.status == io_status::not_ready)
             return watch.request_write();
         // The peer may have responded before it closed, so the response is read first.
@@ -132,6 +160,9 @@
         any_sent = true;
         written += put.bytes;
     }
+    if (body_follows_out && call)
+        call->request.body = std::string();
+    body_follows_out = false;
     out.clear();
     written = 0;
 }
@@ -201,11 +232,12 @@
 // is still awaited, starting with those bytes.
 bool http_client::connection::handle_message(std::string_view rest)
 {
-    constexpr int first_final_status = 200;
     bool const head = call->request.method == "HEAD";
     bool const keep_alive = reader->keep_alive();
     auto const peer_timeout = reader->keep_alive_seconds();
     auto response = reader->take();
+    if (!is_status(response.status))
+        return fail(http_failure::step::answer), false;
     bool const interim = response.status < first_final_status;
     bool const matches = interim || !client->opts.is_response_to ||
                          client->opts.is_response_to(call->request, response);
@@ -221,7 +253,7 @@
     if (peer_timeout)
         idle = std::min<duration>(idle, std::chrono::seconds(*peer_timeout));
     idle_until = boot_now() + idle - idle_margin;
-    bool const request_written = written >= out.size();
+    bool const request_written = unwritten().empty();
     finish(std::move(response),
            keep_alive && request_written && rest.empty() && !unmatched_message);
     return false;
--- a/src/connection/http_client.hpp
+++ b/src/connection/http_client.hpp
@@ -13,6 +13,9 @@
 // request is not sent and the connection is closed. A request without a Host header gets
 // one that names the peer.
 //
+// A status outside 100 to 599, or 101, is no answer: the call fails with `answer` and the
+// connection is closed. So does one whose last message is an interim response.
+//
 // If a peer sends more bytes during a call than `limits` allow, in a response or in
 // messages that are not the response, the call fails with `too_long` and the connection
 // is closed at once.
--- a/src/connection/http_codec.cpp
+++ b/src/connection/http_codec.cpp
@@ -255,6 +255,11 @@
 {
     return m_impl->state.parser.is_done() && !failed();
 }
+std::size_t request_reader::held_bytes() const
+{
+    auto const& state = m_impl->state;
+    return state.header_bytes + state.parser.message.body.size() + state.pending.size();
+}
 http_read_error const& request_reader::error() const
 {
     return m_impl->state.error;
@@ -360,7 +365,7 @@
 
 // ---- writing ----
 
-std::string serialize(http_request const& request)
+std::string serialize_header(http_request const& request)
 {
     std::string out = request.method + " " + request.target + " HTTP/1.1\r\n";
     append_headers(out, request.headers);
@@ -369,19 +374,28 @@
     if (takes_body || !request.body.empty())
         append_header(out, "Content-Length", std::to_string(request.body.size()));
     out += "\r\n";
-    out += request.body;
     return out;
 }
 
-std::string serialize(http_response const& response, response_options const& options)
+std::string serialize(http_request const& request)
+{
+    return serialize_header(request) + request.body;
+}
+
+bool carries_body(http_response const& response, response_options const& options)
+{
+    return !options.head && !has_no_body(response.status);
+}
+
+std::string serialize_header(http_response const& response,
+                             response_options const& options)
 {
     auto const usual = http::obsolete_reason(static_cast<http::status>(response.status));
     std::string out = "HTTP/1.1 " + std::to_string(response.status) + " ";
     out += response.reason.empty() ? to_view(usual) : std::string_view(response.reason);
     out += "\r\n";
     append_headers(out, response.headers);
-    bool const bodiless = has_no_body(response.status);
-    if (!options.head && !bodiless)
+    if (carries_body(response, options))
         append_header(out, "Content-Length", std::to_string(response.body.size()));
     if (options.close)
         append_header(out, "Connection", "close");
@@ -389,7 +403,13 @@
         append_header(out, "Keep-Alive",
                       "timeout=" + std::to_string(options.keep_alive_seconds));
     out += "\r\n";
-    if (!options.head && !bodiless)
+    return out;
+}
+
+std::string serialize(http_response const& response, response_options const& options)
+{
+    auto out = serialize_header(response, options);
+    if (carries_body(response, options))
         out += response.body;
     return out;
 }
--- a/src/connection/http_codec.hpp
+++ b/src/connection/http_codec.hpp
@@ -58,6 +58,9 @@
     bool failed() const { return error().status != 0; }
     http_read_error const& error() const;
 
+    // The bytes of the message that it holds so far.
+    std::size_t held_bytes() const;
+
     // Requires header_complete().
     bool keep_alive() const;       // the caller allows the connection to stay open
     bool expects_continue() const; // the caller waits for 100 before it sends the body
@@ -103,6 +106,8 @@
 // Returns the message's bytes. Adds Content-Length if the request has a body or its
 // method usually takes one.
 std::string serialize(http_request const& request);
+// The same without the body.
+std::string serialize_header(http_request const& request);
 
 struct response_options
 {
@@ -113,6 +118,11 @@
 // Returns the message's bytes, with a Content-Length unless `head` is set or the status
 // allows no body.
 std::string serialize(http_response const& response, response_options const& options);
+// The same without the body.
+std::string serialize_header(http_response const& response,
+                             response_options const& options);
+// Whether the message has a body at all.
+bool carries_body(http_response const& response, response_options const& options);
 
 // The interim response that asks the caller for the body.
 inline constexpr std::string_view continue_response = "HTTP/1.1 100 Continue\r\n\r\n";
--- a/src/connection/http_parser.hpp
+++ b/src/connection/http_parser.hpp
@@ -46,7 +46,7 @@
     using error_code = boost::system::error_code;
     using text = boost::beast::string_view;
     // A longer body grows as it arrives, whatever length it announces.
-    static constexpr std::uint64_t max_reserved_body_bytes = 16'777'216;
+    static constexpr std::uint64_t max_reserved_body_bytes = 65'536;
 
     void on_request_impl(boost::beast::http::verb /*method*/, text method, text target,
                          int version, error_code& /*code*/) override
--- a/src/connection/http_server.cpp
+++ b/src/connection/http_server.cpp
@@ -19,6 +19,7 @@
 namespace
 {
 
+constexpr int service_unavailable = 503;
 constexpr std::size_t read_buffer_bytes = 65'536;
 constexpr duration sweep_period = 100ms;
 // How long a connection stays half-closed after its last answer. Closing at once while
@@ -28,6 +29,15 @@
 // expires arrives later.
 constexpr duration idle_grace = 500ms;
 
+// Bodies up to this size are written together with their header.
+constexpr std::size_t max_joined_body_bytes = 65'536;
+// A request is held by the ingress, for a second attempt, by the agent, and by the
+// connection or message that carries it.
+constexpr std::uint64_t copies_of_request = 3;
+// Between searches for stalled connections, as each looks at all of them.
+constexpr duration victim_search_period = 100ms;
+constexpr char const* no_memory_text = "no memory for this request now";
+
 http_response rejection_response(int status, std::string const& what)
 {
     http_response response{.status = status};
@@ -51,6 +61,7 @@
     bool dropped = false; // ends the connection without an answer
     std::optional<http_response> response;
     std::function<void()> on_disconnect;
+    memory_hold held; // of the request, then of the response
 };
 
 struct http_server::impl
@@ -63,8 +74,12 @@
     std::size_t exchanges = 0;
     std::uint64_t unread_disconnects = 0;
     bool stopping = false;
+    instant next_victim_search;
     timer_service::timer_id sweep;
 
+    bool close_stalled();
+    void close_until_within_budget();
+    bool close_victim(victim_search search, instant now);
     void accept_all();
     void sweep_connections(instant now);
 };
@@ -81,8 +96,10 @@
     std::string unread; // bytes received while `max_pipelined` exchanges are unanswered
     std::optional<request_reader> reader;
     std::deque<std::shared_ptr<http_exchange>> exchanges; // unanswered, oldest first
-    std::string out;
-    std::size_t written = 0; // of `out`
+    std::deque<std::string> out;                          // none of them is empty
+    std::size_t written = 0;                              // of the first of `out`
+    memory_hold input;                                    // incomplete requests
+    memory_hold output;                                   // unwritten answers
     bool input_ended = false;
     bool lingering = false;
     bool reading_paused = false;
@@ -96,10 +113,14 @@
     void take_bytes(std::string_view bytes);
     std::size_t read_requests(std::string_view bytes);
     bool read_request(std::string_view bytes, std::size_t& used);
+    bool hold_input();
     void dispatch_request();
     void reject(int status, std::string const& what);
     void add(std::shared_ptr<http_exchange> exchange);
     void write_answers();
+    void append(http_response response, response_options const& options);
+    void hold_output();
+    std::uint64_t held() const;
     void flush();
     void begin_lingering();
     enum class overdue_part
@@ -207,28 +228,48 @@
         if (!had_header && reader->header_complete() && reader->expects_continue() &&
             exchanges.empty())
         {
-            out += continue_response;
+            out.emplace_back(continue_response);
             flush();
         }
+        if (watch.is_open() && !hold_input())
+            reject(service_unavailable, no_memory_text);
         return false;
     }
     dispatch_request();
     return true;
 }
 
+// Returns false if there is no memory for what has arrived of the request, also after
+// stalled connections have been closed.
+bool http_server::connection::hold_input()
+{
+    auto const bytes = reader->held_bytes();
+    return input.try_set(bytes) || (server->close_stalled() && input.try_set(bytes));
+}
+
 void http_server::connection::dispatch_request()
 {
     auto exchange = std::make_shared<http_exchange>();
     exchange->connection = this;
+    exchange->held = memory_hold(server->opts.memory);
+    auto const bytes = copies_of_request * reader->held_bytes();
+    input.set(0);
+    bool const fits = exchange->held.try_set(bytes) ||
+                      (server->close_stalled() && exchange->held.try_set(bytes));
     exchange->close_after = !reader->keep_alive();
     input_ended = exchange->close_after;
     auto request = reader->take();
     reader.reset();
     exchange->head = request.method == "HEAD";
     add(exchange);
+    if (!fits && server->opts.memory != nullptr)
+        server->opts.memory->note_refused();
+    if (!fits)
+        return http_reply(exchange).send(
+            rejection_response(service_unavailable, no_memory_text));
     if (server->exchanges > server->opts.max_exchanges)
         return http_reply(exchange).send(
-            rejection_response(503, "too many requests at once"));
+            rejection_response(service_unavailable, "too many requests at once"));
     server->on_request(std::move(request), http_reply(exchange));
 }
 
@@ -237,6 +278,9 @@
     input_ended = true;
     reader.reset();
     unread.clear();
+    input.set(0);
+    if (status == service_unavailable && server->opts.memory != nullptr)
+        server->opts.memory->note_refused();
     auto exchange = std::make_shared<http_exchange>();
     exchange->connection = this;
     exchange->close_after = true;
@@ -274,8 +318,8 @@
         auto const idle_seconds =
             std::chrono::duration_cast<std::chrono::seconds>(idle_timeout);
         if (exchange->response)
-            out += serialize(
-                *exchange->response,
+            append(
+                std::move(*exchange->response),
                 {.close = last,
                  .head = exchange->head,
                  .keep_alive_seconds = static_cast<std::uint32_t>(idle_seconds.count())});
@@ -287,6 +331,7 @@
         input_ended = true;
         unread.clear();
         reader.reset();
+        input.set(0);
         for (auto const& later : std::exchange(exchanges, {}))
         {
             --server->exchanges;
@@ -298,26 +343,70 @@
     if (wrote)
         last_progress = boot_now();
     flush();
+    hold_output();
+    if (!watch.is_open())
+        return;
     if (!unread.empty() || reading_paused)
         resume_reading();
 }
 
+// Appends an answer to the bytes to write. A long body is moved, not copied.
+void http_server::connection::append(http_response response,
+                                     response_options const& options)
+{
+    bool const has_body = carries_body(response, options) && !response.body.empty();
+    bool const joined = has_body && response.body.size() <= max_joined_body_bytes;
+    auto text =
+        joined ? serialize(response, options) : serialize_header(response, options);
+    if (!out.empty() && out.back().size() + text.size() <= max_joined_body_bytes)
+        out.back() += text;
+    else
+        out.push_back(std::move(text));
+    if (has_body && !joined)
+        out.push_back(std::move(response.body));
+}
+
+// Counts the unwritten bytes. They are ready for the caller, so they are held in any
+// case; if that exceeds the budget, the slowest connections are closed.
+void http_server::connection::hold_output()
+{
+    std::size_t bytes = 0;
+    for (auto const& part : out)
+        bytes += part.size();
+    output.set(bytes);
+    server->close_until_within_budget();
+}
+
+// What closing the connection would give back: requests that are being handled are not
+// part of it.
+std::uint64_t http_server::connection::held() const
+{
+    auto bytes = input.bytes() + output.bytes();
+    for (auto const& exchange : exchanges)
+        bytes += exchange->response ? exchange->held.bytes() : 0;
+    return bytes;
+}
+
 void http_server::connection::flush()
 {
-    while (watch.is_open() && written < out.size())
+    while (watch.is_open() && !out.empty())
     {
-        auto const put = tcp_write(watch.fd(), std::string_view(out).substr(written));
+        auto const put =
+            tcp_write(watch.fd(), std::string_view(out.front()).substr(written));
         if (put.status == io_status::not_ready)
             return watch.request_write();
         if (put.status == io_status::broken)
             return close();
         written += put.bytes;
         last_progress = boot_now();
+        if (written < out.front().size())
+            continue;
+        output.set(output.bytes() -
+                   std::min<std::uint64_t>(output.bytes(), out.front().size()));
+        out.pop_front();
+        written = 0;
     }
-    out.clear();
-    written = 0;
-    if (out.capacity() > read_buffer_bytes)
-        out.shrink_to_fit();
+    output.set(0);
     if (input_ended && exchanges.empty() && watch.is_open() && !lingering)
         begin_lingering();
 }
@@ -338,6 +427,11 @@
     auto const self = shared_from_this();
     watch.close();
     server->connections.erase(this);
+    input.set(0);
+    output.set(0);
+    out.clear();
+    unread.clear();
+    reader.reset();
     for (auto const& exchange : std::exchange(exchanges, {}))
     {
         --server->exchanges;
@@ -393,6 +487,48 @@
 
 // ---- the server ----
 
+bool http_server::impl::close_victim(victim_search search, instant now)
+{
+    std::vector<memory_holder> holders;
+    std::vector<connection*> holding;
+    for (auto const& entry : connections)
+    {
+        auto const* c = entry.first;
+        if (c->held() == 0 || c->handling)
+            continue;
+        holders.push_back({.bytes = c->held(), .last_progress = c->last_progress});
+        holding.push_back(entry.first);
+    }
+    auto const victim = choose_victim(holders, search, now, opts.memory->options());
+    if (!victim)
+        return false;
+    opts.memory->note_closed();
+    holding[*victim]->close();
+    return true;
+}
+
+// Closes a stalled connection. Returns false if there is none.
+bool http_server::impl::close_stalled()
+{
+    auto const now = boot_now();
+    if (opts.memory == nullptr || now < next_victim_search)
+        return false;
+    if (close_victim(victim_search::stalled, now))
+        return true;
+    next_victim_search = now + victim_search_period;
+    return false;
+}
+
+void http_server::impl::close_until_within_budget()
+{
+    if (opts.memory == nullptr || !opts.memory->exceeded())
+        return;
+    auto const now = boot_now();
+    while (opts.memory->exceeded() && close_victim(victim_search::any, now))
+    {
+    }
+}
+
 void http_server::impl::accept_all()
 {
     for (;;)
@@ -402,6 +538,8 @@
             return; // no pending connection, or no free descriptor
         auto c = std::make_shared<connection>();
         c->server = this;
+        c->input = memory_hold(opts.memory);
+        c->output = memory_hold(opts.memory);
         c->last_progress = boot_now();
         auto* raw = c.get();
         c->watch = descriptor_watch(*loop, fd,
@@ -437,6 +575,7 @@
     auto const exchange = m_exchange.lock();
     if (exchange == nullptr || exchange->connection == nullptr || exchange->response)
         return;
+    exchange->held.set(response.body.size());
     exchange->response = std::move(response);
     exchange->connection->write_answers();
 }
--- a/src/connection/http_server.hpp
+++ b/src/connection/http_server.hpp
@@ -13,11 +13,18 @@
 // closed, and nothing that follows on it is read as a request. Connections that are
 // unused for longer than the idle timeout are closed.
 //
-// Cost: O(bytes). A connection holds its unread bytes, its unanswered requests and their
-// answers in memory; reading pauses while it has `max_pipelined` unanswered requests.
+// What a connection holds of incomplete requests, unanswered requests and unwritten
+// answers is counted in the process's memory budget, if there is one. A request that
+// finds no room is answered with 503 before it reaches the handler. The connection that
+// has made no progress for longest and holds most is closed first; its caller sees an
+// answer that ends before its length.
+//
+// Cost: O(bytes). Reading pauses while a connection has `max_pipelined` unanswered
+// requests.
 #ifndef BUCKTHORNUSHER_CONNECTION_HTTP_SERVER_HPP
 #define BUCKTHORNUSHER_CONNECTION_HTTP_SERVER_HPP
 
+#include "buckthornusher/memory_budget.hpp"
 #include "buckthornusher/time.hpp"
 #include "connection/http_codec.hpp"
 #include "connection/tcp_socket.hpp"
@@ -70,6 +77,7 @@
         http_server_limits limits = {};
         std::size_t max_exchanges = 8'192; // concurrent requests; further ones get 503
         std::size_t max_pipelined = 32;    // unanswered requests of one connection
+        memory_budget* memory = nullptr;   // outlives the server; null: no bound
     };
 
     // Throws std::runtime_error if the address cannot be bound.
--- a/src/connection/peer_socket.cpp
+++ b/src/connection/peer_socket.cpp
@@ -7,6 +7,7 @@
 
 #include <zmq.hpp>
 
+#include <atomic>
 #include <cerrno>
 #include <map>
 #include <set>
@@ -20,7 +21,8 @@
 {
 constexpr int max_queued_messages = 4'000; // per peer and direction
 constexpr int max_messages_per_round = 32;
-constexpr int max_message_bytes = 16'777'216;
+constexpr std::int64_t max_message_bytes = 83'886'080;
+constexpr std::size_t long_message_bytes = 65'536; // a longer one is counted
 constexpr int reconnect_ms = 100;
 constexpr int max_reconnect_ms = 1'000;
 constexpr int unacknowledged_timeout_ms = 5'000;
@@ -48,6 +50,32 @@
         .has_value();
 }
 
+using byte_count = std::shared_ptr<std::atomic<std::uint64_t>>;
+
+// The bytes of a long message, counted until ZeroMQ has sent or dropped them.
+struct counted_bytes
+{
+    std::string bytes;
+    byte_count total;
+};
+
+// Called by ZeroMQ, also on its own thread.
+void release(void* /*data*/, void* hint)
+{
+    std::unique_ptr<counted_bytes> const held(static_cast<counted_bytes*>(hint));
+    held->total->fetch_sub(held->bytes.size());
+}
+
+// Returns a message that owns the bytes, without copying them.
+zmq::message_t make_counted_message(std::string bytes, byte_count const& total)
+{
+    total->fetch_add(bytes.size());
+    auto held = std::make_unique<counted_bytes>(
+        counted_bytes{.bytes = std::move(bytes), .total = total});
+    auto* const raw = held.release();
+    return {raw->bytes.data(), raw->bytes.size(), release, raw};
+}
+
 // Sends one part without waiting. Returns false if the queue is full. Throws if there is
 // no such connection.
 bool send_part(zmq::socket_t& socket, std::string const& part, zmq::send_flags flags)
@@ -82,22 +110,50 @@
     // ZeroMQ's descriptor is edge-triggered, and a send may consume the edge. After each
     // event and each send the socket is therefore read until it is empty.
     bool may_be_ready = true;
+    std::uint64_t max_queued_bytes = 0;
+    byte_count queued_bytes = std::make_shared<std::atomic<std::uint64_t>>(0);
 
+    bool fits_queue(std::size_t bytes) const;
+    bool send_body(std::string bytes);
     bool send_to(std::string const& identity, wire::Envelope const& message);
     bool read_batch(); // returns whether it tried to read
     bool read_one();   // returns false if there is no message
 };
 
+bool peer_socket::impl::fits_queue(std::size_t bytes) const
+{
+    if (bytes <= long_message_bytes)
+        return true;
+    auto const queued = queued_bytes->load();
+    return static_cast<std::int64_t>(bytes) <= max_message_bytes &&
+           (queued == 0 || queued + bytes <= max_queued_bytes);
+}
+
+bool peer_socket::impl::send_body(std::string bytes)
+{
+    if (bytes.size() <= long_message_bytes)
+        return send_part(socket, bytes, zmq::send_flags::none);
+    auto message = make_counted_message(std::move(bytes), queued_bytes);
+    return uninterrupted([&] { return socket.send(message, zmq::send_flags::dontwait); })
+        .has_value();
+}
+
 bool peer_socket::impl::send_to(std::string const& identity,
                                 wire::Envelope const& message)
 {
-    auto const bytes = message.SerializeAsString();
+    auto bytes = message.SerializeAsString();
+    auto const size = bytes.size();
+    if (!fits_queue(size))
+    {
+        ++counts.not_sent;
+        return false;
+    }
     bool sent = false;
     may_be_ready = true;
     try
     {
         sent = send_part(socket, identity, zmq::send_flags::sndmore) &&
-               send_part(socket, bytes, zmq::send_flags::none);
+               send_body(std::move(bytes));
     }
     catch (zmq::error_t const&)
     {
@@ -109,7 +165,7 @@
         return false;
     }
     ++counts.sent;
-    counts.sent_bytes += bytes.size();
+    counts.sent_bytes += size;
     return true;
 }
 
@@ -146,20 +202,23 @@
     }
     ++counts.received;
     counts.received_bytes += body.size();
+    body.rebuild(); // frees it, as the envelope holds the same
     on_message({.identity = identity.to_string()}, envelope);
     return true;
 }
 
-peer_socket::peer_socket(event_loop& loop, std::string const& bind, handler on_message)
+peer_socket::peer_socket(event_loop& loop, std::string const& bind, handler on_message,
+                         std::uint64_t max_queued_bytes)
     : m_impl(std::make_unique<impl>())
 {
+    m_impl->max_queued_bytes = max_queued_bytes;
     m_impl->on_message = std::move(on_message);
     auto& socket = m_impl->socket;
     socket.set(zmq::sockopt::linger, 0);
     socket.set(zmq::sockopt::router_mandatory, 1);
     socket.set(zmq::sockopt::sndhwm, max_queued_messages);
     socket.set(zmq::sockopt::rcvhwm, max_queued_messages);
-    socket.set(zmq::sockopt::maxmsgsize, std::int64_t{max_message_bytes});
+    socket.set(zmq::sockopt::maxmsgsize, max_message_bytes);
     socket.set(zmq::sockopt::reconnect_ivl, reconnect_ms);
     socket.set(zmq::sockopt::reconnect_ivl_max, max_reconnect_ms);
     socket.set(zmq::sockopt::tcp_maxrt, unacknowledged_timeout_ms);
@@ -226,6 +285,11 @@
     return m_impl->counts;
 }
 
+std::uint64_t peer_socket::queued_bytes() const
+{
+    return m_impl->queued_bytes->load();
+}
+
 std::size_t peer_socket::connections() const
 {
     return m_impl->connections.size();
--- a/src/connection/peer_socket.hpp
+++ b/src/connection/peer_socket.hpp
@@ -1,10 +1,12 @@
 // Messages between nodes: one ZeroMQ ROUTER socket on the event loop.
 //
 // A node connects to a peer when it first sends to it, and answers requests over the
-// connection on which they arrived. Queues are bounded. While a peer is unreachable,
-// messages to it stay queued and may arrive late, which receivers must tolerate (see
-// request_clock.hpp). The number of messages read in one round of the event loop is
-// bounded, so that other descriptors are served between batches.
+// connection on which they arrived. Queues are bounded, and so are the bytes of long
+// messages in them: one that would exceed the bound is not sent, unless it is the only
+// one. While a peer is unreachable, messages to it stay queued and may arrive late, which
+// receivers must tolerate (see request_clock.hpp). The number of messages read in one
+// round of the event loop is bounded, so that other descriptors are served between
+// batches.
 #ifndef BUCKTHORNUSHER_CONNECTION_PEER_SOCKET_HPP
 #define BUCKTHORNUSHER_CONNECTION_PEER_SOCKET_HPP
 
@@ -46,9 +48,12 @@
 public:
     using handler = std::function<void(peer_route const&, wire::Envelope const&)>;
 
+    static constexpr std::uint64_t default_max_queued_bytes = 67'108'864;
+
     // `bind` is "tcp://IP:port". Throws std::runtime_error if it cannot be bound. Calls
     // `on_message` from the loop for each message received.
-    peer_socket(event_loop& loop, std::string const& bind, handler on_message);
+    peer_socket(event_loop& loop, std::string const& bind, handler on_message,
+                std::uint64_t max_queued_bytes = default_max_queued_bytes);
     ~peer_socket();
     peer_socket(peer_socket const&) = delete;
     peer_socket& operator=(peer_socket const&) = delete;
@@ -66,6 +71,7 @@
 
     peer_counts const& counts() const;
     std::size_t connections() const;
+    std::uint64_t queued_bytes() const; // of long messages that are not sent yet
 
 private:
     struct impl;
--- a/src/process/agent.hpp
+++ b/src/process/agent.hpp
@@ -95,6 +95,8 @@
     duration drain_limit = 30s;      // a draining upstream gets no new requests after it
     std::uint32_t connections = 110; // if the upstream announces no maximum
     duration tick_period = 20ms;     // between calls of tick()
+    // Of incomplete answers, over all connections to an upstream.
+    std::size_t max_incomplete_bytes = 16'777'216;
     // The longest lease of an earlier process of this node, which may have granted keys
     // to an upstream until the end of that lease.
     duration max_lease = lease_options{}.max_lease_duration();
--- a/src/process/agent_upstreams.cpp
+++ b/src/process/agent_upstreams.cpp
@@ -43,6 +43,7 @@
         .http = {m_loop,
                  {.peer = {.ip = report.ip, .port = report.port},
                   .max_connections = connections_to(report),
+                  .max_incomplete_bytes = m_options.max_incomplete_bytes,
                   .is_response_to =
                       [form](http_request const& request, http_response const& response)
                   {
--- a/src/process/forward_server.cpp
+++ b/src/process/forward_server.cpp
@@ -9,9 +9,27 @@
 namespace buckthornusher
 {
 
+namespace
+{
+constexpr std::size_t long_body_bytes = 65'536;
+constexpr std::uint64_t copies_of_body = 2; // the agent's and its connection's
+constexpr duration overloaded_retry_after = 200ms;
+} // namespace
+
 void forward_server::on_forward(peer_route const& route, wire::Envelope const& message)
 {
     auto const& in = message.forward();
+    std::shared_ptr<memory_hold> held;
+    if (in.body().size() > long_body_bytes)
+    {
+        held = std::make_shared<memory_hold>(m_memory);
+        if (!held->try_set(copies_of_body * in.body().size()))
+            return reply(route, in.attempt(),
+                         {.service = in.service(), .request_class = in.request_class()},
+                         boot_now(),
+                         request_refused{.reason = outcome_reason::overloaded,
+                                         .retry_after = overloaded_retry_after});
+    }
     auto request = decode(in);
     request.sender = message.sender().node();
     auto const sent_at = from_micros(in.token().sent_at());
@@ -27,7 +45,8 @@
                           .attempt = in.attempt(),
                           .session = in.token().session(),
                           .request = std::move(request),
-                          .read_at = boot_now()});
+                          .read_at = boot_now(),
+                          .held = std::move(held)});
 }
 
 bool forward_server::begin_received()
@@ -41,7 +60,7 @@
 
 void forward_server::begin(received_request arrived)
 {
-    auto const& [route, attempt, session, request, read_at] = arrived;
+    auto const& [route, attempt, session, request, read_at, held] = arrived;
     request_key const key{route.identity, attempt};
     request_kind const kind{.service = request.service,
                             .request_class = request.request_class};
@@ -51,13 +70,13 @@
         return reply(route, attempt, kind, read_at,
                      request_refused{.reason = outcome_reason::stale});
     }
-    auto const id = m_agent.run(
-        std::move(arrived.request),
-        [this, route = route, key, kind, read_at = read_at](request_result const& result)
-        {
-            m_requests.erase(key);
-            reply(route, key.second, kind, read_at, result);
-        });
+    auto const id = m_agent.run(std::move(arrived.request),
+                                [this, route = route, key, kind, read_at = read_at,
+                                 held = held](request_result const& result)
+                                {
+                                    m_requests.erase(key);
+                                    reply(route, key.second, kind, read_at, result);
+                                });
     if (auto const it = m_requests.find(key); it != m_requests.end())
         it->second = id;
 }
@@ -75,6 +94,11 @@
     w.set_held(to_micros(now) - to_micros(read_at));
     if (auto const load = m_agent.load(kind.service, kind.request_class, now))
         encode(*load, *w.mutable_load());
+    if (m_peers.reply(route, out) || !std::holds_alternative<request_answered>(result))
+        return;
+    encode(request_unknown{.reason = outcome_reason::answer_lost}, w);
+    w.clear_body();
+    w.clear_headers();
     m_peers.reply(route, out);
 }
 
--- a/src/process/forward_server.hpp
+++ b/src/process/forward_server.hpp
@@ -6,14 +6,19 @@
 // A request begins only after all messages that arrived with it have been read: after a
 // long round of the loop a request's cancel may be queued behind it, and a request that
 // was cancelled before it began never runs.
+//
+// A request with a long body is refused as overloaded if the process's memory budget has
+// no room for it. An answer that cannot be sent is replaced by the word that it is lost.
 #ifndef BUCKTHORNUSHER_PROCESS_FORWARD_SERVER_HPP
 #define BUCKTHORNUSHER_PROCESS_FORWARD_SERVER_HPP
 
+#include "buckthornusher/memory_budget.hpp"
 #include "connection/peer_socket.hpp"
 #include "process/agent.hpp"
 #include "process/peer_table.hpp"
 
 #include <map>
+#include <memory>
 #include <utility>
 #include <vector>
 
@@ -24,8 +29,9 @@
 {
 public:
     forward_server(agent& local, peer_socket& peers, peer_table const& table,
-                   std::string self)
-        : m_agent(local), m_peers(peers), m_peer_table(table), m_self(std::move(self))
+                   std::string self, memory_budget* memory = nullptr)
+        : m_agent(local), m_peers(peers), m_peer_table(table), m_self(std::move(self)),
+          m_memory(memory)
     {
     }
 
@@ -46,6 +52,7 @@
         std::uint64_t session = 0; // of the process it was sent to
         upstream_request request;
         instant read_at;
+        std::shared_ptr<memory_hold> held; // null: its body is not long
     };
 
     // What a reply's load report is about.
@@ -63,6 +70,7 @@
     peer_socket& m_peers;
     peer_table const& m_peer_table;
     std::string m_self;
+    memory_budget* m_memory; // outlives this; null: no bound
     std::vector<received_request> m_received;
     // Unfinished requests; 0: not begun yet.
     std::map<request_key, agent::request_id> m_requests;
--- a/src/process/node.cpp
+++ b/src/process/node.cpp
@@ -2,6 +2,7 @@
 #include "process/node.hpp"
 
 #include "buckthornusher/coordinator.hpp"
+#include "buckthornusher/memory_budget.hpp"
 #include "buckthornusher/planned_stop.hpp"
 #include "connection/http_server.hpp"
 #include "connection/peer_socket.hpp"
@@ -70,9 +71,12 @@
 {
     impl(node_settings s, settings_source from)
         : settings(std::move(s)), source(std::move(from)),
-          peers(loop, "tcp://" + settings.peers,
-                [this](peer_route const& route, wire::Envelope const& m)
-                { on_peer(route, m); }),
+          memory(make_memory_options(settings.memory_bytes)),
+          peers(
+              loop, "tcp://" + settings.peers,
+              [this](peer_route const& route, wire::Envelope const& m)
+              { on_peer(route, m); },
+              memory.max_queued_messages()),
           table(peers, settings.name, std::random_device{}(), {}),
           store(loop,
                 {.address = to_address(settings.store),
@@ -91,9 +95,10 @@
                  .report_interval = settings.report_interval,
                  .drain_limit = settings.drain_limit,
                  .tick_period = request_period,
+                 .max_incomplete_bytes = memory.max_incomplete_answers(),
                  .max_lease = make_lease_options(settings).max_lease_duration()}),
           announcements(local, {}, [this](instant now) { update_targets(now); }),
-          forwards(local, peers, table, settings.name),
+          forwards(local, peers, table, settings.name, &memory),
           requests(loop, *coord, local, peers, table, counts,
                    {.form = make_caller_form(settings.form),
                     .self = settings.name,
@@ -110,10 +115,11 @@
                      .peers = peers,
                      .requests = requests,
                      .coord = coord}),
-          callers(loop, {.address = to_address(settings.callers)},
+          callers(loop, {.address = to_address(settings.callers), .memory = &memory},
                   [this](http_request request, http_reply const& reply)
                   { requests.on_request(std::move(request), reply); }),
-          operator_server(loop, {.address = to_address(settings.operators)},
+          operator_server(loop,
+                          {.address = to_address(settings.operators), .memory = &memory},
                           [this](http_request request, http_reply const& reply)
                           { operators.handle(std::move(request), reply); })
     {
@@ -141,6 +147,7 @@
     node_settings settings;
     settings_source source;
     event_loop loop;
+    memory_budget memory;
     metrics counts;
     peer_socket peers;
     peer_table table;
@@ -167,6 +174,7 @@
     std::optional<http_server> metrics_server;
     std::uint64_t config_number = 0;
     std::uint64_t refused_config_number = 0; // of the latest refused document
+    std::uint64_t memory_turned_away = 0;    // callers, as logged last
     std::atomic<int> stop_requests{0};
     std::atomic<std::uint64_t> stop_requested_us{0}; // boot_now() at the first request
     std::atomic<bool> reload_requested{false};
@@ -344,6 +352,23 @@
         report_unknown_words(routes->source());
     }
 
+    // Tells operators what the budget holds, and in the log when it has bound callers.
+    void report_memory()
+    {
+        auto const turned_away = memory.refused() + memory.closed();
+        counts.set("memory_budget_bytes", memory.limit());
+        counts.set("memory_held_bytes", memory.held());
+        counts.set("memory_queued_for_peers_bytes", peers.queued_bytes());
+        counts.set("memory_refused_total", memory.refused());
+        counts.set("memory_closed_total", memory.closed());
+        if (turned_away != std::exchange(memory_turned_away, turned_away))
+            log_event(log_level::warning, "memory-spent",
+                      {{"held", std::to_string(memory.held())},
+                       {"of", std::to_string(memory.limit())},
+                       {"refused", std::to_string(memory.refused())},
+                       {"closed", std::to_string(memory.closed())}});
+    }
+
     void report_unknown_words(document const& doc)
     {
         counts.set("config_unknown_words", doc.unknown_words.size());
@@ -480,6 +505,7 @@
         {
             next_load_report = now + load_report_period;
             counts.set("callers_left_unread_total", callers.unread_disconnects());
+            report_memory();
             for (auto const& report : local.take_load_reports(now))
                 coord->report_load(report, now);
         }
--- a/src/request/memory_budget.cpp
+++ b/src/request/memory_budget.cpp
@@ -9,7 +9,11 @@
 namespace
 {
 
-constexpr std::uint64_t max_reserve_divisor = 4; // of the budget
+constexpr std::uint64_t max_reserve_divisor = 4;  // of the budget
+constexpr std::uint64_t bounded_part_divisor = 4; // of the budget
+// The longest answer of an upstream that is passed on, with its header.
+constexpr std::uint64_t longest_answer = 8'454'144;
+constexpr std::uint64_t max_incomplete = 16'777'216;
 
 // Returns the index of the best holder for which `eligible` holds.
 template <class Eligible, class Better>
@@ -63,6 +67,16 @@
     return others <= allowed && after <= allowed - others;
 }
 
+std::uint64_t memory_budget::max_incomplete_answers() const
+{
+    return std::clamp(m_limit / bounded_part_divisor, longest_answer, max_incomplete);
+}
+
+std::uint64_t memory_budget::max_queued_messages() const
+{
+    return std::max(m_limit / bounded_part_divisor, longest_answer);
+}
+
 bool memory_hold::try_set(std::uint64_t bytes)
 {
     if (m_budget != nullptr && !m_budget->has_room(m_bytes, bytes))
