Memory: a status that is none is no answer

Callers saw: an upstream in trouble sent an answer whose status was 000; the call waited until its deadline. Statuses 600 to 999 were passed on to callers. Cause: http_client took each status under 200 for interim and any other for an answer.

--- a/tests/crowd_process_test.cpp
+++ b/tests/crowd_process_test.cpp
@@ -171,6 +171,8 @@
             EXPECT_TRUE(node(i).is_running());
             EXPECT_LE(node(i).peak_resident_kb(), memory_kib);
             EXPECT_LE(node(i).descriptors(), crowd_size + own_descriptors);
+            RecordProperty("peak_kib_of_node_" + std::to_string(i),
+                           static_cast<int>(node(i).peak_resident_kb()));
         }
     }
 
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -742,6 +742,44 @@
     }
 }
 
+// Guards against a status that is none being taken for an answer, or for an interim
+// response after which the call waits in vain.
+TEST(http_client, a_status_that_is_none_fails_the_call_and_ends_the_connection)
+{
+    std::string const rest = "Odd\r\nid: a\r\nContent-Length: 0\r\n\r\n";
+    for (std::string const status :
+         {"000", "001", "099", "101", "600", "999", "20", "2000", "-20", "abc"})
+    {
+        raw_server upstream;
+        upstream.answer = [&](int n)
+        {
+            return n == 0 ? "HTTP/1.1 " + status + " " + rest : answer_text("a", "next");
+        };
+        auto const result = upstream.call("a");
+        ASSERT_TRUE(result.has_error()) << status;
+        EXPECT_EQ(result.error().failed_step, http_failure::step::answer) << status;
+        EXPECT_TRUE(result.error().sent);
+        EXPECT_EQ(upstream.client.connections(), 0U) << status;
+        EXPECT_EQ(upstream.call("a").value().body, "next") << status;
+    }
+}
+
+TEST(http_client, an_interim_response_is_not_the_last_word)
+{
+    for (std::string const status : {"100", "102", "199"})
+    {
+        raw_server upstream;
+        upstream.answer = [&](int)
+        {
+            return "HTTP/1.1 " + status + " Odd\r\nid: a\r\n\r\n<end>";
+        };
+        auto const result = upstream.call("a");
+        ASSERT_TRUE(result.has_error()) << status;
+        EXPECT_EQ(result.error().failed_step, http_failure::step::answer) << status;
+        EXPECT_TRUE(result.error().sent);
+    }
+}
+
 TEST(http_client, a_response_header_truncated_at_any_byte_fails_the_call)
 {
     for (std::string const length : {"Content-Length: 0\r\n", "Content-Length: 4\r\n",
--- a/tests/node_process_test.cpp
+++ b/tests/node_process_test.cpp
@@ -180,6 +180,36 @@
     static constexpr int outdated = 410;
 };
 
+// Guards against an upstream in trouble whose answer bears a status that is none.
+TEST_F(order_fleet, a_status_that_is_none_is_never_passed_on)
+{
+    constexpr int answer_lost = 502;
+    for (auto const& upstream : upstreams)
+        upstream->stop_listening();
+    std::string status;
+    std::vector<std::unique_ptr<raw_upstream>> odd;
+    for (std::size_t i = 0; i < 2; ++i)
+    {
+        odd.push_back(std::make_unique<raw_upstream>(
+            loop, tcp_address{.ip = machine_ip(i), .port = upstream_port}));
+        odd[i]->answer = [&, i](int)
+        {
+            constexpr std::string_view name = "X-Buckthornusher-Request-Id: ";
+            auto const& read = odd[i]->read;
+            auto const at = read.rfind(name) + name.size();
+            auto const id = read.substr(at, read.find('\r', at) - at);
+            return "HTTP/1.1 " + status + " Odd\r\n" + std::string(name) + id +
+                   "\r\nX-Buckthornusher-Response-Signature: s\r\n"
+                   "Content-Length: 2\r\n\r\nok";
+        };
+    }
+    for (auto const* const none : {"000", "099", "101", "600", "999"})
+    {
+        status = none;
+        EXPECT_EQ(status_of(0, "desk", std::string("odd-") + none), answer_lost) << none;
+    }
+}
+
 // Guards against a target that has left being used again: its node was restarted after
 // the acknowledgement, and a report from before arrived late.
 TEST_F(order_fleet, an_upstream_that_left_is_not_used_again_after_its_node_restarts)
