--- /dev/null
+++ b/src/request/link_intake.cpp
@@ -0,0 +1,71 @@
+// Room on a link for downloads that are asked for; see the header.
+#include "buckthornusher/link_intake.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace buckthornusher
+{
+
+namespace
+{
+
+constexpr double us_per_second = 1e6;
+constexpr duration max_link_time = 60s;
+
+} // namespace
+
+link_intake::link_intake(link_intake_options opts) : m_options(opts)
+{
+    if (!std::isfinite(m_options.bytes_per_second) || m_options.bytes_per_second < 0)
+        m_options.bytes_per_second = 0;
+}
+
+double link_intake::size(double bytes) const
+{
+    return bytes > 0 && std::isfinite(bytes) ? bytes : m_options.unknown_bytes;
+}
+
+duration link_intake::time_of(double bytes) const
+{
+    if (!active())
+        return duration{0};
+    auto const us =
+        std::min(bytes * us_per_second / (m_options.bytes_per_second * m_options.share),
+                 static_cast<double>(duration(max_link_time).count()));
+    return duration(static_cast<duration::rep>(us));
+}
+
+std::optional<duration> link_intake::until_room(double bytes, instant due,
+                                                instant deadline, instant now) const
+{
+    if (!active() || m_expected.empty())
+        return std::nullopt;
+    auto const own = time_of(size(bytes));
+    bool const late = now + own > due;
+    auto const end = now + time_of(m_total) + own;
+    auto const limit = late ? deadline : std::min(due, deadline);
+    if (end <= limit)
+        return std::nullopt;
+    return end - limit;
+}
+
+void link_intake::begin(std::uint64_t attempt, double bytes)
+{
+    if (!active() || !m_expected.emplace(attempt, size(bytes)).second)
+        return;
+    m_total += size(bytes);
+}
+
+void link_intake::end(std::uint64_t attempt)
+{
+    auto const it = m_expected.find(attempt);
+    if (it == m_expected.end())
+        return;
+    m_total -= it->second;
+    m_expected.erase(it);
+    if (m_expected.empty())
+        m_total = 0; // no rounding error is kept
+}
+
+} // namespace buckthornusher
