Links: the link is room, and its answers are sent in order

Change: forward_server holds large answers and releases them by the schedule; the agent refuses or holds downloads before the queue; replies tell the link's wait and rate, and placement counts them; the callers' node asks for no more than its link takes; metrics. Nothing acts without large_answers and link_mbps.

--- a/include/buckthornusher/link_schedule.hpp
+++ b/include/buckthornusher/link_schedule.hpp
@@ -74,7 +74,11 @@
 
     // Whether the link's rate is known. If not, no other function has an effect.
     bool active() const { return m_options.bytes_per_second > 0; }
-    double bytes_per_second() const { return m_options.bytes_per_second; }
+    // Returns the rate at which large answers pass.
+    double large_bytes_per_second() const
+    {
+        return m_options.bytes_per_second * m_options.large_share;
+    }
 
     // The answer waits for its release.
     void add(large_answer const& answer, instant now);
--- a/include/buckthornusher/placement.hpp
+++ b/include/buckthornusher/placement.hpp
@@ -27,6 +27,11 @@
 // their requests or join, a region whose slots are full while the other has room, and a
 // node that is short of processor time.
 //
+// A large answer also waits for the link of the upstream's node and then needs its time
+// there: the answer is expected after the later of slot and link. A link on which it
+// would be late is full. An upstream beside this node has no link in between, and none in
+// its report.
+//
 // Another region costs more than its delay, because the link between regions is narrow
 // and its traffic is paid for. The penalty grows with the size of the request and its
 // answer, so that a large exchange crosses only if the near region has no room within the
@@ -67,6 +72,8 @@
     duration until_slot{0};    // until a slot is free, ignoring the waiting requests
     std::vector<rank_backlog> backlog; // most urgent rank first
     bool accepting = true;             // false: the upstream is draining or gone
+    duration link_wait{0}; // until its node's link has carried the answers promised
+    double link_rate = 0;  // bytes per second of large answers there; 0: not known
     friend bool operator==(upstream_load const&, upstream_load const&) = default;
 };
 
@@ -92,6 +99,8 @@
     double exchange_bytes = 0; // expected size of the request plus its answer
     std::uint32_t rank = 1;
     std::string request_class = {}; // requests of a class have similar service times
+    bool large_answer = false;      // its answer's time on the link counts
+    duration due_in{0};             // an answer after it is late
     friend bool operator==(placement_request const&, placement_request const&) = default;
 };
 
@@ -106,6 +115,9 @@
     duration report_half_life = 250ms;      // of its weight afterwards
     duration default_service = 100ms;       // service time while none is known at all
     service_time_options service = {};
+    // A node begins a request with a large answer at most this much before its link is
+    // free for the answer (link_room.hpp).
+    duration link_ahead = 100ms;
     double tie = 0.05; // relative distance to the best that counts as equal
     friend bool operator==(placement_options const&, placement_options const&) = default;
 };
@@ -116,7 +128,7 @@
     duration expected{0};    // time until the answer
     duration wait{0};        // part of it spent waiting for a slot
     bool load_known = false; // a recent load report exists
-    bool full = false;       // load_known, and no slot is free
+    bool full = false;       // load_known, and no slot is free or the link is full
     friend bool operator==(placement_choice const&, placement_choice const&) = default;
 };
 
@@ -218,11 +230,15 @@
         double slowness = 1;   // of an upstream without a report
         double busy_share = 0; // of the slots
         double wait = 0;       // seconds
+        double link_wait = 0;  // seconds
     };
     assumed_load assume(std::vector<placement_candidate> const& from,
                         placement_request const& request, instant now) const;
     double report_weight(entry const& e, instant now) const;
     duration usual_round_trip(distance away) const;
+    void add_link(placement_choice& choice, entry const& e,
+                  placement_request const& request, duration service, double assumed_wait,
+                  instant now) const;
     // Returns the usual round trip plus the penalties for distance and bytes.
     duration distance_cost(distance away, double exchange_bytes) const;
     std::optional<placement_choice> estimate(placement_candidate const& c,
--- a/src/process/agent.cpp
+++ b/src/process/agent.cpp
@@ -42,8 +42,10 @@
 
 agent::agent(event_loop& loop, coordinator& coord, agent_options opts)
     : m_loop(loop), m_coordinator(&coord), m_options(opts), m_started(boot_now()),
-      m_operations({.since = boot_now()}), m_sampler(max_sampled_traces_per_second),
-      m_random(std::random_device{}()), m_lag(opts.tick_period)
+      m_link_answers({.bytes_per_second = opts.link_bytes_per_second}),
+      m_link_downloads(m_link_answers), m_operations({.since = boot_now()}),
+      m_sampler(max_sampled_traces_per_second), m_random(std::random_device{}()),
+      m_lag(opts.tick_period)
 {
 }
 
@@ -219,7 +221,7 @@
         !l->grants->may_send(*w.request.shard, w.epoch, now))
         return wait_for_shard(w);
     m_waiting.erase(w.id);
-    if (!check_operation(w, now))
+    if (!admit_to_link(w, now) || !check_operation(w, now))
         return;
     auto const verdict = l->queue.arrive({.id = w.id,
                                           .request_class = w.request.request_class,
@@ -478,6 +480,7 @@
     record_operation_result(w, result);
     end_trace(w, result);
     bool const unknown = std::holds_alternative<request_unknown>(result);
+    note_link_end(w, result);
     auto const owned = m_requests.extract(w.id); // keeps `w` alive until the return
     m_waiting.erase(w.id);
     auto const done = std::move(w.done);
--- a/src/process/agent.hpp
+++ b/src/process/agent.hpp
@@ -18,6 +18,7 @@
 
 #include "buckthornusher/coordinator.hpp"
 #include "buckthornusher/grant_table.hpp"
+#include "buckthornusher/link_room.hpp"
 #include "buckthornusher/operation_table.hpp"
 #include "buckthornusher/outcome.hpp"
 #include "buckthornusher/placement.hpp"
@@ -57,6 +58,7 @@
     std::uint32_t rank = 1;    // priority; 0 is the highest
     std::uint64_t epoch = 0;   // the shard's epoch known to the sender; 0: unknown
     bool repeatable = false;   // idempotent: may run more than once
+    bool large_answer = false; // the answer's bytes bind, not its work
     instant due;               // an answer after this time is late
     instant deadline;          // no answer is of use after this time
     instant start_until;       // after this time the sender prefers another node
@@ -98,6 +100,7 @@
     // The longest lease of an earlier process of this node, which may have granted keys
     // to an upstream until the end of that lease.
     duration max_lease = lease_options{}.max_lease_duration();
+    double link_bytes_per_second = 0; // of the VM's link; 0: not known
 };
 
 class agent
@@ -154,6 +157,11 @@
     // Returns the load of the service's upstream, with the service time of the class.
     std::optional<upstream_load>
     load(std::string const& service, std::string const& request_class, instant now) const;
+    // Adds the wait for the link, for senders at other nodes.
+    void add_link_load(upstream_load& load, instant now) const;
+    // The answers that cross the VM's link, and the room on it for further ones.
+    link_schedule& link_answers() { return m_link_answers; }
+    link_room const& link_downloads() const { return m_link_downloads; }
     // Returns how long received messages may have waited for the event loop.
     duration lag() const { return m_lag.value(); }
     // Returns the capacity of each keyed service and its shards' request rates, as moving
@@ -207,6 +215,8 @@
     bool is_silent(link const& l, instant now) const;
     bool accepts_requests(link const& l, bool keyed_request, instant now) const;
     void admit(active_request& w, instant now);
+    bool admit_to_link(active_request& w, instant now);
+    void note_link_end(active_request const& w, request_result const& result);
     bool choose_backend(active_request& w);
     bool check_operation(active_request& w, instant now);
     void start(active_request& w, instant now);
@@ -246,6 +256,8 @@
     std::map<shard_id, double> m_request_rates;
     instant m_rates_reported_at;
     std::set<request_id> m_waiting; // for their shard
+    link_schedule m_link_answers;
+    link_room m_link_downloads;
     operation_table m_operations;
     request_sampler m_sampler;
     std::mt19937_64 m_random;
--- a/src/process/agent_impl.hpp
+++ b/src/process/agent_impl.hpp
@@ -60,6 +60,7 @@
     instant sent_lease_until;
     instant arrived;
     std::optional<instant> waiting_since; // for its shard
+    bool held_for_link = false;
     request_trace trace;
 };
 
--- a/src/process/forward_server.cpp
+++ b/src/process/forward_server.cpp
@@ -2,6 +2,7 @@
 #include "process/forward_server.hpp"
 
 #include "process/boot_clock.hpp"
+#include "process/event_loop.hpp"
 #include "process/request_wire.hpp"
 
 #include "wire.pb.h"
@@ -9,6 +10,13 @@
 namespace buckthornusher
 {
 
+namespace
+{
+
+constexpr std::uint64_t max_small_bytes = 4'096; // an answer up to this is sent at once
+
+} // namespace
+
 void forward_server::on_forward(peer_route const& route, wire::Envelope const& message)
 {
     auto const& in = message.forward();
@@ -33,6 +41,8 @@
 bool forward_server::begin_received()
 {
     auto arrived = std::exchange(m_received, {});
+    if (!arrived.empty())
+        count_sent(boot_now()); // what the requests' room depends on
     for (auto& a : arrived)
         if (m_requests.contains({a.route.identity, a.attempt}))
             begin(std::move(a));
@@ -48,41 +58,130 @@
     if (session != m_peer_table.session() || request.deadline <= boot_now())
     {
         m_requests.erase(key);
-        return reply(route, attempt, kind, read_at,
-                     request_refused{.reason = outcome_reason::stale});
+        return reply({.route = route,
+                      .attempt = attempt,
+                      .kind = kind,
+                      .read_at = read_at,
+                      .result = request_refused{.reason = outcome_reason::stale}});
     }
-    auto const id = m_agent.run(
-        std::move(arrived.request),
-        [this, route = route, key, kind, read_at = read_at](request_result const& result)
-        {
-            m_requests.erase(key);
-            reply(route, key.second, kind, read_at, result);
-        });
+    bool const large = request.large_answer;
+    auto const due = request.due;
+    auto const deadline = request.deadline;
+    auto const id = m_agent.run(std::move(arrived.request),
+                                [this, route = route, key, kind, read_at = read_at, large,
+                                 due, deadline](request_result result)
+                                {
+                                    m_requests.erase(key);
+                                    send_or_hold({.route = route,
+                                                  .attempt = key.second,
+                                                  .kind = kind,
+                                                  .read_at = read_at,
+                                                  .result = std::move(result),
+                                                  .large = large,
+                                                  .due = due,
+                                                  .deadline = deadline});
+                                });
     if (auto const it = m_requests.find(key); it != m_requests.end())
         it->second = id;
 }
 
-void forward_server::reply(peer_route const& route, std::uint64_t attempt,
-                           request_kind const& kind, instant read_at,
-                           request_result const& result)
+void forward_server::send_or_hold(outgoing_reply r)
+{
+    auto const* answered = std::get_if<request_answered>(&r.result);
+    auto const bytes = answered == nullptr ? 0 : answered->response.body.size();
+    bool const waits =
+        r.large && bytes > max_small_bytes && m_agent.link_answers().active();
+    if (!waits)
+        return reply(r);
+    auto const now = boot_now();
+    hold(std::move(r), bytes, now);
+    release_held(now);
+}
+
+void forward_server::hold(outgoing_reply r, std::uint64_t bytes, instant now)
+{
+    auto& link = m_agent.link_answers();
+    auto const id = m_next_held++;
+    r.link_time = link.time_of(bytes);
+    link.add({.id = id, .bytes = bytes, .due = r.due, .deadline = r.deadline}, now);
+    m_held.emplace(id, std::move(r));
+}
+
+// Everything that the node sends takes its time on the link.
+void forward_server::count_sent(instant now)
+{
+    auto const sent = m_peers.counts().sent_bytes;
+    m_agent.link_answers().count_other(sent - std::exchange(m_counted_bytes, sent), now);
+}
+
+// Sends the answers whose turn it is. The result of one that came too late is unknown to
+// its sender: the request has run.
+void forward_server::release_held(instant now)
+{
+    auto& link = m_agent.link_answers();
+    count_sent(now);
+    auto const released = link.take(now);
+    for (auto const id : released.send)
+        if (auto const held = m_held.extract(id))
+            reply(held.mapped());
+    m_counted_bytes = m_peers.counts().sent_bytes; // the link has counted them itself
+    for (auto const id : released.dropped)
+        if (auto held = m_held.extract(id))
+        {
+            held.mapped().result = request_unknown{.reason = outcome_reason::deadline};
+            held.mapped().link_time = duration{0};
+            reply(held.mapped());
+        }
+    if (m_release_timer)
+        m_loop.timers().cancel(*std::exchange(m_release_timer, std::nullopt));
+    if (auto const next = link.next_release())
+        m_release_timer = m_loop.timers().at(*next,
+                                             [this](instant t)
+                                             {
+                                                 m_release_timer.reset();
+                                                 release_held(t);
+                                             });
+}
+
+bool forward_server::drop_held(request_key const& key)
+{
+    for (auto it = m_held.begin(); it != m_held.end(); ++it)
+        if (it->second.attempt == key.second && it->second.route.identity == key.first)
+        {
+            m_agent.link_answers().cancel(it->first);
+            m_held.erase(it);
+            return true;
+        }
+    return false;
+}
+
+void forward_server::reply(outgoing_reply const& r)
 {
     auto const now = boot_now();
     wire::Envelope out;
     out.mutable_sender()->set_node(m_self);
     auto& w = *out.mutable_reply();
-    w.set_attempt(attempt);
-    encode(result, w);
-    w.set_held(to_micros(now) - to_micros(read_at));
-    if (auto const load = m_agent.load(kind.service, kind.request_class, now))
+    w.set_attempt(r.attempt);
+    encode(r.result, w);
+    // The time on the link is no delay of the node's.
+    w.set_held(to_micros(now + r.link_time) - to_micros(r.read_at));
+    if (auto load = m_agent.load(r.kind.service, r.kind.request_class, now))
+    {
+        m_agent.add_link_load(*load, now);
         encode(*load, *w.mutable_load());
-    m_peers.reply(route, out);
+    }
+    m_peers.reply(r.route, out);
 }
 
 void forward_server::on_cancel(peer_route const& route, wire::Envelope const& message)
 {
-    auto const it = m_requests.find({route.identity, message.cancel().attempt()});
+    request_key const key{route.identity, message.cancel().attempt()};
+    auto const it = m_requests.find(key);
     if (it == m_requests.end())
+    {
+        drop_held(key);
         return;
+    }
     auto const id = it->second;
     m_requests.erase(it);
     if (id != 0)
--- a/src/process/forward_server.hpp
+++ b/src/process/forward_server.hpp
@@ -6,14 +6,19 @@
 // A request begins only after all messages that arrived with it have been read: after a
 // long round of the loop a request's cancel may be queued behind it, and a request that
 // was cancelled before it began never runs.
+//
+// A large answer of a route with large answers waits for its turn on the VM's link
+// (link_schedule.hpp), if the link's rate is known; everything else is sent at once.
 #ifndef BUCKTHORNUSHER_PROCESS_FORWARD_SERVER_HPP
 #define BUCKTHORNUSHER_PROCESS_FORWARD_SERVER_HPP
 
+#include "buckthornusher/timer_service.hpp"
 #include "connection/peer_socket.hpp"
 #include "process/agent.hpp"
 #include "process/peer_table.hpp"
 
 #include <map>
+#include <optional>
 #include <utility>
 #include <vector>
 
@@ -23,9 +28,10 @@
 class forward_server
 {
 public:
-    forward_server(agent& local, peer_socket& peers, peer_table const& table,
-                   std::string self)
-        : m_agent(local), m_peers(peers), m_peer_table(table), m_self(std::move(self))
+    forward_server(event_loop& loop, agent& local, peer_socket& peers,
+                   peer_table const& table, std::string self)
+        : m_loop(loop), m_agent(local), m_peers(peers), m_peer_table(table),
+          m_self(std::move(self))
     {
     }
 
@@ -34,7 +40,9 @@
     // Begins the requests received since the last call. Returns whether there were any.
     bool begin_received();
 
-    std::size_t unfinished() const { return m_requests.size(); }
+    std::size_t unfinished() const { return m_requests.size() + m_held.size(); }
+    // Returns the number of answers that wait for the link.
+    std::size_t held() const { return m_held.size(); }
 
 private:
     using request_key = std::pair<std::string, std::uint64_t>; // connection, attempt
@@ -55,10 +63,29 @@
         std::string request_class;
     };
 
+    struct outgoing_reply
+    {
+        peer_route route;
+        std::uint64_t attempt = 0;
+        request_kind kind;
+        instant read_at;
+        request_result result;
+        // Of a request with a large answer.
+        bool large = false;
+        instant due;
+        instant deadline;
+        duration link_time{0}; // on the link, once released
+    };
+
     void begin(received_request arrived);
-    void reply(peer_route const& route, std::uint64_t attempt, request_kind const& kind,
-               instant read_at, request_result const& result);
+    void send_or_hold(outgoing_reply r);
+    void reply(outgoing_reply const& r);
+    void hold(outgoing_reply r, std::uint64_t bytes, instant now);
+    bool drop_held(request_key const& key);
+    void release_held(instant now);
+    void count_sent(instant now);
 
+    event_loop& m_loop;
     agent& m_agent;
     peer_socket& m_peers;
     peer_table const& m_peer_table;
@@ -66,6 +93,12 @@
     std::vector<received_request> m_received;
     // Unfinished requests; 0: not begun yet.
     std::map<request_key, agent::request_id> m_requests;
+    // Answers that wait for the link. Invariant: the ids are those that wait in the
+    // agent's link_answers(), and a release timer is set while there are any.
+    std::map<std::uint64_t, outgoing_reply> m_held;
+    std::uint64_t m_next_held = 1;
+    std::optional<timer_service::timer_id> m_release_timer;
+    std::uint64_t m_counted_bytes = 0; // of the socket's sent bytes
 };
 
 } // namespace buckthornusher
--- a/src/process/ingress.cpp
+++ b/src/process/ingress.cpp
@@ -63,7 +63,8 @@
     : m_loop(loop), m_coordinator(&coord), m_agent(local), m_peers(peers), m_table(table),
       m_metrics(counts), m_options(std::move(opts)), m_sampler(sampled_per_second),
       m_placement({}), m_offers({}), m_retries(m_options.retries),
-      m_random(std::random_device{}())
+      m_random(std::random_device{}()),
+      m_link_intake({.bytes_per_second = m_options.link_bytes_per_second})
 {
 }
 
@@ -175,6 +176,7 @@
     routed.request_class = class_of(route);
     routed.rank = route.rank;
     routed.repeatable = repeatable(route, request);
+    routed.large_answer = route.large_answers;
     routed.deadline = arrived + time_limit_of(facts, match);
     routed.due = std::min(routed.deadline, arrived + pending.latency_bound);
     routed.start_until = routed.deadline;
@@ -224,8 +226,10 @@
 {
     if (auto const doubt = pending.attempts.may_have_run())
         return finish_unknown(pending, *doubt);
-    finish(pending, refusal_response({.reason = reason, .retry_after = retry_after}),
-           outcome_kind::refused, reason);
+    finish(
+        pending,
+        refusal_response({.reason = reason, .retry_after = spread(pending, retry_after)}),
+        outcome_kind::refused, reason);
 }
 
 void ingress::finish_unknown(pending_request& pending, outcome_reason reason)
--- a/src/process/ingress.hpp
+++ b/src/process/ingress.hpp
@@ -22,6 +22,7 @@
 #include "buckthornusher/attempt_history.hpp"
 #include "buckthornusher/burn.hpp"
 #include "buckthornusher/coordinator.hpp"
+#include "buckthornusher/link_intake.hpp"
 #include "buckthornusher/offer_memory.hpp"
 #include "buckthornusher/owner_search.hpp"
 #include "buckthornusher/placement.hpp"
@@ -60,6 +61,7 @@
     std::string domain;
     std::string origin; // the service whose upstream is on this VM; may be empty
     retry_budget_options retries;
+    double link_bytes_per_second = 0; // of the VM's link; 0: not known
 };
 
 class ingress
@@ -100,6 +102,8 @@
     burn_recorder const& burn() const { return m_burn; }
     route_table const* routes() const { return m_routes.get(); }
     std::uint64_t config_number() const { return m_config_number; }
+    link_intake const& arriving() const { return m_link_intake; }
+    std::uint64_t link_intake_refusals() const { return m_link_intake_refusals; }
 
 private:
     struct pending_request; // a caller's request and its progress
@@ -140,6 +144,8 @@
                     upstream_node const& target, std::size_t candidate_count,
                     instant now);
     void send_to(pending_request& pending, upstream_node const& target, instant now);
+    bool refuse_without_link(pending_request& pending, instant now);
+    duration spread(pending_request const& pending, duration retry_after);
     void run_locally(pending_request& pending);
     void wait(pending_request& pending, instant now);
     void refuse_after_long_wait(pending_request& pending, instant now);
@@ -208,7 +214,9 @@
     std::mt19937_64 m_random;
     pending_request_id m_next_id = 1;
     std::optional<planned_stop> m_stop;
-    bool m_finished = false; // finish_all() was called
+    bool m_finished = false;   // finish_all() was called
+    link_intake m_link_intake; // for large answers from other nodes
+    std::uint64_t m_link_intake_refusals = 0;
     // Bytes of a request and its response, exponential moving average by request class.
     std::map<std::string, double> m_exchange_bytes;
 };
--- a/src/process/ingress_sending.cpp
+++ b/src/process/ingress_sending.cpp
@@ -102,7 +102,9 @@
 {
     placement_request const request{.exchange_bytes = exchange_bytes(pending),
                                     .rank = pending.request.rank,
-                                    .request_class = pending.request.request_class};
+                                    .request_class = pending.request.request_class,
+                                    .large_answer = pending.request.large_answer,
+                                    .due_in = pending.request.due - now};
     for (;;)
     {
         auto choice = m_placement.choose(candidate_nodes, request, m_random(), now);
@@ -221,6 +223,8 @@
 {
     if (target.node == m_options.self)
         return run_locally(pending);
+    if (refuse_without_link(pending, now))
+        return;
     auto const stamp = m_table.stamp(target.node, target.endpoint, now);
     if (!stamp)
         return wait(pending, now);
@@ -253,10 +257,39 @@
                                {"sending", std::to_string(pending.attempt_id)},
                                {"left_ms", in_ms(pending.request.deadline - now)}});
     m_attempts[pending.attempt_id] = pending.id;
+    if (pending.request.large_answer)
+        m_link_intake.begin(pending.attempt_id, exchange_bytes(pending));
     m_table.await(pending.sent_to, pending.endpoint, now);
     m_placement.on_sent(pending.sent_to);
 }
 
+// A download that this node's own link can't take in its time is not asked for.
+bool ingress::refuse_without_link(pending_request& pending, instant now)
+{
+    if (!pending.request.large_answer)
+        return false;
+    auto const until_room = m_link_intake.until_room(
+        exchange_bytes(pending), pending.request.due, pending.request.deadline, now);
+    if (!until_room)
+        return false;
+    ++m_link_intake_refusals;
+    pending.trace.add("link", {{"verdict", "full-here"},
+                               {"expected_ms", in_ms(m_link_intake.expected())},
+                               {"until_room_ms", in_ms(*until_room)}});
+    refuse(pending, outcome_reason::overloaded, *until_room);
+    return true;
+}
+
+// Callers of refused downloads come back spread over half the time more.
+duration ingress::spread(pending_request const& pending, duration retry_after)
+{
+    if (!pending.request.large_answer || !m_link_intake.active())
+        return retry_after;
+    std::uniform_real_distribution<double> factor(1.0, 1.5);
+    return duration(static_cast<duration::rep>(static_cast<double>(retry_after.count()) *
+                                               factor(m_random)));
+}
+
 void ingress::run_locally(pending_request& pending)
 {
     m_waiting.erase(pending.id);
@@ -326,6 +359,7 @@
     if (pending.sent_to.empty())
         return;
     m_attempts.erase(pending.attempt_id);
+    m_link_intake.end(pending.attempt_id);
     m_table.end_await(pending.sent_to);
     m_placement.on_done(pending.sent_to, failed, now);
     pending.sent_to.clear();
--- a/src/process/node.cpp
+++ b/src/process/node.cpp
@@ -64,6 +64,12 @@
     return incarnation;
 }
 
+double link_bytes_per_second(node_settings const& settings)
+{
+    constexpr double bits_per_byte = 8;
+    return settings.link_bits / bits_per_byte;
+}
+
 } // namespace
 
 struct node::impl
@@ -91,16 +97,18 @@
                  .report_interval = settings.report_interval,
                  .drain_limit = settings.drain_limit,
                  .tick_period = request_period,
-                 .max_lease = make_lease_options(settings).max_lease_duration()}),
+                 .max_lease = make_lease_options(settings).max_lease_duration(),
+                 .link_bytes_per_second = link_bytes_per_second(settings)}),
           announcements(local, {}, [this](instant now) { update_targets(now); }),
-          forwards(local, peers, table, settings.name),
+          forwards(loop, local, peers, table, settings.name),
           requests(loop, *coord, local, peers, table, counts,
                    {.form = make_caller_form(settings.form),
                     .self = settings.name,
                     .region = settings.region,
                     .domain = settings.domain,
                     .origin = settings.service,
-                    .retries = make_retry_budget_options(settings)}),
+                    .retries = make_retry_budget_options(settings),
+                    .link_bytes_per_second = link_bytes_per_second(settings)}),
           handover(*coord, local, peers, settings.form == wire_form::native),
           operators({.settings = settings,
                      .loop = loop,
@@ -546,7 +554,8 @@
             return;
         if (!stop)
             begin_stop(from_micros(stop_requested_us), now);
-        bool const idle = requests.unfinished() == 0 && local.unfinished() == 0;
+        bool const idle =
+            requests.unfinished() == 0 && local.unfinished() == 0 && forwards.held() == 0;
         switch (stop->phase(
             {.shards_released = left, .idle = idle, .stop_requests = stop_requests}, now))
         {
--- a/src/process/operator_api.cpp
+++ b/src/process/operator_api.cpp
@@ -243,6 +243,27 @@
     return out.str();
 }
 
+// Of the VM's link; nothing if its rate is not known.
+void operator_api::set_link_metrics() const
+{
+    auto const& answers = m_dependencies.local.link_answers();
+    if (!answers.active())
+        return;
+    auto const now = boot_now();
+    auto const& downloads = m_dependencies.local.link_downloads();
+    auto& m = m_dependencies.counts;
+    m.set("link_sent_bytes_total{class=\"large\"}", answers.counts().large_bytes);
+    m.set("link_sent_bytes_total{class=\"other\"}", answers.counts().other_bytes);
+    m.set("link_answers_waiting", answers.waiting());
+    m.set("link_answers_dropped_total", answers.counts().dropped);
+    m.set("link_wait_ms", static_cast<std::uint64_t>(downloads.wait(now) / 1ms));
+    m.set("link_refusals_total{at=\"upstream\"}", downloads.refusals());
+    m.set("link_refusals_total{at=\"callers\"}",
+          m_dependencies.requests.link_intake_refusals());
+    m.set("link_expected_ms", static_cast<std::uint64_t>(
+                                  m_dependencies.requests.arriving().expected() / 1ms));
+}
+
 std::string operator_api::metrics_text() const
 {
     auto const& coord = *m_dependencies.coord;
@@ -292,6 +313,7 @@
                 m.set("upstream_waiting{service=\"" + service.name + "\"}",
                       load->waiting);
             }
+    set_link_metrics();
     auto const log = current_log_counts();
     m.set("log_lines_total", log.lines);
     m.set("log_lines_limited_total", log.limited);
--- a/src/process/operator_api.hpp
+++ b/src/process/operator_api.hpp
@@ -55,6 +55,7 @@
 private:
     void announce(http_request const& request, http_reply const& reply);
     void put_config(http_request const& request, http_reply const& reply);
+    void set_link_metrics() const;
     std::string status_json() const;
     std::string burn_json() const;
     std::string own_ip() const;
--- a/src/process/request_wire.cpp
+++ b/src/process/request_wire.cpp
@@ -5,12 +5,16 @@
 
 #include "wire.pb.h"
 
+#include <cmath>
+
 namespace buckthornusher
 {
 
 namespace
 {
 
+constexpr std::uint64_t max_link_wait_us = 60'000'000; // a higher one is not believed
+
 void encode_result(request_answered const& answered, wire::Reply& out)
 {
     out.set_outcome(wire::Reply::ANSWERED);
@@ -98,6 +102,7 @@
     request.rank = in.rank();
     request.epoch = in.epoch();
     request.repeatable = in.repeatable();
+    request.large_answer = in.large_answer();
     request.request.method = in.method();
     request.request.target = in.target();
     request.request.body = in.body();
@@ -118,6 +123,7 @@
     out.set_rank(request.rank);
     out.set_epoch(request.epoch);
     out.set_repeatable(request.repeatable);
+    out.set_large_answer(request.large_answer);
     out.set_method(request.request.method);
     out.set_target(request.request.target);
     out.set_body(request.request.body);
@@ -137,6 +143,8 @@
     out.set_service(static_cast<std::uint64_t>(load.service.count()));
     out.set_accepting(load.accepting);
     out.set_until_slot(static_cast<std::uint64_t>(load.until_slot.count()));
+    out.set_link_wait(static_cast<std::uint64_t>(load.link_wait.count()));
+    out.set_link_rate(load.link_rate);
     for (auto const& b : load.backlog)
     {
         auto& rank = *out.add_backlog();
@@ -151,13 +159,16 @@
     {
         return duration(static_cast<duration::rep>(us));
     };
-    upstream_load load{.slots = in.slots(),
-                       .running = in.running(),
-                       .waiting = in.waiting(),
-                       .service = from_us(in.service()),
-                       .until_slot = from_us(in.until_slot()),
-                       .backlog = {},
-                       .accepting = in.accepting()};
+    upstream_load load{
+        .slots = in.slots(),
+        .running = in.running(),
+        .waiting = in.waiting(),
+        .service = from_us(in.service()),
+        .until_slot = from_us(in.until_slot()),
+        .backlog = {},
+        .accepting = in.accepting(),
+        .link_wait = from_us(std::min(in.link_wait(), max_link_wait_us)),
+        .link_rate = std::isfinite(in.link_rate()) ? std::max(0.0, in.link_rate()) : 0.0};
     for (auto const& b : in.backlog())
         load.backlog.push_back({.rank = b.rank(), .time = from_us(b.time())});
     return load;
--- a/src/request/link_schedule.cpp
+++ b/src/request/link_schedule.cpp
@@ -33,8 +33,7 @@
 
 duration link_schedule::time_of(std::uint64_t bytes) const
 {
-    return time_for(static_cast<double>(bytes),
-                    m_options.bytes_per_second * m_options.large_share);
+    return time_for(static_cast<double>(bytes), large_bytes_per_second());
 }
 
 void link_schedule::add(large_answer const& answer, instant now)
--- a/src/request/placement.cpp
+++ b/src/request/placement.cpp
@@ -18,6 +18,7 @@
 constexpr double max_failure_share = 0.9;
 constexpr auto least_urgent_rank = std::numeric_limits<std::uint32_t>::max();
 constexpr double bytes_per_kib = 1'024;
+constexpr double max_link_seconds = 60;
 // Weight of an assumed report without load, relative to a recent report.
 constexpr double no_load_weight = 0.25;
 
@@ -117,6 +118,7 @@
     double weights = no_load_weight;
     double busy_share = 0;
     double wait = 0;
+    double link_wait = 0;
     for (auto const& c : from)
     {
         nodes.push_back(c.node);
@@ -129,10 +131,12 @@
         busy_share += weight * std::min(1.0, static_cast<double>(load.running) /
                                                  std::max(1U, load.slots));
         wait += weight * seconds(expected_wait(load, request.rank, load.service));
+        link_wait += weight * seconds(load.link_wait);
     }
     return {.slowness = m_times.unknown_slowness(nodes, now),
             .busy_share = busy_share / weights,
-            .wait = wait / weights};
+            .wait = wait / weights,
+            .link_wait = link_wait / weights};
 }
 
 duration placement::usual_round_trip(distance away) const
@@ -203,12 +207,37 @@
     auto const delay = e.delay.at(now, delay_half_life) + seconds(c.silence);
     auto const failing =
         std::min(max_failure_share, e.failure.at(now, failure_half_life));
-    return placement_choice{.node = c.node,
+    placement_choice choice{.node = c.node,
                             .expected = distance_cost +
                                         from_seconds(delay + (s + wait) / (1 - failing)),
                             .wait = from_seconds(wait),
                             .load_known = load_known,
                             .full = full};
+    if (request.large_answer && e.load)
+        add_link(choice, e, request, service, assumed.link_wait, now);
+    return choice;
+}
+
+// `assumed_wait`: for a link of which nothing recent is known, in seconds.
+void placement::add_link(placement_choice& choice, entry const& e,
+                         placement_request const& request, duration service,
+                         double assumed_wait, instant now) const
+{
+    if (e.load->link_rate <= 0)
+        return;
+    auto const weight = report_weight(e, now);
+    auto const link_wait =
+        from_seconds(weight * seconds(e.load->link_wait) + (1 - weight) * assumed_wait);
+    auto const on_link = from_seconds(
+        std::min(max_link_seconds, request.exchange_bytes / e.load->link_rate));
+    choice.expected = std::max(choice.expected, link_wait) + on_link;
+    choice.wait = std::max(choice.wait, link_wait - service - m_options.link_ahead);
+    auto const until_room = link_wait + on_link - request.due_in;
+    if (choice.load_known && request.due_in > duration{0} && until_room > duration{0})
+    {
+        choice.full = true;
+        choice.wait = std::max(choice.wait, until_room);
+    }
 }
 
 std::optional<placement_choice>
--- a/tests/agent_test.cpp
+++ b/tests/agent_test.cpp
@@ -186,7 +186,7 @@
                       [](peer_route const&, wire::Envelope const&) {
                       }};
     peer_table table{peers, "n", 7, {}};
-    forward_server forwards{local, peers, table, "n"};
+    forward_server forwards{loop, local, peers, table, "n"};
     peer_route const route{.identity = "caller"};
 };
 
