--- a/include/buckthornusher/placement.hpp
+++ b/include/buckthornusher/placement.hpp
@@ -196,7 +196,8 @@
                                            std::uint64_t draw, instant now) const;
 
     // Describes the node's latest report for logs: "running/slots+waiting~service ms,
-    // reported wait of the least urgent rank, age ms, sent since".
+    // reported wait of the least urgent rank, age ms, sent since", and the wait for its
+    // link if that is reported.
     std::string describe(std::string const& node, instant now) const;
 
     // Removes all nodes but these.
--- a/src/request/placement.cpp
+++ b/src/request/placement.cpp
@@ -289,7 +289,9 @@
            std::to_string(e.load->waiting) + "~" + in_ms(e.load->service) + "ms," +
            in_ms(expected_wait(*e.load, least_urgent_rank, e.load->service)) +
            "ms-wait," + in_ms(now - e.load_received) + "ms," +
-           std::to_string(e.sent_since) + "sent";
+           std::to_string(e.sent_since) + "sent" +
+           (e.load->link_rate > 0 ? "," + in_ms(e.load->link_wait) + "ms-link"
+                                  : std::string());
 }
 
 void placement::keep_only(std::vector<std::string> const& nodes)
