--- a/include/buckthornusher/placement.hpp
+++ b/include/buckthornusher/placement.hpp
@@ -29,8 +29,9 @@
 //
 // A large answer also waits for the link of the upstream's node and then needs its time
 // there: the answer is expected after the later of slot and link. A link on which it
-// would be late is full. An upstream beside this node has no link in between, and none in
-// its report.
+// would be late is full, and costs as much more as another region does, so that the
+// request crosses to one that has room. An upstream beside this node has no link in
+// between, and none in its report.
 //
 // Another region costs more than its delay, because the link between regions is narrow
 // and its traffic is paid for. The penalty grows with the size of the request and its
@@ -240,6 +241,8 @@
     void add_link(placement_choice& choice, entry const& e,
                   placement_request const& request, duration service, double assumed_wait,
                   instant now) const;
+    // Returns the penalty for another region.
+    duration region_cost(double exchange_bytes) const;
     // Returns the usual round trip plus the penalties for distance and bytes.
     duration distance_cost(distance away, double exchange_bytes) const;
     std::optional<placement_choice> estimate(placement_candidate const& c,
--- a/src/request/placement.cpp
+++ b/src/request/placement.cpp
@@ -145,6 +145,13 @@
                                           : m_options.near_round_trip;
 }
 
+duration placement::region_cost(double exchange_bytes) const
+{
+    return m_options.region_penalty +
+           from_seconds(seconds(m_options.region_penalty_per_kib) * exchange_bytes /
+                        bytes_per_kib);
+}
+
 duration placement::distance_cost(distance away, double exchange_bytes) const
 {
     auto const round_trip = usual_round_trip(away);
@@ -155,9 +162,7 @@
     case distance::same_region:
         return round_trip + m_options.domain_penalty;
     case distance::other_region:
-        return round_trip + m_options.region_penalty +
-               from_seconds(seconds(m_options.region_penalty_per_kib) * exchange_bytes /
-                            bytes_per_kib);
+        return round_trip + region_cost(exchange_bytes);
     }
     return round_trip;
 }
@@ -237,6 +242,7 @@
     {
         choice.full = true;
         choice.wait = std::max(choice.wait, until_room);
+        choice.expected += region_cost(request.exchange_bytes);
     }
 }
 
--- a/tests/request_policy_test.cpp
+++ b/tests/request_policy_test.cpp
@@ -522,6 +522,61 @@
         << "the report is too old";
 }
 
+// Downloads went by free slots and times of service, while the links were what was short.
+TEST(placement, a_large_answer_waits_for_the_link_and_needs_its_time_there)
+{
+    placement p({});
+    auto const now = at_ms(1'000);
+    constexpr double rate = 1e6; // bytes per second
+    auto slow = busy(0, 0, 50ms);
+    slow.link_wait = 300ms;
+    slow.link_rate = rate;
+    auto quick = busy(9, 0, 120ms);
+    quick.link_wait = 40ms;
+    quick.link_rate = rate;
+    p.on_load("idle slots", slow, now);
+    p.on_load("idle link", quick, now);
+    std::vector<placement_candidate> const all{near_one("idle slots"),
+                                               near_one("idle link")};
+    placement_request const small{.exchange_bytes = 90'000};
+    EXPECT_EQ(p.choose(all, small, 0, now)->node, "idle slots")
+        << "nothing else has terms for the link";
+    placement_request const large{
+        .exchange_bytes = 90'000, .large_answer = true, .due_in = 600ms};
+    auto const choice = p.choose(all, large, 0, now);
+    EXPECT_EQ(choice->node, "idle link");
+    EXPECT_FALSE(choice->full);
+    EXPECT_GE(choice->expected, 120ms + 90ms);
+    // An upstream beside the caller's node reports no link.
+    p.on_load("here", busy(5, 0, 150ms), now);
+    EXPECT_EQ(p.choose({{.node = "here"}, near_one("idle link")}, large, 0, now)->node,
+              "here");
+}
+
+TEST(placement, a_full_link_is_full_and_says_when_it_has_room)
+{
+    placement p({});
+    auto const now = at_ms(1'000);
+    auto load = busy(0, 0, 50ms);
+    load.link_wait = 700ms;
+    load.link_rate = 1e6;
+    p.on_load("near", load, now);
+    load.link_wait = 20ms;
+    p.on_load("far", load, now);
+    placement_request const large{
+        .exchange_bytes = 100'000, .large_answer = true, .due_in = 600ms};
+    auto const near = p.choose({near_one("near")}, large, 0, now);
+    EXPECT_TRUE(near->full);
+    EXPECT_EQ(near->wait, 550ms) << "until the node begins it";
+    EXPECT_EQ(next_offer(*near, {}, 2s), offer_step::last_round);
+    EXPECT_EQ(next_offer(*near, {}, 500ms), offer_step::refuse);
+    // The link between regions is crossed only then.
+    EXPECT_EQ(p.choose({near_one("near"), far_one("far")}, large, 0, now)->node, "far");
+    load.link_wait = 300ms;
+    p.on_load("near", load, now);
+    EXPECT_EQ(p.choose({near_one("near"), far_one("far")}, large, 0, now)->node, "near");
+}
+
 // While a service is full on all its nodes, a request is not offered to each of them in
 // turn to get the refusal that their recent reports predict.
 TEST(offers, nodes_that_report_a_longer_wait_than_the_time_left_are_not_asked)
