--- a/include/buckthornusher/link_intake.hpp
+++ b/include/buckthornusher/link_intake.hpp
@@ -2,7 +2,7 @@
 //
 // Counts the bytes that are expected from other nodes. A download whose bytes would
 // arrive after its due time, behind those, is not asked for; its caller learns when there
-// would be room.
+// would be room, and each caller another time.
 //
 // Built for callers that all come to one node whose link is narrow.
 //
@@ -22,8 +22,9 @@
 
 struct link_intake_options
 {
-    double bytes_per_second = 0;   // of the link; 0: not known, everything fits
-    double share = 0.9;            // of the rate, for downloads
+    double bytes_per_second = 0; // of the link; 0: not known, everything fits
+    double share = 0.9;          // of the rate, for downloads
+    duration max_return = 2s;
     double unknown_bytes = 65'536; // assumed if the size is not known
     friend bool operator==(link_intake_options const&,
                            link_intake_options const&) = default;
@@ -40,6 +41,10 @@
     // and otherwise the time until it would.
     std::optional<duration> until_room(double bytes, instant due, instant deadline,
                                        instant now) const;
+    // A caller is told to come back for a download that has no room before that time.
+    // Returns when it should: callers get times one after the other, as far apart as the
+    // link needs for their downloads, but none after `max_return`.
+    duration book_return(duration until_room, double bytes, instant now);
     void begin(std::uint64_t attempt, double bytes);
     void end(std::uint64_t attempt);
 
@@ -53,6 +58,7 @@
     link_intake_options m_options;
     std::map<std::uint64_t, double> m_expected; // bytes, by attempt
     double m_total = 0;                         // sum over m_expected
+    instant m_next_return;                      // of the next caller told to come back
 };
 
 } // namespace buckthornusher
--- a/src/process/ingress.cpp
+++ b/src/process/ingress.cpp
@@ -226,10 +226,10 @@
 {
     if (auto const doubt = pending.attempts.may_have_run())
         return finish_unknown(pending, *doubt);
-    finish(
-        pending,
-        refusal_response({.reason = reason, .retry_after = spread(pending, retry_after)}),
-        outcome_kind::refused, reason);
+    if (reason == outcome_reason::overloaded)
+        retry_after = spread(pending, retry_after, boot_now());
+    finish(pending, refusal_response({.reason = reason, .retry_after = retry_after}),
+           outcome_kind::refused, reason);
 }
 
 void ingress::finish_unknown(pending_request& pending, outcome_reason reason)
--- a/src/process/ingress.hpp
+++ b/src/process/ingress.hpp
@@ -145,7 +145,7 @@
                     instant now);
     void send_to(pending_request& pending, upstream_node const& target, instant now);
     bool refuse_without_link(pending_request& pending, instant now);
-    duration spread(pending_request const& pending, duration retry_after);
+    duration spread(pending_request const& pending, duration retry_after, instant now);
     void run_locally(pending_request& pending);
     void wait(pending_request& pending, instant now);
     void refuse_after_long_wait(pending_request& pending, instant now);
--- a/src/process/ingress_sending.cpp
+++ b/src/process/ingress_sending.cpp
@@ -280,14 +280,18 @@
     return true;
 }
 
-// Callers of refused downloads come back spread over half the time more.
-duration ingress::spread(pending_request const& pending, duration retry_after)
+// Callers of refused downloads come back one after the other, and those of several nodes
+// not at the same moments.
+duration ingress::spread(pending_request const& pending, duration retry_after,
+                         instant now)
 {
     if (!pending.request.large_answer || !m_link_intake.active())
         return retry_after;
-    std::uniform_real_distribution<double> factor(1.0, 1.5);
-    return duration(static_cast<duration::rep>(static_cast<double>(retry_after.count()) *
-                                               factor(m_random)));
+    constexpr double max_factor = 1.5;
+    std::uniform_real_distribution<double> factor(1.0, max_factor);
+    auto const at = m_link_intake.book_return(retry_after, exchange_bytes(pending), now);
+    return duration(
+        static_cast<duration::rep>(static_cast<double>(at.count()) * factor(m_random)));
 }
 
 void ingress::run_locally(pending_request& pending)
--- a/src/request/link_intake.cpp
+++ b/src/request/link_intake.cpp
@@ -50,6 +50,16 @@
     return end - limit;
 }
 
+duration link_intake::book_return(duration until_room, double bytes, instant now)
+{
+    if (!active())
+        return until_room;
+    auto const last = now + std::max(until_room, m_options.max_return);
+    auto const at = std::min(std::max(now + until_room, m_next_return), last);
+    m_next_return = at + time_of(size(bytes));
+    return at - now;
+}
+
 void link_intake::begin(std::uint64_t attempt, double bytes)
 {
     if (!active() || !m_expected.emplace(attempt, size(bytes)).second)
--- a/tests/link_schedule_test.cpp
+++ b/tests/link_schedule_test.cpp
@@ -518,6 +518,27 @@
     EXPECT_EQ(intake.expected(), 0ms);
 }
 
+// Thirty callers that come back at once for the room of one are refused again.
+TEST(link_intake, callers_come_back_one_after_the_other)
+{
+    link_intake intake({.bytes_per_second = link_rate});
+    auto const now = at_ms(1'000);
+    auto const apart = link_time(usual_bytes) * 10 / 9;
+    auto last = intake.book_return(40ms, usual_bytes, now);
+    EXPECT_EQ(last, 40ms);
+    for (int caller = 2; caller <= 20; ++caller)
+    {
+        auto const next = intake.book_return(40ms, usual_bytes, now);
+        EXPECT_GE(next - last, apart - 1ms);
+        last = next;
+    }
+    for (int caller = 0; caller < 1'000; ++caller)
+        EXPECT_LE(intake.book_return(40ms, usual_bytes, now), 2s);
+    EXPECT_EQ(intake.book_return(3s, usual_bytes, now), 3s) << "never before the room";
+    EXPECT_EQ(intake.book_return(40ms, usual_bytes, now + 10s), 40ms);
+    EXPECT_EQ(link_intake({}).book_return(40ms, usual_bytes, now), 40ms);
+}
+
 TEST(link_intake, an_unknown_rate_or_size_refuses_nothing)
 {
     link_intake none({});
--- a/tests/node_fleet.hpp
+++ b/tests/node_fleet.hpp
@@ -347,9 +347,11 @@
     void start_node(std::size_t i)
     {
         auto const name = (m_directory / ("node-" + std::to_string(i))).string();
-        m_nodes[i] = std::make_unique<soak::child_process>(soak::child_process::options{
-            .command = {program("buckthornusher"), "node", "--settings", name + ".toml"},
-            .log = name + ".log"});
+        std::vector<std::string> command{program("buckthornusher"), "node", "--settings",
+                                         name + ".toml"};
+        command.insert(command.end(), node_arguments.begin(), node_arguments.end());
+        m_nodes[i] = std::make_unique<soak::child_process>(
+            soak::child_process::options{.command = command, .log = name + ".log"});
     }
     void kill_node(std::size_t i) { m_nodes[i].reset(); }
     soak::child_process& node(std::size_t i) { return *m_nodes[i]; }
@@ -412,6 +414,7 @@
     }
 
     event_loop loop;
+    std::vector<std::string> node_arguments;               // of all nodes
     std::vector<std::unique_ptr<live_upstream>> upstreams; // one beside each node
 
 private:
