--- a/src/process/agent.hpp
+++ b/src/process/agent.hpp
@@ -18,6 +18,7 @@
 
 #include "buckthornusher/coordinator.hpp"
 #include "buckthornusher/grant_table.hpp"
+#include "buckthornusher/link_room.hpp"
 #include "buckthornusher/operation_table.hpp"
 #include "buckthornusher/outcome.hpp"
 #include "buckthornusher/placement.hpp"
@@ -59,6 +60,7 @@
     std::uint32_t rank = 1;    // priority; 0 is the highest
     std::uint64_t epoch = 0;   // the shard's epoch known to the sender; 0: unknown
     bool repeatable = false;   // idempotent: may run more than once
+    bool large_answer = false; // the answer's bytes bind, not its work
     instant due;               // an answer after this time is late
     instant deadline;          // no answer is of use after this time
     instant start_until;       // after this time the sender prefers another node
@@ -107,6 +109,7 @@
     // Bound on the requests to a cold upstream, for services with a `cold_rate`.
     double cold_ratio = 1;
     double cold_reserve = 0;
+    double link_bytes_per_second = 0; // of the VM's link; 0: not known
 };
 
 class agent
@@ -165,6 +168,11 @@
     load(std::string const& service, std::string const& request_class, instant now) const;
     // Returns the number of answers whose load meant nothing.
     std::uint64_t broken_loads() const { return m_broken_loads; }
+    // Adds the wait for the link, for senders at other nodes.
+    void add_link_load(upstream_load& load, instant now) const;
+    // The answers that cross the VM's link, and the room on it for further ones.
+    link_schedule& link_answers() { return m_link_answers; }
+    link_room const& link_downloads() const { return m_link_downloads; }
     // Returns how long received messages may have waited for the event loop.
     duration lag() const { return m_lag.value(); }
     // Returns the capacity of each keyed service and its shards' request rates, as moving
@@ -225,6 +233,8 @@
     bool is_evacuated() const;
     bool accepts_requests(link const& l, bool keyed_request, instant now) const;
     void admit(active_request& w, instant now);
+    bool admit_to_link(active_request& w, instant now);
+    void note_link_end(active_request const& w, request_result const& result);
     bool choose_backend(active_request& w);
     void set_region_routes();
     bool outside_regions(active_request& w) const;
@@ -268,6 +278,8 @@
     std::map<shard_id, double> m_request_rates;
     instant m_rates_reported_at;
     std::set<request_id> m_waiting; // for their shard
+    link_schedule m_link_answers;
+    link_room m_link_downloads;
     operation_table m_operations;
     request_sampler m_sampler;
     std::mt19937_64 m_random;
--- a/src/process/ingress_sending.cpp
+++ b/src/process/ingress_sending.cpp
@@ -102,7 +102,9 @@
     auto upstreams = known_upstreams(pending, now);
     placement_request const cost{.exchange_bytes = exchange_bytes(pending),
                                  .rank = pending.request.rank,
-                                 .request_class = request_class};
+                                 .request_class = request_class,
+                                 .large_answer = pending.request.large_answer,
+                                 .due_in = pending.request.due - now};
     for (;;)
     {
         auto const step =
@@ -272,6 +274,8 @@
                               m_options.regions.retry_after, now);
     if (target.node == m_options.self)
         return run_locally(pending);
+    if (refuse_without_link(pending, now))
+        return;
     auto const stamp = m_table.stamp(target.node, target.endpoint, now);
     if (!stamp)
         return carry_out(pending, wait_or_refuse(limits_of(pending, now), now, steps()),
@@ -305,10 +309,43 @@
                                {"sending", std::to_string(pending.attempt_id)},
                                {"left_ms", in_ms(pending.request.deadline - now)}});
     m_attempts[pending.attempt_id] = pending.id;
+    if (pending.request.large_answer)
+        m_link_intake.begin(pending.attempt_id, exchange_bytes(pending));
     m_table.await(pending.sent_to, pending.endpoint, now);
     m_placement.on_sent(pending.sent_to);
 }
 
+// A download that this node's own link can't take in its time is not asked for.
+bool ingress::refuse_without_link(pending_request& pending, instant now)
+{
+    if (!pending.request.large_answer)
+        return false;
+    auto const until_room = m_link_intake.until_room(
+        exchange_bytes(pending), pending.request.due, pending.request.deadline, now);
+    if (!until_room)
+        return false;
+    ++m_link_intake_refusals;
+    pending.trace.add("link", {{"verdict", "full-here"},
+                               {"expected_ms", in_ms(m_link_intake.expected())},
+                               {"until_room_ms", in_ms(*until_room)}});
+    refuse(pending, outcome_reason::overloaded, *until_room);
+    return true;
+}
+
+// Callers of refused downloads come back one after the other, and those of several nodes
+// not at the same moments.
+duration ingress::spread(pending_request const& pending, duration retry_after,
+                         instant now)
+{
+    if (!pending.request.large_answer || !m_link_intake.active())
+        return retry_after;
+    constexpr double max_factor = 1.5;
+    std::uniform_real_distribution<double> factor(1.0, max_factor);
+    auto const at = m_link_intake.book_return(retry_after, exchange_bytes(pending), now);
+    return duration(
+        static_cast<duration::rep>(static_cast<double>(at.count()) * factor(m_random)));
+}
+
 void ingress::run_locally(pending_request& pending)
 {
     m_waiting.erase(pending.id);
@@ -376,6 +413,7 @@
     if (pending.sent_to.empty())
         return;
     m_attempts.erase(pending.attempt_id);
+    m_link_intake.end(pending.attempt_id);
     m_table.end_await(pending.sent_to);
     m_placement.on_done(pending.sent_to, failed, now);
     pending.sent_to.clear();
--- a/src/process/operator_api.hpp
+++ b/src/process/operator_api.hpp
@@ -60,6 +60,7 @@
     void list_evacuations(http_reply const& reply) const;
     void change_evacuation(http_request const& request, http_reply const& reply);
     void put_config(http_request const& request, http_reply const& reply);
+    void set_link_metrics() const;
     std::string status_json() const;
     std::string burn_json() const;
     std::string own_ip() const;
--- a/src/process/request_wire.cpp
+++ b/src/process/request_wire.cpp
@@ -22,6 +22,7 @@
 {
     return std::isfinite(value) && value > 0 ? value : 0;
 }
+constexpr std::uint64_t max_link_wait_us = 60'000'000; // a higher one is not believed
 
 void encode_result(request_answered const& answered, wire::Reply& out)
 {
@@ -112,6 +113,7 @@
     request.repeatable = in.repeatable();
     request.regions =
         region_bound(std::vector<std::string>(in.regions().begin(), in.regions().end()));
+    request.large_answer = in.large_answer();
     request.request.method = in.method();
     request.request.target = in.target();
     request.request.body = in.body();
@@ -134,6 +136,7 @@
     out.set_repeatable(request.repeatable);
     for (auto& name : request.regions.names())
         out.add_regions(std::move(name));
+    out.set_large_answer(request.large_answer);
     out.set_method(request.request.method);
     out.set_target(request.request.target);
     out.set_body(request.request.body);
@@ -156,6 +159,8 @@
     out.set_start_rate(load.start_rate);
     out.set_bounded_for(static_cast<std::uint64_t>(load.bounded_for.count()));
     out.set_speed(load.slowness == 1 ? 0 : load.slowness);
+    out.set_link_wait(static_cast<std::uint64_t>(load.link_wait.count()));
+    out.set_link_rate(load.link_rate);
     for (auto const& b : load.backlog)
     {
         auto& rank = *out.add_backlog();
@@ -180,7 +185,9 @@
         .accepting = in.accepting(),
         .start_rate = decode_figure(in.start_rate()),
         .bounded_for = from_us(std::min<std::uint64_t>(in.bounded_for(), max_bound_us)),
-        .slowness = fade_slowness(in.speed(), duration{0})};
+        .slowness = fade_slowness(in.speed(), duration{0}),
+        .link_wait = from_us(std::min(in.link_wait(), max_link_wait_us)),
+        .link_rate = std::isfinite(in.link_rate()) ? std::max(0.0, in.link_rate()) : 0.0};
     for (auto const& b : in.backlog())
         load.backlog.push_back({.rank = b.rank(), .time = from_us(b.time())});
     return load;
--- a/tests/node_fleet.hpp
+++ b/tests/node_fleet.hpp
@@ -414,8 +414,8 @@
     }
 
     event_loop loop;
+    std::vector<std::string> node_arguments;               // of all nodes
     std::vector<std::unique_ptr<live_upstream>> upstreams; // one beside each node
-    std::vector<std::string> node_arguments;               // further ones of each node
 
 private:
     static std::string program(std::string const& name)
