--- a/tests/node_process_test.cpp
+++ b/tests/node_process_test.cpp
@@ -375,5 +375,78 @@
         endless_answer{"until_close", "HTTP/1.1 200 OK\r\n\r\n", "body"}),
     [](auto const& info) { return std::string(info.param.name); });
 
+// ---- routes bound to regions ----
+
+// Nodes in two regions with callers at all of them, and upstreams of both services in
+// each region.
+class region_fleet : public node_fleet
+{
+protected:
+    void SetUp() override
+    {
+        ASSERT_NO_FATAL_FAILURE(start({"desk", "desk", "kiosk", "kiosk"}));
+        for (std::size_t i = 0; i < nodes; ++i)
+        {
+            ASSERT_TRUE(wait_until_served(i, "desk"));
+            ASSERT_TRUE(wait_until_served(i, "kiosk", key));
+        }
+    }
+
+    // Puts a document that binds the route to the region, and waits until it has spread.
+    void bind(std::size_t route, std::string const& region)
+    {
+        m_spec["version"] = ++m_version;
+        m_spec["routes"][route]["allowed_regions"] = {region};
+        ASSERT_TRUE(run_until(loop, [&] { return put_configuration(m_spec); }));
+        run_for(loop, spread_time);
+    }
+
+    // Sends some requests to each node. Returns the number of answers by status.
+    std::map<int, int> send_some(std::string const& service, http_headers const& more)
+    {
+        std::map<int, int> found;
+        for (int n = 0; n < requests_per_node; ++n)
+            for (std::size_t i = 0; i < nodes; ++i)
+                ++found[status_of(i, service, "q" + std::to_string(++m_sent), more)];
+        return found;
+    }
+
+    static constexpr std::size_t nodes = 4; // of the regions r0, r1, r0 and r1
+    static constexpr int requests_per_node = 25;
+    static constexpr int all = requests_per_node * static_cast<int>(nodes);
+    static constexpr std::size_t kiosk_route = 0;
+    static constexpr std::size_t desk_route = 1;
+    static constexpr duration spread_time = 2s;
+    http_headers const key{{"X-Buckthornusher-Shard-Key", "77"}};
+
+private:
+    nlohmann::json m_spec = configuration(1);
+    int m_version = 1;
+    int m_sent = 0;
+};
+
+TEST_F(region_fleet, orders_reach_upstreams_in_their_region_only)
+{
+    ASSERT_NO_FATAL_FAILURE(bind(desk_route, "r1"));
+    auto const before = upstreams[0]->runs.size();
+    EXPECT_EQ(send_some("desk", {}), (std::map<int, int>{{200, all}}));
+    EXPECT_EQ(upstreams[0]->runs.size(), before);
+    ASSERT_NO_FATAL_FAILURE(bind(desk_route, "nowhere"));
+    auto const began = boot_now();
+    EXPECT_EQ(send_some("desk", {}), (std::map<int, int>{{503, all}}));
+    EXPECT_LT(boot_now() - began, 5s); // each at once
+    EXPECT_EQ(upstreams[0]->runs.size(), before);
+}
+
+TEST_F(region_fleet, keys_move_into_the_regions_of_their_service)
+{
+    ASSERT_NO_FATAL_FAILURE(bind(kiosk_route, "r1"));
+    ASSERT_TRUE(run_until(loop, [&] { return !upstreams[2]->holds_keys(); }));
+    ASSERT_TRUE(wait_until_served(0, "kiosk", key));
+    auto const before = upstreams[2]->runs.size();
+    EXPECT_EQ(send_some("kiosk", key), (std::map<int, int>{{200, all}}));
+    EXPECT_EQ(upstreams[2]->runs.size(), before);
+}
+
 } // namespace
 } // namespace buckthornusher::test
