Regions: a node that does not own a shard names its owner, also to a bound request

Change: the agent checks its region once it would take the request, not on arrival. Documents without bound routes cost no second look at the routes.

--- a/src/process/agent.cpp
+++ b/src/process/agent.cpp
@@ -72,10 +72,6 @@
         return finish(w, request_refused{.reason = outcome_reason::stopping,
                                          .retry_after = refusal_retry_after}),
                id;
-    if (outside_regions(w))
-        return finish(w, request_refused{.reason = outcome_reason::no_region,
-                                         .retry_after = region_options{}.retry_after}),
-               id;
     if (w.request.shard)
     {
         shard_id const shard{w.request.service, *w.request.shard};
@@ -211,6 +207,9 @@
 
 void agent::admit(active_request& w, instant now)
 {
+    if (outside_regions(w))
+        return finish(w, request_refused{.reason = outcome_reason::no_region,
+                                         .retry_after = region_options{}.retry_after});
     if (!choose_backend(w))
         return wait_for_shard(w);
     auto* l = w.backend.get();
--- a/src/process/ingress_regions.cpp
+++ b/src/process/ingress_regions.cpp
@@ -26,6 +26,8 @@
     if (pending.regions_of == m_config_number)
         return;
     pending.regions_of = m_config_number;
+    if (!m_binds_regions)
+        return;
     auto const& before = pending.request.regions;
     auto now = regions_now(m_routes.get(), pending.request.request, before);
     if (now == before)
--- a/tests/agent_test.cpp
+++ b/tests/agent_test.cpp
@@ -151,6 +151,19 @@
     EXPECT_TRUE(arrived.empty());
 }
 
+// Its sender was out of date; the owner may be inside.
+TEST_F(agent_in_region, names_the_owner_of_a_shard_that_it_does_not_own)
+{
+    auto request = make_request("/moved", true);
+    request.shard = 3;
+    request.regions = region_bound({"there"});
+    request.deadline = request.due = request.start_until = boot_now() + 5s;
+    here.run(std::move(request), [this](request_result result)
+             { results.emplace("/moved", std::move(result)); });
+    ASSERT_TRUE(results.contains("/moved"));
+    EXPECT_TRUE(std::holds_alternative<request_moved>(results.at("/moved")));
+}
+
 // The document changes the regions while a request waits for a slot.
 TEST_F(agent_in_region, a_queued_request_keeps_to_the_new_regions_too)
 {
