--- a/tests/ingress_test.cpp
+++ b/tests/ingress_test.cpp
@@ -262,6 +262,29 @@
     EXPECT_EQ(call("/s/x").body, "far");
 }
 
+// Callers wait for a clock while the document changes the regions.
+TEST_F(ingress_test, a_request_that_waits_keeps_to_its_old_and_its_new_regions)
+{
+    far_node.answers_hello = false;
+    wait_for_clock("near", 1);
+    set_document(bound_routes("\"there\"", "\"there\", \"here\""), 2);
+    std::map<std::string, http_response> answers;
+    for (std::string const target : {"/s/x", "/t/x"})
+        client.call({.method = "GET", .target = target}, 10s,
+                    [&answers, target](http_result r)
+                    { answers[target] = std::move(r).value(); });
+    while (requests.unfinished() < 1 || answers.size() < 1)
+        loop.run_once();
+    EXPECT_EQ(answers["/t/x"].body, "near");
+    EXPECT_EQ(requests.unfinished(), 1U); // waits for the clock of "far"
+    set_document(bound_routes("\"here\"", ""), 3);
+    while (requests.unfinished() > 0 || answers.size() < 2)
+        loop.run_once();
+    EXPECT_EQ(reason_of(answers["/s/x"]), "no-region");
+    EXPECT_EQ(near_node.forwards.size(), 1U);
+    EXPECT_TRUE(far_node.forwards.empty());
+}
+
 class keyed_ingress_test : public ingress_test
 {
 protected:
