--- a/tests/explain_test.cpp
+++ b/tests/explain_test.cpp
@@ -114,6 +114,20 @@
                     "before the deadline");
 }
 
+TEST(explain, a_request_that_no_region_can_take_names_its_regions_and_why)
+{
+    auto const said =
+        cause(line("36.000000", "n1", "taken request=r1 shard=3") +
+              line("36.000001", "n1", "bound request=r1 regions=here config=7") +
+              line("36.000002", "n1",
+                   "outside request=r1 regions=here "
+                   "why=\"the shard is owned by n2 in there\"") +
+              line("36.000003", "n1",
+                   "ended request=r1 outcome=refused reason=no-region status=503"));
+    EXPECT_EQ(said, "refused, it did not run: it is bound to the regions here; the shard "
+                    "is owned by n2 in there");
+}
+
 TEST(explain, a_late_answer_names_the_longest_step)
 {
     auto const said =
