--- a/fuzz/targets.cpp
+++ b/fuzz/targets.cpp
@@ -88,7 +88,8 @@
 void run_store(std::string_view bytes)
 {
     auto const answer = json_answer(bytes);
-    for (auto const kind : {object_kind::fleet, object_kind::configuration})
+    for (auto const kind :
+         {object_kind::fleet, object_kind::configuration, object_kind::evacuations})
     {
         platform::read_list({.kind = kind}, answer);
         platform::read_watch({.kind = kind, .since = 1}, answer);
--- a/tests/node_fleet.hpp
+++ b/tests/node_fleet.hpp
@@ -413,6 +413,7 @@
 
     event_loop loop;
     std::vector<std::unique_ptr<live_upstream>> upstreams; // one beside each node
+    std::string more_node_settings; // lines of the section [node]; set before start()
 
 private:
     static std::string program(std::string const& name)
@@ -442,7 +443,7 @@
             << std::chrono::duration_cast<std::chrono::milliseconds>(report_interval)
                    .count()
             << "\ngrace_s = 6\nconfig_bound_ms = 2500\ndrain_limit_ms = 2500\n"
-            << "[listen]\ncallers = " << at(callers_port)
+            << more_node_settings << "[listen]\ncallers = " << at(callers_port)
             << "upstreams = " << at(reports_port) << "readiness = " << at(8'302)
             << "metrics = " << at(9'464) << "peers = " << at(7'620)
             << "operators = " << at(7'621) << "[store]\naddress = \""
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -404,6 +404,58 @@
     return c;
 }
 
+// An entry at evacuations/ZONE is all that the operator writes.
+TEST(platform_store, an_evacuation_is_an_entry_whatever_its_spec)
+{
+    store_list const list{.kind = object_kind::evacuations};
+    EXPECT_EQ(list_request(list, "").target, "/v1/objects/evacuations");
+    auto const part = read_list(
+        list,
+        {.status = 200,
+         .body = R"({"items":[{"metadata":{"name":"zone-a","revision":7},"spec":{}},)"
+                 R"({"metadata":{"name":"zone-b","revision":8}},)"
+                 R"({"metadata":{"name":"zone-c","revision":9},"spec":{"x":[1]}},)"
+                 R"({"metadata":{"name":"","revision":10},"spec":{}},)"
+                 R"({"metadata":{"name":")" +
+                 std::string(300, 'z') +
+                 R"(","revision":11},"spec":{}},7],"has_more":false,)"
+                 R"("store_revision":12})"});
+    ASSERT_TRUE(part);
+    EXPECT_EQ(part->objects.revision, 12U);
+    ASSERT_EQ(part->objects.objects.size(), 3U);
+    EXPECT_EQ(part->skipped.size(), 3U);
+    EXPECT_EQ(part->objects.objects[1],
+              (object{.name = evacuation_object("zone-b"),
+                      .version = 8,
+                      .value = evacuation_record{.domain = "zone-b"}}));
+    auto const watched = read_watch(
+        {.kind = object_kind::evacuations, .since = 9, .wait = 1s},
+        {.status = 200,
+         .body = R"({"events":[{"deleted":true,"object":{"metadata":{"name":"zone-a",)"
+                 R"("revision":13},"spec":{}}}],"store_revision":13})"});
+    auto const* found = std::get_if<store_objects>(&watched.answer);
+    ASSERT_NE(found, nullptr);
+    ASSERT_EQ(found->objects.size(), 1U);
+    EXPECT_EQ(found->objects[0],
+              (object{.name = evacuation_object("zone-a"), .version = 13, .value = {}}));
+}
+
+TEST(platform_store, an_evacuation_is_written_and_removed)
+{
+    store_write write{.name = evacuation_object("zone a"),
+                      .expected = 0,
+                      .value = evacuation_record{.domain = "zone a"}};
+    auto const create = write_request(write);
+    EXPECT_EQ(create.method, "POST");
+    EXPECT_EQ(create.target, "/v1/objects/evacuations");
+    EXPECT_EQ(create.body, R"({"metadata":{"name":"zone a"},"spec":{}})");
+    write.expected = 5;
+    write.value.reset();
+    auto const remove = write_request(write);
+    EXPECT_EQ(remove.method, "DELETE");
+    EXPECT_EQ(remove.target, "/v1/objects/evacuations/zone%20a?revision=5");
+}
+
 TEST(platform_store, requests_match_the_object_api)
 {
     EXPECT_EQ(list_request({}, "").target, "/v1/objects/buckthornusher");
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -19,6 +19,21 @@
     return decode_control(envelope);
 }
 
+TEST(wire, a_digest_of_evacuations_is_a_message)
+{
+    deltas const digest{.from = 0,
+                        .to = 0,
+                        .objects = {{.name = evacuation_object("a"),
+                                     .version = 7,
+                                     .value = evacuation_record{.domain = "a"}},
+                                    {.name = evacuation_object("b"), .version = 8},
+                                    {.name = evacuations_complete, .version = 9}}};
+    EXPECT_EQ(sent(digest), control_message(digest));
+    deltas nameless = digest;
+    nameless.objects.front().value = evacuation_record{};
+    EXPECT_FALSE(sent(nameless).has_value());
+}
+
 // Found by fuzzing.
 TEST(wire, an_empty_list_of_releases_is_a_message)
 {
