--- a/src/process/ingress_sending.cpp
+++ b/src/process/ingress_sending.cpp
@@ -51,6 +51,7 @@
     if (!entry_may_send(m_coordinator->evacuation(m->domain), true, now))
     {
         // The shard moves, unless there is nowhere to go.
+        pending.trace.add("evacuated", {{"owner", m->id.node}, {"domain", m->domain}});
         if (only_evacuated(pending.request.service, now))
             return refuse(pending, outcome_reason::no_owner, no_owner_retry_after);
         return wait(pending, now);
--- a/src/process/operator_api.cpp
+++ b/src/process/operator_api.cpp
@@ -361,11 +361,14 @@
     m.set("configuration_version", m_dependencies.requests.config_number());
     m.set("config_age_ms",
           static_cast<std::uint64_t>(coord.subscriptions(now).config_age / 1ms));
-    m.set("evacuated_domains", coord.copy().evacuated_domains().size());
-    m.set("evacuation_age_ms",
-          static_cast<std::uint64_t>(coord.subscriptions(now).evacuation_age / 1ms));
-    m.set("evacuation_digests_sent_total", c.evacuation_digests_sent);
-    m.set("evacuation_stand_ins_total", c.evacuation_stand_ins);
+    if (m_dependencies.settings.evacuation_bound > duration{0})
+    {
+        m.set("evacuated_domains", coord.copy().evacuated_domains().size());
+        m.set("evacuation_age_ms",
+              static_cast<std::uint64_t>(coord.subscriptions(now).evacuation_age / 1ms));
+        m.set("evacuation_digests_sent_total", c.evacuation_digests_sent);
+        m.set("evacuation_stand_ins_total", c.evacuation_stand_ins);
+    }
     auto const lease_left = std::max(coord.lease_until() - now, duration{0});
     m.set("lease_left_ms", static_cast<std::uint64_t>(lease_left / 1ms));
     m.set("loop_lag_ms", static_cast<std::uint64_t>(m_dependencies.local.lag() / 1ms));
