Store era: read from each answer; operators' objects compare by era first

What callers would see: after the store came back from an older copy, configurations and evacuations that were written again got revisions below the known ones, and every node ignored them.

Change: the store's client reads Store-Era of each answer; without a usable one, once an era was stated, the answer is an error, counted and logged. Versions of configurations and evacuations carry the era in their high bits, watches and conditions of an earlier era are not sent, an evacuation that the store forgot holds until it is written again, at most 20 s.

Also: a test of evacuations captured structured bindings, which clang refuses.

--- a/include/buckthornusher/replica.hpp
+++ b/include/buckthornusher/replica.hpp
@@ -45,9 +45,11 @@
                      std::vector<object> const& objects);
 
     // Returns the deletions implied by a full list of the kind as of `to`: known objects
-    // that the list lacks.
+    // that the list lacks. Without earlier eras of the store: only those written in the
+    // list's era, as the store may have forgotten the others.
     std::vector<object> missing_from(object_kind kind, std::uint64_t to,
-                                     std::vector<object> const& objects) const;
+                                     std::vector<object> const& objects,
+                                     bool with_earlier_eras = true) const;
 
     std::uint64_t revision() const { return m_revision; }
     std::uint64_t config_revision() const { return m_config_revision; }
--- a/src/coordination/coordinator.cpp
+++ b/src/coordination/coordinator.cpp
@@ -1,6 +1,7 @@
 // Implementation of coordinator: events, replica and store; see the header.
 #include "coordination/coordinator_impl.hpp"
 
+#include "buckthornusher/store_era.hpp"
 #include "coordination/roles.hpp"
 
 #include <algorithm>
@@ -401,7 +402,8 @@
 {
     if (!has_takeover_state() || has_gap_before(shard))
         return false;
-    if (!opts.ordered_configuration || copy.config_revision() >= group_version(shard))
+    if (!opts.ordered_configuration ||
+        revision_of_version(copy.config_revision()) >= group_version(shard))
         return true;
     config_reader.want_list();
     return false;
--- a/src/coordination/coordinator_evacuations.cpp
+++ b/src/coordination/coordinator_evacuations.cpp
@@ -1,6 +1,7 @@
 // Implementation of coordinator: evacuations, as read from the store and from digests.
 #include "coordination/coordinator_impl.hpp"
 
+#include "buckthornusher/store_era.hpp"
 #include "coordination/roles.hpp"
 
 namespace buckthornusher
@@ -33,6 +34,8 @@
         counts.evacuation_stand_ins += stood_in ? 0 : 1;
         evacuation_reader.want_list(); // unlike a watch it is answered at once
     }
+    if (evacuations.settles(now))
+        evacuation_reader.want_list();
     bool const chosen = current_phase == phase::member && config_subscriber;
     evacuation_reader.set_subscribed(chosen || evacuations.stands_in(now));
     if (auto operation =
@@ -51,9 +54,10 @@
     }
     auto const& found = std::get<store_objects>(answer);
     auto objects = found.objects;
+    evacuations.note_era(era_of_version(found.revision), now);
     if (outcome == store_reader::outcome::listed)
-        for (auto& o :
-             copy.missing_from(object_kind::evacuations, found.revision, found.objects))
+        for (auto& o : copy.missing_from(object_kind::evacuations, found.revision,
+                                         found.objects, evacuations.is_settled(now)))
             objects.push_back(std::move(o));
     apply_evacuations(objects, now);
     copy.note_evacuation_revision(found.revision);
@@ -87,8 +91,9 @@
     if (complete)
     {
         changed =
-            apply_evacuations(
-                copy.missing_from(object_kind::evacuations, *complete, objects), now) ||
+            apply_evacuations(copy.missing_from(object_kind::evacuations, *complete,
+                                                objects, /*with_earlier_eras=*/false),
+                              now) ||
             changed;
         copy.note_evacuation_revision(*complete);
         evacuations.confirm(now);
--- a/src/coordination/evacuation_sync.cpp
+++ b/src/coordination/evacuation_sync.cpp
@@ -2,6 +2,7 @@
 #include "coordination/evacuation_sync.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace buckthornusher
 {
@@ -10,6 +11,8 @@
 {
 
 constexpr duration max_watch_wait = 2s;
+// Until operators have written again what the store forgot.
+constexpr duration settle_time = 20s;
 constexpr int watches_per_bound = 5;
 constexpr int stagger_steps_per_bound = 100;
 constexpr int max_staggers_per_bound = 8;
@@ -49,6 +52,22 @@
         m_as_of = as_of;
 }
 
+void evacuation_sync::note_era(std::uint64_t era, instant now)
+{
+    if (m_era && era > *m_era)
+    {
+        m_settles_at = now + settle_time;
+        m_settling = true;
+    }
+    if (!m_era || era > *m_era)
+        m_era = era;
+}
+
+bool evacuation_sync::settles(instant now)
+{
+    return m_settling && is_settled(now) && std::exchange(m_settling, false);
+}
+
 bool evacuation_sync::review(std::size_t rank, instant now)
 {
     auto const known = age(now);
--- a/src/coordination/evacuation_sync.hpp
+++ b/src/coordination/evacuation_sync.hpp
@@ -60,6 +60,15 @@
     // All evacuations accepted before `as_of` are held.
     void confirm(instant as_of);
 
+    // The store was read, and is in this era (store_era.hpp). After a rise it may have
+    // forgotten evacuations that operators are about to write again; until then they
+    // hold.
+    void note_era(std::uint64_t era, instant now);
+    // Whether what the store lacks has been taken back, whatever its era.
+    bool is_settled(instant now) const { return now >= m_settles_at; }
+    // Returns true once after a rise, when the store is to be listed for that.
+    bool settles(instant now);
+
     // Whether the member should read the store itself although it was not chosen to.
     bool stands_in(instant now) const { return now < m_stand_in_until; }
     // Whether evidence is too old for a member of this rank. Begins to stand in if so.
@@ -80,6 +89,9 @@
     std::optional<instant> m_as_of;
     instant m_stand_in_until;
     instant m_next_relay;
+    std::optional<std::uint64_t> m_era;
+    instant m_settles_at;
+    bool m_settling = false;
     std::map<std::string, evacuation_window, std::less<>> m_windows; // by domain
 };
 
--- a/src/coordination/replica.cpp
+++ b/src/coordination/replica.cpp
@@ -1,6 +1,8 @@
 // Implementation of replica; see the header.
 #include "buckthornusher/replica.hpp"
 
+#include "buckthornusher/store_era.hpp"
+
 #include <algorithm>
 
 namespace buckthornusher
@@ -120,14 +122,17 @@
 }
 
 std::vector<object> replica::missing_from(object_kind kind, std::uint64_t to,
-                                          std::vector<object> const& objects) const
+                                          std::vector<object> const& objects,
+                                          bool with_earlier_eras) const
 {
     std::set<std::string_view> listed;
     for (auto const& o : objects)
         listed.insert(o.name);
     std::vector<object> missing;
     for (auto const& [name, o] : m_objects)
-        if (kind_of(name) == kind && o.value && o.version <= to && !listed.contains(name))
+        if (kind_of(name) == kind && o.value && o.version <= to &&
+            (with_earlier_eras || era_of_version(o.version) == era_of_version(to)) &&
+            !listed.contains(name))
             missing.push_back({.name = name, .version = to, .value = {}});
     return missing;
 }
--- a/src/process/node.cpp
+++ b/src/process/node.cpp
@@ -84,6 +84,12 @@
                      log_event(
                          log_level::warning, "store-entry-skipped",
                          {{"name", s.name}, {"revision", std::to_string(s.revision)}});
+                 },
+                 .on_era_risen =
+                     [](std::uint64_t era)
+                 {
+                     log_event(log_level::warning, "store-era-risen",
+                               {{"era", std::to_string(era)}});
                  }}),
           store_state("store", settings.store), coord(make_coordinator({}, {})),
           local(loop, *coord,
--- a/src/process/operator_api.cpp
+++ b/src/process/operator_api.cpp
@@ -339,6 +339,12 @@
     m.set("store_calls_total", c.store_calls);
     m.set("store_no_answers_total", c.store_no_answers);
     m.set("store_entries_skipped_total", m_dependencies.store.counts().skipped_entries);
+    if (auto const era = m_dependencies.store.era())
+    {
+        m.set("store_era", *era);
+        m.set("store_era_errors_total", m_dependencies.store.counts().era_errors);
+        m.set("store_era_rises_total", m_dependencies.store.counts().era_rises);
+    }
     m.set("chunk_writes_total", c.shard_group_writes);
     m.set("pulls_total", c.pulls);
     m.set("config_questions_total", c.config_questions);
--- a/src/process/state_log.cpp
+++ b/src/process/state_log.cpp
@@ -1,6 +1,8 @@
 // Implementation of logging of state changes; see the header.
 #include "process/state_log.hpp"
 
+#include "buckthornusher/store_era.hpp"
+
 #include "process/log.hpp"
 #include "process/request_trace.hpp"
 
@@ -132,10 +134,10 @@
     auto const& present = copy.evacuated_domains();
     auto const log_domain = [&](char const* event, std::string const& domain)
     {
-        log_event(
-            log_level::info, event,
-            {{"domain", domain},
-             {"version", std::to_string(copy.version_of(evacuation_object(domain)))}});
+        log_event(log_level::info, event,
+                  {{"domain", domain},
+                   {"version", std::to_string(revision_of_version(
+                                   copy.version_of(evacuation_object(domain))))}});
     };
     for (auto const& domain : present)
         if (!m_evacuated.contains(domain))
--- a/tests/evacuation_process_test.cpp
+++ b/tests/evacuation_process_test.cpp
@@ -66,9 +66,15 @@
 
 TEST_F(evacuation_fleet, a_domain_is_emptied_in_time_and_taken_back)
 {
-    for (auto const& [service, evacuated] :
-         {std::pair<std::string, std::size_t>{"desk", 1}, {"kiosk", 2}})
+    struct drill
     {
+        std::string service;
+        std::size_t evacuated = 0;
+    };
+    for (auto const& d : {drill{"desk", 1}, drill{"kiosk", 2}})
+    {
+        auto const& service = d.service;
+        auto const evacuated = d.evacuated;
         auto const query = "?domain=d" + std::to_string(evacuated);
         EXPECT_EQ(not_served(service, 500ms), 0);
         ASSERT_EQ(call(3, "PUT", query), ok);
--- a/tests/evacuation_test.cpp
+++ b/tests/evacuation_test.cpp
@@ -2,6 +2,7 @@
 // and take it back; meanwhile members die, restart, miss messages or lose the store.
 #include "buckthornusher/evacuation.hpp"
 
+#include "buckthornusher/store_era.hpp"
 #include "coordination/assigner.hpp"
 #include "coordination/evacuation_sync.hpp"
 #include "fake_fleet.hpp"
@@ -158,6 +159,49 @@
     EXPECT_TRUE(copy.missing_from(object_kind::evacuations, 5, {}).empty());
 }
 
+// ---- eras of the store ----
+
+// The store came back from an older copy and has forgotten the entry; operators are about
+// to write it again.
+TEST(EvacuationEra, WhatTheStoreForgotHoldsUntilItIsWrittenAgain)
+{
+    replica copy;
+    copy.apply(evacuation("a", qualified_version(1, 500)));
+    auto const listed = qualified_version(2, 430);
+    EXPECT_TRUE(copy.missing_from(object_kind::evacuations, listed, {}, false).empty());
+    EXPECT_TRUE(copy.apply(evacuation("a", qualified_version(2, 440))));
+    EXPECT_TRUE(copy.apply(evacuation_end("a", qualified_version(2, 450))));
+    EXPECT_FALSE(copy.apply(evacuation("a", qualified_version(1, 900))))
+        << "it came late";
+    EXPECT_FALSE(copy.is_evacuated("a"));
+}
+
+TEST(EvacuationEra, WhatIsNeverWrittenAgainEnds)
+{
+    replica copy;
+    copy.apply(evacuation("a", qualified_version(1, 500)));
+    auto const missing =
+        copy.missing_from(object_kind::evacuations, qualified_version(2, 430), {}, true);
+    ASSERT_EQ(missing.size(), 1U);
+    EXPECT_TRUE(copy.apply(missing.front()));
+    EXPECT_FALSE(copy.is_evacuated("a"));
+}
+
+TEST(EvacuationEra, SettlesOnceAfterEachRise)
+{
+    evacuation_sync sync(bound);
+    sync.note_era(2, at_ms(1'000));
+    EXPECT_TRUE(sync.is_settled(at_ms(1'000))) << "the first era is no rise";
+    EXPECT_FALSE(sync.settles(at_ms(30'000)));
+    sync.note_era(3, at_ms(40'000));
+    sync.note_era(2, at_ms(41'000)); // an answer that came late
+    sync.note_era(3, at_ms(59'000));
+    EXPECT_FALSE(sync.is_settled(at_ms(59'999)));
+    EXPECT_FALSE(sync.settles(at_ms(59'999)));
+    EXPECT_TRUE(sync.settles(at_ms(60'000)));
+    EXPECT_FALSE(sync.settles(at_ms(60'001)));
+}
+
 // ---- placement of shards ----
 
 member_record member_in(std::string const& node, std::string const& domain)
