--- a/src/process/ingress_sending.cpp
+++ b/src/process/ingress_sending.cpp
@@ -77,6 +77,8 @@
     auto const step = next_keyed_step(
         limits_of(pending, now), owner,
         owner ? region_supply{} : known_supply(pending, now), now, steps());
+    if (owner && owner->evacuated)
+        pending.trace.add("evacuated", {{"owner", m->id.node}, {"domain", m->domain}});
     if (!sends(step.action))
         return carry_out(pending, step.action, now);
     pending.trace.add("owner", {{"to", m->id.node},
--- a/src/process/operator_api.cpp
+++ b/src/process/operator_api.cpp
@@ -360,6 +360,12 @@
     m.set("store_calls_total", c.store_calls);
     m.set("store_no_answers_total", c.store_no_answers);
     m.set("store_entries_skipped_total", m_dependencies.store.counts().skipped_entries);
+    if (auto const era = m_dependencies.store.era())
+    {
+        m.set("store_era", *era);
+        m.set("store_era_errors_total", m_dependencies.store.counts().era_errors);
+        m.set("store_era_rises_total", m_dependencies.store.counts().era_rises);
+    }
     m.set("chunk_writes_total", c.shard_group_writes);
     m.set("pulls_total", c.pulls);
     m.set("config_questions_total", c.config_questions);
@@ -382,11 +388,14 @@
     m.set("configuration_version", m_dependencies.requests.config_number());
     m.set("config_age_ms",
           static_cast<std::uint64_t>(coord.subscriptions(now).config_age / 1ms));
-    m.set("evacuated_domains", coord.copy().evacuated_domains().size());
-    m.set("evacuation_age_ms",
-          static_cast<std::uint64_t>(coord.subscriptions(now).evacuation_age / 1ms));
-    m.set("evacuation_digests_sent_total", c.evacuation_digests_sent);
-    m.set("evacuation_stand_ins_total", c.evacuation_stand_ins);
+    if (m_dependencies.settings.evacuation_bound > duration{0})
+    {
+        m.set("evacuated_domains", coord.copy().evacuated_domains().size());
+        m.set("evacuation_age_ms",
+              static_cast<std::uint64_t>(coord.subscriptions(now).evacuation_age / 1ms));
+        m.set("evacuation_digests_sent_total", c.evacuation_digests_sent);
+        m.set("evacuation_stand_ins_total", c.evacuation_stand_ins);
+    }
     auto const lease_left = std::max(coord.lease_until() - now, duration{0});
     m.set("lease_left_ms", static_cast<std::uint64_t>(lease_left / 1ms));
     m.set("upstream_loads_broken_total", m_dependencies.local.broken_loads());
