Upstreams: the pace of one that started or recovered is found from its answers

What callers saw: an upstream that has just started or recovered is flooded or left idle too long (a wish of the operators). Cause: a newcomer counted as average from its first report on. Change: upstream_pace limits how many requests run at once: from a quarter of the slots up after rounds of good answers, at least along a line of 3 s, down to half at the first bad ones, more slowly up after each. Told to others as the slots of the load. Log upstream-pace, metric upstream_pace_steps_down. Only for services with cold_rate.

--- a/include/buckthornusher/upstream_queue.hpp
+++ b/include/buckthornusher/upstream_queue.hpp
@@ -46,6 +46,7 @@
 #include <algorithm>
 #include <compare>
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <optional>
 #include <set>
@@ -129,6 +130,9 @@
 
     // How long work takes at the upstream now; 1: as usual.
     void set_slowness(double slowness) { m_slowness = slowness; }
+    // So many requests at once by the pace of an upstream that has just started or
+    // recovered (upstream_pace.hpp).
+    void set_pace_limit(std::uint32_t limit) { m_pace_limit = std::max(1U, limit); }
     // So many of the slots are used by requests that are not in this queue. One is left.
     void set_occupied(std::uint32_t slots) { m_occupied = slots; }
 
@@ -155,7 +159,7 @@
     std::uint32_t slots() const { return m_options.slots; }
     std::uint32_t limit() const
     {
-        auto const all = static_cast<std::uint32_t>(m_limit);
+        auto const all = std::min(static_cast<std::uint32_t>(m_limit), m_pace_limit);
         return all - std::min(all - 1, m_occupied);
     }
     std::uint32_t running() const { return static_cast<std::uint32_t>(m_running.size()); }
@@ -216,6 +220,7 @@
     double m_limit;          // 1 <= m_limit <= max(1, slots)
     double m_slowness = 1;
     std::uint32_t m_occupied = 0;
+    std::uint32_t m_pace_limit = std::numeric_limits<std::uint32_t>::max(); // at least 1
     start_limit m_starts; // knows the running requests
     // Moving averages of the share of requests that the upstream shed.
     double m_shed_crowded = 0;
--- a/src/process/agent.cpp
+++ b/src/process/agent.cpp
@@ -385,6 +385,7 @@
     w.trace.add("upstream", {{"outcome", meaning_name(meaning)},
                              {"status", std::to_string(result.value().status)},
                              {"took_ms", in_ms(took)}});
+    note_pace(l, w.request.request_class, meaning, started, now);
     if (meaning != answer_meaning::answered)
         l.answered.note(w.request.id, w.request.deadline, now);
     switch (meaning)
--- a/src/process/agent.hpp
+++ b/src/process/agent.hpp
@@ -159,6 +159,9 @@
     load(std::string const& service, std::string const& request_class, instant now) const;
     // Returns the number of answers whose load meant nothing.
     std::uint64_t broken_loads() const { return m_broken_loads; }
+    // Returns how often an upstream that had started or recovered got fewer requests at
+    // once because of its answers.
+    std::uint64_t pace_steps_down() const;
     // Returns how long received messages may have waited for the event loop.
     duration lag() const { return m_lag.value(); }
     // Returns the capacity of each keyed service and its shards' request rates, as moving
@@ -206,6 +209,10 @@
     void note_written(link& l, instant now);
     void note_load(link& l, http_response const& response, instant now);
     void apply_condition(link& l, instant now) const;
+    bool paces(std::string const& service) const;
+    void begin_pace_of_new(link& l, upstream_report const& report, instant now) const;
+    void note_pace(link& l, std::string const& request_class, answer_meaning meaning,
+                   instant started, instant now) const;
     void note_failure(link& l, http_failure const& failure, duration took,
                       instant now) const;
     void try_begin(active_request& w, instant now);
--- a/src/process/agent_impl.hpp
+++ b/src/process/agent_impl.hpp
@@ -4,6 +4,7 @@
 
 #include "buckthornusher/answered_memory.hpp"
 #include "buckthornusher/reported_load.hpp"
+#include "buckthornusher/upstream_pace.hpp"
 #include "process/agent.hpp"
 #include "process/state_log.hpp"
 
@@ -26,6 +27,9 @@
     http_client http;
     upstream_queue queue;
     upstream_condition condition;
+    upstream_pace pace;
+    std::optional<instant> failing_since; // connections, without an answer since
+    bool logged_paced = false;
     answered_memory answered = answered_memory({});
     std::optional<grant_table> grants;      // if it serves granted keys only
     std::size_t granted_shards = 0;         // in the last answer to a report
--- a/src/process/agent_starts.cpp
+++ b/src/process/agent_starts.cpp
@@ -1,11 +1,14 @@
 // Implementation of the agent: what it learns of an upstream beside its answers, for the
-// bound on the starts at a cold one (start_limit.hpp) and from the load that it tells
-// (reported_load.hpp). See agent.hpp.
+// bound on the starts at a cold one (start_limit.hpp), from the load that it tells
+// (reported_load.hpp), and for its pace after a start or a recovery (upstream_pace.hpp).
+// See agent.hpp.
 #include "process/agent_impl.hpp"
 
 #include "process/log.hpp"
 #include "process/overloaded.hpp"
 
+#include <limits>
+
 namespace buckthornusher
 {
 
@@ -14,6 +17,10 @@
 
 // A request whose connection is lost earlier had hardly reached the upstream.
 constexpr duration min_running_time = 10ms;
+// An upstream that appears earlier in a process's life may have been there before it.
+constexpr duration process_settles = 5s;
+// Connections that fail for this long are an outage.
+constexpr duration outage = 1s;
 
 } // namespace
 
@@ -63,7 +70,11 @@
     if (forgotten)
         return;
     if (failure.failed_step == step::connect)
+    {
         l.queue.starts().on_connect_failed(now);
+        if (!l.failing_since)
+            l.failing_since = now;
+    }
     else if (failure.failed_step == step::answer)
         l.queue.starts().on_connection_lost(now);
 }
@@ -92,6 +103,63 @@
 {
     l.queue.set_slowness(l.condition.slowness(now));
     l.queue.set_occupied(l.condition.occupied(l.report.slots, now));
+    if (!l.pace.is_paced() && !l.logged_paced)
+        return;
+    l.queue.set_pace_limit(l.pace.is_paced() ? l.pace.limit(l.queue.slots(), now)
+                                             : std::numeric_limits<std::uint32_t>::max());
+    if (std::exchange(l.logged_paced, l.pace.is_paced()) != l.pace.is_paced())
+        log_event(log_level::info, "upstream-pace",
+                  {{"service", l.report.service},
+                   {"life", to_string(l.report.incarnation)},
+                   {"state", l.pace.is_paced() ? "begins" : "ends"},
+                   {"limit", std::to_string(l.queue.limit())},
+                   {"steps_down", std::to_string(l.pace.steps_down())}});
+}
+
+// ---- pace ----
+
+// A service that tells what its cold upstreams bear wants its newcomers paced.
+bool agent::paces(std::string const& service) const
+{
+    auto const* s = m_routes == nullptr ? nullptr : m_routes->service(service);
+    return s != nullptr && s->cold_rate > 0;
+}
+
+void agent::begin_pace_of_new(link& l, upstream_report const& report, instant now) const
+{
+    bool const is_new =
+        report.warm_up_left > duration{0} || now - m_started > process_settles;
+    if (!paces(report.service) || !is_new)
+        return;
+    l.pace.begin(now);
+    apply_condition(l, now);
+}
+
+// An answer after an outage begins the pace of an upstream that has recovered.
+void agent::note_pace(link& l, std::string const& request_class, answer_meaning meaning,
+                      instant started, instant now) const
+{
+    auto const failing = std::exchange(l.failing_since, std::nullopt);
+    if (failing && now - *failing >= outage && paces(l.report.service))
+        l.pace.begin(now);
+    if (meaning == answer_meaning::not_held)
+        return;
+    auto const took =
+        std::chrono::duration_cast<duration>((now - started) / l.condition.slowness(now));
+    l.pace.on_answer({.request_class = request_class,
+                      .good = meaning == answer_meaning::answered,
+                      .took = took,
+                      .started = started},
+                     l.queue.slots(), now);
+    apply_condition(l, now);
+}
+
+std::uint64_t agent::pace_steps_down() const
+{
+    std::uint64_t all = 0;
+    for (auto const& entry : m_links)
+        all += entry.second->pace.steps_down();
+    return all;
 }
 
 } // namespace buckthornusher
--- a/src/process/agent_upstreams.cpp
+++ b/src/process/agent_upstreams.cpp
@@ -76,6 +76,7 @@
                   {{"service", report.service}, {"life", to_string(report.incarnation)}});
         auto const before = std::exchange(l, make_link(report));
         l->drained_before = m_history.was_draining(report.incarnation);
+        begin_pace_of_new(*l, report, now);
         if (before != nullptr)
         {
             learn_warm_up(*l, report, now);
--- a/src/process/operator_api.cpp
+++ b/src/process/operator_api.cpp
@@ -282,6 +282,7 @@
     auto const lease_left = std::max(coord.lease_until() - now, duration{0});
     m.set("lease_left_ms", static_cast<std::uint64_t>(lease_left / 1ms));
     m.set("upstream_loads_broken_total", m_dependencies.local.broken_loads());
+    m.set("upstream_pace_steps_down", m_dependencies.local.pace_steps_down());
     m.set("loop_lag_ms", static_cast<std::uint64_t>(m_dependencies.local.lag() / 1ms));
     if (routes != nullptr)
         for (auto const& service : routes->source().services)
--- a/tests/upstream_limits_test.cpp
+++ b/tests/upstream_limits_test.cpp
@@ -197,5 +197,42 @@
     EXPECT_EQ(local.load("s", "", boot_now())->start_rate, 0);
 }
 
+// One that begins with a quarter of its slots, answers well, and gets more of them.
+TEST_F(upstream_limits, a_cold_newcomer_is_paced_and_gets_all_its_slots)
+{
+    test::raw_upstream upstream(loop);
+    upstream.answer = [&](int)
+    {
+        return answer_to(last_id(upstream.read));
+    };
+    report(2s, 20);
+    EXPECT_EQ(local.load("s", "", boot_now())->slots, 5U);
+    serve_for(1'500ms);
+    EXPECT_GT(local.load("s", "", boot_now())->slots, 10U);
+    serve_for(1'600ms);
+    EXPECT_EQ(local.load("s", "", boot_now())->slots, 20U);
+    for (int i = 0; i < 100; ++i)
+        send(std::to_string(i), 5s);
+    serve_for(100ms);
+    EXPECT_EQ(results.size(), 100U);
+    report(0s, 30);
+    serve_for(50ms);
+    EXPECT_EQ(local.load("s", "", boot_now())->slots, 30U);
+    EXPECT_EQ(local.pace_steps_down(), 0U);
+}
+
+// A service that states no rate for cold upstreams is served as before.
+TEST_F(upstream_limits, without_a_rate_nothing_is_bounded_or_paced)
+{
+    document doc;
+    doc.services.push_back({.name = "s", .keyed = false, .cold_time = 4s});
+    local.set_routes(std::make_shared<route_table const>(std::move(doc)));
+    report(10s, 20);
+    auto const load = local.load("s", "", boot_now());
+    EXPECT_EQ(load->slots, 20U);
+    EXPECT_EQ(load->start_rate, 0);
+    EXPECT_EQ(load->bounded_for, 0s);
+}
+
 } // namespace
 } // namespace buckthornusher
