--- a/src/connection/http_server.cpp
+++ b/src/connection/http_server.cpp
@@ -494,7 +494,9 @@
     for (auto const& entry : connections)
     {
         auto const* c = entry.first;
-        if (c->held() == 0 || c->handling)
+        // A connection that asks for room for its request is not the one to close.
+        bool const asks = c->handling && search == victim_search::stalled;
+        if (c->held() == 0 || asks)
             continue;
         holders.push_back({.bytes = c->held(), .last_progress = c->last_progress});
         holding.push_back(entry.first);
--- a/tests/crowd_process_test.cpp
+++ b/tests/crowd_process_test.cpp
@@ -121,6 +121,23 @@
     return std::string(size_line) + std::string(chunk_bytes, 'c') + "\r\n";
 }
 
+// Waits until a node serves a request with a body of that length.
+bool wait_until_served_with_body(event_loop& loop, tcp_address const& node,
+                                 std::size_t bytes)
+{
+    auto const deadline = boot_now() + max_wait;
+    for (int n = 0; boot_now() < deadline; ++n)
+    {
+        auto request = make_request("desk", "long-body-" + std::to_string(n));
+        request.body = std::string(bytes, 'l');
+        auto const answer = ask(loop, node, std::move(request));
+        if (answer && answer->status == 200)
+            return true;
+        run_for(loop, 50ms);
+    }
+    return false;
+}
+
 class crowd_fleet : public node_fleet
 {
 protected:
@@ -184,27 +201,12 @@
             EXPECT_TRUE(wait_until_served(i, "desk")) << "beside the crowd, node " << i;
         m_crowd.clear();
         for (std::size_t i = 0; i < upstreams.size(); ++i)
-            EXPECT_TRUE(wait_until_long_body_is_served(i)) << "node " << i;
+            EXPECT_TRUE(wait_until_served_with_body(loop, callers_of(i), body_limit))
+                << "node " << i;
         check_processes();
     }
 
 private:
-    bool wait_until_long_body_is_served(std::size_t node)
-    {
-        auto const deadline = boot_now() + max_wait;
-        for (int n = 0; boot_now() < deadline; ++n)
-        {
-            auto request = make_request("desk", "long" + std::to_string(node) + "-" +
-                                                    std::to_string(n));
-            request.body = std::string(body_limit, 'l');
-            auto const answer = ask(loop, callers_of(node), request);
-            if (answer && answer->status == 200)
-                return true;
-            run_for(loop, 50ms);
-        }
-        return false;
-    }
-
     std::vector<std::unique_ptr<crowd_client>> m_crowd;
 };
 
@@ -318,5 +320,41 @@
     check_service();
 }
 
+// Guards against one body of the length that the document allows taking a process over
+// its memory, or being refused though nothing else is held.
+class calm_fleet : public node_fleet
+{
+protected:
+    static constexpr std::size_t longest_body = 67'108'864;
+    static constexpr std::uint64_t vm_memory_mb = 260;
+
+    void SetUp() override
+    {
+        node_arguments = {"--set", "vm.memory_mb=" + std::to_string(vm_memory_mb)};
+        upstream_body_limit = longest_body;
+        ASSERT_NO_FATAL_FAILURE(start({"desk", "kiosk"}));
+        auto document = configuration(2);
+        document["limits"]["max_body_bytes"] = longest_body;
+        ASSERT_TRUE(put_configuration(document));
+    }
+};
+
+TEST_F(calm_fleet, one_body_of_the_longest_length_is_served_within_the_memory)
+{
+    constexpr std::uint64_t bound_kib = vm_memory_mb * 1'000'000 / 1'024;
+    for (std::size_t i = 0; i < upstreams.size(); ++i)
+    {
+        EXPECT_TRUE(wait_until_served(i, "desk"));
+        EXPECT_TRUE(wait_until_served_with_body(loop, callers_of(i), longest_body)) << i;
+    }
+    for (std::size_t i = 0; i < upstreams.size(); ++i)
+    {
+        EXPECT_TRUE(node(i).is_running());
+        EXPECT_LE(node(i).peak_resident_kb(), bound_kib) << i;
+        RecordProperty("peak_kib_of_node_" + std::to_string(i),
+                       static_cast<int>(node(i).peak_resident_kb()));
+    }
+}
+
 } // namespace
 } // namespace buckthornusher::test
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -435,6 +435,91 @@
     EXPECT_TRUE(echo.call({.method = "GET", .target = "/get"}).has_value());
 }
 
+// ---- memory ----
+
+// A server whose budget is two bodies of the size below, and a connection that holds most
+// of one without its end.
+struct server_with_budget
+{
+    static constexpr std::size_t part = 200'000;
+    static constexpr std::size_t long_answer = 40'000'000; // more than sockets hold
+
+    explicit server_with_budget(duration patience)
+        : budget({.process_bytes = 0,
+                  .min_bytes = 400'000,
+                  .ordinary_reserve = 50'000,
+                  .patience = patience})
+    {
+    }
+
+    event_loop loop;
+    memory_budget budget;
+    int handled = 0;
+    http_server server{loop,
+                       {.address = test::free_address(), .memory = &budget},
+                       [this](http_request const& request, http_reply const& reply)
+                       {
+                           ++handled;
+                           bool const is_long = request.path() == "/long";
+                           reply.send(
+                               {.body = std::string(is_long ? long_answer : 2, 'a')});
+                       }};
+    raw_connection first{loop, test::free_address()};
+
+    void send_part(raw_connection& to)
+    {
+        auto const before = budget.held() + budget.refused() + budget.closed();
+        to.write("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1000000\r\n\r\n");
+        to.write(std::string(part, 'b'));
+        while (budget.held() + budget.refused() + budget.closed() < before + part &&
+               budget.refused() == 0 && budget.closed() == 0)
+            loop.run_once();
+    }
+};
+
+// Load: large bodies at once, all of them still being sent.
+TEST(http_server, a_body_that_finds_no_memory_is_refused_and_not_handled)
+{
+    server_with_budget s(1h);
+    s.send_part(s.first);
+    raw_connection second(s.loop, test::free_address());
+    s.send_part(second);
+    EXPECT_NE(second.read_until("\r\n\r\n").find("503"), std::string::npos);
+    EXPECT_EQ(s.handled, 0);
+    EXPECT_EQ(s.budget.refused(), 1U);
+    raw_connection ordinary(s.loop, test::free_address());
+    ordinary.write("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    EXPECT_NE(ordinary.read_until("aa").find("200 OK"), std::string::npos);
+    s.first.close();
+    s.loop.run_once();
+    EXPECT_EQ(s.budget.held(), 0U);
+}
+
+// Load: a body that stopped short of its end, and one that is being sent.
+TEST(http_server, a_stalled_connection_is_closed_to_make_room)
+{
+    server_with_budget s(0s);
+    s.send_part(s.first);
+    raw_connection second(s.loop, test::free_address());
+    s.send_part(second);
+    EXPECT_EQ(s.first.read_all(), "");
+    EXPECT_EQ(s.budget.closed(), 1U);
+    EXPECT_FALSE(second.closed());
+}
+
+// Load: a long answer that its caller does not read. It never looks whole.
+TEST(http_server, an_answer_that_is_not_read_is_cut_when_others_need_its_memory)
+{
+    server_with_budget s(1h);
+    s.first.write("GET /long HTTP/1.1\r\nHost: h\r\n\r\n");
+    auto const text = s.first.read_all();
+    auto const body = text.find("\r\n\r\n") + 4;
+    EXPECT_NE(text.find("Content-Length: 40000000"), std::string::npos);
+    EXPECT_LT(text.size() - body, server_with_budget::long_answer);
+    EXPECT_EQ(s.budget.closed(), 1U);
+    EXPECT_EQ(s.budget.held(), 0U);
+}
+
 // The caller closes its connection before the server has read the request, so the end of
 // the stream is already in the socket behind the request.
 TEST(http_server, a_request_whose_caller_has_disconnected_is_not_handled)
--- a/tests/node_fleet.hpp
+++ b/tests/node_fleet.hpp
@@ -163,6 +163,7 @@
         std::size_t machine = 0;
         std::string service;
         std::string id;
+        std::size_t body_limit = 1'048'576; // of requests
     };
 
     struct report_result
@@ -197,7 +198,8 @@
             m_loop,
             http_server::options{
                 .address = {.ip = machine_ip(m_options.machine), .port = upstream_port},
-                .limits = {.read = {.header_bytes = 1'048'576}}},
+                .limits = {.read = {.header_bytes = 1'048'576,
+                                    .body_bytes = m_options.body_limit}}},
             [this](http_request const& request, http_reply const& reply)
             {
                 runs.push_back(boot_now());
@@ -328,7 +330,8 @@
             upstreams.push_back(std::make_unique<live_upstream>(
                 loop, live_upstream::options{.machine = i,
                                              .service = services[i],
-                                             .id = "i-" + std::to_string(i)}));
+                                             .id = "i-" + std::to_string(i),
+                                             .body_limit = upstream_body_limit}));
         }
     }
 
@@ -416,6 +419,7 @@
     event_loop loop;
     std::vector<std::unique_ptr<live_upstream>> upstreams; // one beside each node
     std::vector<std::string> node_arguments;               // further ones of each node
+    std::size_t upstream_body_limit = 1'048'576;           // set before start()
 
 private:
     static std::string program(std::string const& name)
