--- a/tests/link_forward_test.cpp
+++ b/tests/link_forward_test.cpp
@@ -14,6 +14,8 @@
 
 #include <gtest/gtest.h>
 
+#include <limits>
+
 namespace buckthornusher
 {
 namespace
@@ -229,5 +231,24 @@
 
 INSTANTIATE_TEST_SUITE_P(all, unknown_link, testing::Values(0.0, -1.0));
 
+TEST(link_load, passes_to_other_nodes_and_nothing_absurd_is_believed)
+{
+    upstream_load load{
+        .slots = 6, .accepting = true, .link_wait = 120ms, .link_rate = 1.7e6};
+    wire::Load out;
+    encode(load, out);
+    EXPECT_EQ(decode(out), load);
+    for (double const rate : {-1.0, std::numeric_limits<double>::infinity(),
+                              std::numeric_limits<double>::quiet_NaN()})
+    {
+        out.set_link_rate(rate);
+        EXPECT_EQ(decode(out).link_rate, 0);
+    }
+    out.set_link_wait(std::numeric_limits<std::uint64_t>::max());
+    EXPECT_EQ(decode(out).link_wait, 60s);
+    wire::Load const of_an_old_node;
+    EXPECT_EQ(decode(of_an_old_node).link_rate, 0);
+}
+
 } // namespace
 } // namespace buckthornusher
