Upstreams: an index of start_limit has its type

What callers saw: nothing. Cause: clang-tidy on the new files named a narrowing conversion. Change: a cast, and a statement of its own. Measured: tests only (start_limit_test 15 and upstream_limits_test 7 passed; clang-tidy silent on the new files).

--- a/src/request/start_limit.cpp
+++ b/src/request/start_limit.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <cstddef>
 
 namespace buckthornusher
 {
@@ -139,7 +140,9 @@
     // The newest requests that fill the window together with the unsent ones: it has room
     // once the oldest of them has left it.
     auto const room = size - m_unsent.size();
-    return m_sent.size() < room ? now : (m_sent.end() - room)->first + window;
+    if (m_sent.size() < room)
+        return now;
+    return (m_sent.end() - static_cast<std::ptrdiff_t>(room))->first + window;
 }
 
 bool start_limit::may_start(instant now) const
