Placement: the Release build takes describe() again

GCC 12 warned of an overlap in a text that was prepended to a temporary (-Wrestrict, at -O3 only), so the deploy file's build failed. The text is appended instead.

--- a/src/request/placement.cpp
+++ b/src/request/placement.cpp
@@ -306,13 +306,14 @@
     {
         return std::to_string(d.count() / 1'000);
     };
-    return std::to_string(e.load->running) + "/" + std::to_string(e.load->slots) + "+" +
-           std::to_string(e.load->waiting) + "~" + in_ms(e.load->service) + "ms," +
-           in_ms(expected_wait(*e.load, least_urgent_rank, e.load->service)) +
-           "ms-wait," + in_ms(now - e.load_received) + "ms," +
-           std::to_string(e.sent_since) + "sent" +
-           (e.load->link_rate > 0 ? "," + in_ms(e.load->link_wait) + "ms-link"
-                                  : std::string());
+    auto text =
+        std::to_string(e.load->running) + "/" + std::to_string(e.load->slots) + "+" +
+        std::to_string(e.load->waiting) + "~" + in_ms(e.load->service) + "ms," +
+        in_ms(expected_wait(*e.load, least_urgent_rank, e.load->service)) + "ms-wait," +
+        in_ms(now - e.load_received) + "ms," + std::to_string(e.sent_since) + "sent";
+    if (e.load->link_rate > 0)
+        text.append(",").append(in_ms(e.load->link_wait)).append("ms-link");
+    return text;
 }
 
 void placement::keep_only(std::vector<std::string> const& nodes)
