--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -831,14 +831,16 @@
 // response after which the call waits in vain.
 TEST(http_client, a_status_that_is_none_fails_the_call_and_ends_the_connection)
 {
-    std::string const rest = "Odd\r\nid: a\r\nContent-Length: 0\r\n\r\n";
     for (std::string const status :
          {"000", "001", "099", "101", "600", "999", "20", "2000", "-20", "abc"})
     {
         raw_server upstream;
+        auto const odd = std::string("HTTP/1.1 ")
+                             .append(status)
+                             .append(" Odd\r\nid: a\r\nContent-Length: 0\r\n\r\n");
         upstream.answer = [&](int n)
         {
-            return n == 0 ? "HTTP/1.1 " + status + " " + rest : answer_text("a", "next");
+            return n == 0 ? odd : answer_text("a", "next");
         };
         auto const result = upstream.call("a");
         ASSERT_TRUE(result.has_error()) << status;
