--- a/tests/node_process_test.cpp
+++ b/tests/node_process_test.cpp
@@ -198,9 +198,13 @@
             auto const& read = odd[i]->read;
             auto const at = read.rfind(name) + name.size();
             auto const id = read.substr(at, read.find('\r', at) - at);
-            return "HTTP/1.1 " + status + " Odd\r\n" + std::string(name) + id +
-                   "\r\nX-Buckthornusher-Response-Signature: s\r\n"
-                   "Content-Length: 2\r\n\r\nok";
+            return std::string("HTTP/1.1 ")
+                .append(status)
+                .append(" Odd\r\n")
+                .append(name)
+                .append(id)
+                .append("\r\nX-Buckthornusher-Response-Signature: s\r\n"
+                        "Content-Length: 2\r\n\r\nok");
         };
     }
     for (auto const* const none : {"000", "099", "101", "600", "999"})
