Placement: requests that can run elsewhere leave slots that others need

Cause: nothing told a place that some requests have no other from any other place.

Change: an upstream in a region that is the only one for some route of its service is contested. From half of its slots in use on, a request that can run elsewhere counts a cost there, and so goes where room is; bound requests do not. Only documents that bind routes to regions have such places.

--- a/include/buckthornusher/placement.hpp
+++ b/include/buckthornusher/placement.hpp
@@ -102,6 +102,9 @@
     distance away = distance::same_domain;
     std::uint32_t slots = 1;
     duration silence{0}; // for which the node has not answered a probe
+    // Its region is the only one for some other requests of the service. As its slots
+    // fill, a request that can run elsewhere leaves them to those.
+    bool contested = false;
     friend bool operator==(placement_candidate const&,
                            placement_candidate const&) = default;
 };
@@ -123,9 +126,13 @@
     duration domain_penalty = 2ms;
     duration region_penalty = 100ms;
     duration region_penalty_per_kib = 60ms; // of request and answer
-    duration full_weight_age = 500ms;       // age up to which a report counts in full
-    duration report_half_life = 250ms;      // of its weight afterwards
-    duration default_service = 100ms;       // service time while none is known at all
+    // A contested candidate costs nothing up to this share of its slots in use, and
+    // `contested_cost` with all of them.
+    double contested_from = 0.5;
+    duration contested_cost = 300ms;
+    duration full_weight_age = 500ms;  // age up to which a report counts in full
+    duration report_half_life = 250ms; // of its weight afterwards
+    duration default_service = 100ms;  // service time while none is known at all
     service_time_options service = {};
     // A node begins a request with a large answer at most this much before its link is
     // free for the answer (link_room.hpp).
@@ -249,6 +256,7 @@
                         placement_request const& request, instant now) const;
     double report_weight(entry const& e, instant now) const;
     duration usual_round_trip(distance away) const;
+    duration cost_of_contest(double used_share) const;
     void add_link(placement_choice& choice, entry const& e,
                   placement_request const& request, duration service, double assumed_wait,
                   instant now) const;
--- a/src/process/ingress.hpp
+++ b/src/process/ingress.hpp
@@ -209,6 +209,8 @@
     std::map<std::string, std::vector<upstream_node>> m_upstream_nodes;
     std::uint64_t m_upstream_nodes_change_count = 0;
     bool m_binds_regions = false; // m_routes binds a route to regions
+    // By service: regions that are the only ones for some of its requests.
+    std::map<std::string, std::set<std::string>> m_contested;
     // When the first upstream of each service became known.
     std::map<std::string, instant> m_known_since;
     std::map<std::string, instant> m_next_region_log; // by service
--- a/src/process/ingress_regions.cpp
+++ b/src/process/ingress_regions.cpp
@@ -17,6 +17,13 @@
     m_routes = std::move(routes);
     m_config_number = number;
     m_binds_regions = m_routes != nullptr && binds_regions(m_routes->source());
+    m_contested.clear();
+    if (!m_binds_regions)
+        return;
+    for (auto const& service : m_routes->source().services)
+        if (auto regions = contested_regions(m_routes->source(), service.name);
+            !regions.empty())
+            m_contested.emplace(service.name, std::move(regions));
 }
 
 // Binds the request as the document in force says, in addition to how it was bound when
--- a/src/process/ingress_sending.cpp
+++ b/src/process/ingress_sending.cpp
@@ -188,14 +188,18 @@
 {
     auto const& service = pending.request.service;
     step_upstreams found;
+    auto const contested = m_contested.find(service);
+    bool const free = contested != m_contested.end() && !pending.request.regions.bound();
     auto const add = [&](upstream_node const& p, bool here)
     {
-        found.candidates.push_back({.place = {.node = p.node,
-                                              .away = p.network_distance,
-                                              .slots = p.slots,
-                                              .silence = m_table.silence(p.node, now)},
-                                    .region = p.region,
-                                    .here = here});
+        found.candidates.push_back(
+            {.place = {.node = p.node,
+                       .away = p.network_distance,
+                       .slots = p.slots,
+                       .silence = m_table.silence(p.node, now),
+                       .contested = free && contested->second.contains(p.region)},
+             .region = p.region,
+             .here = here});
     };
     if (auto const own = m_agent.load(service, "", now); own && own->accepting)
         add({.node = m_options.self,
--- a/src/process/region_routes.cpp
+++ b/src/process/region_routes.cpp
@@ -31,6 +31,15 @@
     return owner_regions(bounds);
 }
 
+std::set<std::string> contested_regions(document const& doc, std::string const& service)
+{
+    std::set<std::string> regions;
+    for (auto const& route : doc.routes)
+        if (leads_to(route, service))
+            regions.insert(route.regions.begin(), route.regions.end());
+    return regions;
+}
+
 region_bound regions_now(route_table const* routes, http_request const& request,
                          region_bound const& before)
 {
--- a/src/request/placement.cpp
+++ b/src/request/placement.cpp
@@ -152,6 +152,13 @@
             .link_wait = link_wait / weights};
 }
 
+duration placement::cost_of_contest(double used_share) const
+{
+    auto const beyond =
+        (used_share - m_options.contested_from) / (1 - m_options.contested_from);
+    return from_seconds(seconds(m_options.contested_cost) * std::clamp(beyond, 0.0, 1.0));
+}
+
 duration placement::usual_round_trip(distance away) const
 {
     return away == distance::other_region ? m_options.far_round_trip
@@ -233,6 +240,8 @@
                             .wait = from_seconds(wait),
                             .load_known = load_known,
                             .full = full};
+    if (c.contested)
+        choice.expected += cost_of_contest((busy + e.sent_since) / slots);
     if (request.large_answer && e.load)
         add_link(choice, e, request, service, assumed.link_wait, now);
     return choice;
--- a/tests/placement_mix_test.cpp
+++ b/tests/placement_mix_test.cpp
@@ -204,6 +204,33 @@
 
 // All slots run long requests. Short ones that ran earlier do not make a slot free
 // sooner.
+// Guards against requests that can run in two regions taking the slots of one of them
+// from requests that can run nowhere else.
+TEST(placement_mix, free_requests_leave_slots_that_others_need_as_these_fill)
+{
+    auto const now = at_ms(0);
+    std::vector<placement_candidate> const places{
+        {.node = "near", .away = distance::same_domain, .slots = 18, .contested = true},
+        {.node = "far", .away = distance::other_region, .slots = 18}};
+    auto const chosen = [&](std::uint32_t running, bool contested)
+    {
+        placement loads({});
+        for (auto const& p : places)
+            loads.on_load(p.node,
+                          {.slots = 18,
+                           .running = p.node == "near" ? running : 4U,
+                           .service = 80ms},
+                          now, "lookup");
+        auto candidates = places;
+        candidates[0].contested = contested;
+        return loads.choose(candidates, {.request_class = "lookup"}, 0, now)->node;
+    };
+    EXPECT_EQ(chosen(4, true), "near");
+    EXPECT_EQ(chosen(9, true), "near");
+    EXPECT_EQ(chosen(16, true), "far");
+    EXPECT_EQ(chosen(16, false), "near") << "nobody else needs the slots";
+}
+
 TEST(placement_mix, the_wait_for_a_slot_follows_the_running_requests)
 {
     upstream_queue queue({.slots = 2});
