Upstreams: a report before the document counts for the cold bound

What callers saw: after a node's start, a cold upstream could get any number of requests until its next report. Cause: a report was forgotten while the node had no document, and a document gave the links that stood already no bound. Change: each report is kept; a document sets the options of the standing links. Measured: the new test fails before (rate 0, bounded for 0) and passes; upstream_limits_test 8 of 8.

--- a/src/process/agent.cpp
+++ b/src/process/agent.cpp
@@ -595,6 +595,9 @@
 {
     m_routes = std::move(routes);
     set_region_routes();
+    for (auto const& [name, l] : m_links)
+        if (name != old_setup_link)
+            set_start_options(*l, name);
     auto const& old = m_routes->source().old_setup;
     if (old.port == 0 || m_links.contains(old_setup_link))
         return;
--- a/src/process/agent.hpp
+++ b/src/process/agent.hpp
@@ -220,6 +220,7 @@
     std::set<std::uint32_t> busy_shards(std::string const& service) const;
     bool keyed(std::string const& service) const;
     void learn_warm_up(link& l, upstream_report const& report, instant now) const;
+    void set_start_options(link& l, std::string const& service_name) const;
     void note_written(link& l, instant now);
     void note_load(link& l, http_response const& response, instant now);
     void apply_condition(link& l, instant now) const;
--- a/src/process/agent_starts.cpp
+++ b/src/process/agent_starts.cpp
@@ -24,19 +24,24 @@
 
 } // namespace
 
+// The report counts also without a document, which may come after it.
 void agent::learn_warm_up(link& l, upstream_report const& report, instant now) const
 {
-    auto const* service =
-        m_routes == nullptr ? nullptr : m_routes->service(report.service);
+    set_start_options(l, report.service);
+    l.queue.starts().on_report(report.warm_up_left, now);
+}
+
+// Without a document, or a service of that name in it, the bound stays as it was.
+void agent::set_start_options(link& l, std::string const& service_name) const
+{
+    auto const* service = m_routes == nullptr ? nullptr : m_routes->service(service_name);
     if (service == nullptr)
         return;
-    auto& starts = l.queue.starts();
-    starts.set_options({.rate = service->cold_rate,
-                        .ratio = m_options.cold_ratio,
-                        .reserve = m_options.cold_reserve,
-                        .cold_time = service->cold_time,
-                        .started = m_started});
-    starts.on_report(report.warm_up_left, now);
+    l.queue.starts().set_options({.rate = service->cold_rate,
+                                  .ratio = m_options.cold_ratio,
+                                  .reserve = m_options.cold_reserve,
+                                  .cold_time = service->cold_time,
+                                  .started = m_started});
 }
 
 // Tells the bound which requests have been written since the last call, and logs a change
--- a/tests/upstream_limits_test.cpp
+++ b/tests/upstream_limits_test.cpp
@@ -20,12 +20,17 @@
         : coord({.self = {"n", 1}, .endpoint = "tcp://n:1"}),
           local(loop, coord,
                 {.form = platform::upstream_form{}, .cold_ratio = 1.5, .cold_reserve = 8})
+    {
+        local.set_routes(routes());
+        loop.timers().every(boot_now(), 20ms, [this](instant now) { local.tick(now); });
+    }
+
+    static std::shared_ptr<route_table const> routes()
     {
         document doc;
         doc.services.push_back(
             {.name = "s", .keyed = false, .cold_rate = 12, .cold_time = 4s});
-        local.set_routes(std::make_shared<route_table const>(std::move(doc)));
-        loop.timers().every(boot_now(), 20ms, [this](instant now) { local.tick(now); });
+        return std::make_shared<route_table const>(std::move(doc));
     }
 
     void report(duration warm_up_left, std::uint32_t slots = 100, std::uint64_t born = 1)
@@ -234,5 +239,26 @@
     EXPECT_EQ(load->bounded_for, 0s);
 }
 
+// A node that starts gets the report of a cold upstream before the document.
+TEST_F(upstream_limits, a_cold_upstream_is_bounded_though_it_reported_before_the_document)
+{
+    agent early(
+        loop, coord,
+        {.form = platform::upstream_form{}, .cold_ratio = 1.5, .cold_reserve = 8});
+    upstream_report r;
+    r.service = "s";
+    r.incarnation = {.id = "u", .started = 1};
+    r.sequence = 1;
+    r.slots = 100;
+    r.connections = 200;
+    r.warm_up_left = 3s;
+    early.on_report(r, boot_now());
+    EXPECT_EQ(early.load("s", "", boot_now())->start_rate, 0);
+    early.set_routes(routes());
+    auto const load = early.load("s", "", boot_now());
+    EXPECT_EQ(load->start_rate, 18);
+    EXPECT_GT(load->bounded_for, 2s);
+}
+
 } // namespace
 } // namespace buckthornusher
