Upstreams: the first requests of a process come after a silence too

What callers saw: a node that restarts while its domain is evacuated sends an unbounded number of first requests, though the upstream may be cold by then. Cause: an upstream without any request never counted as silent. Change: the silence then counts from the process's start. The first traffic of a fleet is bounded until the next report, under a second.

--- a/include/buckthornusher/start_limit.hpp
+++ b/include/buckthornusher/start_limit.hpp
@@ -11,15 +11,14 @@
 //       limit.on_start(id, now);          // then send the request
 //   ...
 //   limit.on_sent(id, now);               // its bytes have been written
-//   limit.on_not_counted(id);             // it was not sent, or was not for this
-//   upstream
+//   limit.on_not_counted(id);             // it was not sent, or for another upstream
 //
 // The upstream is cold for the time that its latest report names. It is assumed to be
 // cold
 //   - after a failed connection or several lost ones, for `cold_time` or until a report
 //     that was certainly sent later: it may have come back under its id;
-//   - after a silence of requests, until its next report: it may have become cold while
-//     it got nothing.
+//   - after a silence of requests, also since this process started, until its next
+//     report: it may have become cold while it got nothing.
 // Requests of an earlier process of the node are unknown. Until a second after this
 // process started, the whole bound counts as used.
 //
@@ -103,13 +102,13 @@
     // removed by later ones. Invariant: no id is in both.
     std::deque<std::pair<instant, std::uint64_t>> m_sent;
     std::set<std::uint64_t> m_unsent;
-    double m_level = 0;                 // starts that the bucket held at `m_level_at`
-    instant m_level_at;                 // long ago: the bucket is full
-    instant m_cold_until;               // by the latest report
-    instant m_assumed_until;            // after a failure
-    instant m_failed_at;                // the latest failure
-    std::optional<instant> m_last_lost; // the latest lost connection
-    std::optional<instant> m_last_start;
+    double m_level = 0;                     // starts that the bucket held at `m_level_at`
+    instant m_level_at;                     // long ago: the bucket is full
+    instant m_cold_until;                   // by the latest report
+    instant m_assumed_until;                // after a failure
+    instant m_failed_at;                    // the latest failure
+    std::optional<instant> m_last_lost;     // the latest lost connection
+    std::optional<instant> m_last_start;    // nothing: silent since this process started
     std::optional<instant> m_silence_ended; // until a report that was sent later
 };
 
--- a/src/request/start_limit.cpp
+++ b/src/request/start_limit.cpp
@@ -122,7 +122,7 @@
 
 bool start_limit::is_after_silence(instant now) const
 {
-    return m_last_start && now - *m_last_start > silence;
+    return now - m_last_start.value_or(m_options.started) > silence;
 }
 
 // ---- counting ----
