Ingress: evacuated services are asked for only while a domain is evacuated

What callers saw: nothing; each keyed request brought the list of upstream nodes up to date, and each round of offers built the request's limits again. Change: without evacuated domains the answer is at hand; the limits are built once before the rounds.

--- a/src/process/ingress_sending.cpp
+++ b/src/process/ingress_sending.cpp
@@ -107,11 +107,12 @@
                                  .request_class = request_class,
                                  .large_answer = pending.request.large_answer,
                                  .due_in = pending.request.due - now};
+    auto const limits = limits_of(pending, now);
     for (;;)
     {
         auto const step =
-            next_unkeyed_step(limits_of(pending, now), pending.progress, cost, upstreams,
-                              m_placement, m_offers, m_random(), now, steps());
+            next_unkeyed_step(limits, pending.progress, cost, upstreams, m_placement,
+                              m_offers, m_random(), now, steps());
         if (step.begins_last_round)
         {
             pending.progress.last_round = true;
@@ -216,6 +217,8 @@
 // Whether the service has upstreams, all of them in evacuated domains.
 bool ingress::only_evacuated(std::string const& service, instant now)
 {
+    if (m_coordinator->copy().evacuated_domains().empty())
+        return false;
     refresh_upstream_nodes();
     if (!m_evacuated_services.contains(service) || m_upstream_nodes.contains(service))
         return false;
