Store: a write on a condition of an earlier era is refused, no conflict

What callers saw: an operator who took an evacuation back just after the store's era had risen was told 200 "is taken back", though nothing was written. Cause: the answer was a conflict with an absent object, a state that nobody had read. Change: store_refused, so 503 "try again"; the same for a configuration, which said 504 unknown after a refusal. Tests: store_client_test expected the conflict; it expects the refusal, and no call as before.

--- a/src/connection/store_client.cpp
+++ b/src/connection/store_client.cpp
@@ -199,9 +199,9 @@
 void store_client::write(store_write const& operation, callback done)
 {
     auto const kind = kind_of(operation.name);
-    // Its condition might hold again by accident.
+    // Its condition might hold again by accident, and nobody has read what stands now.
     if (is_of_earlier_era(kind, operation.expected))
-        return done(store_conflict{.current = {.name = operation.name}});
+        return done(store_refused{});
     ++m_counts.writes;
     auto plain = operation;
     plain.expected = plain_revision(kind, operation.expected);
--- a/src/connection/store_client.hpp
+++ b/src/connection/store_client.hpp
@@ -4,8 +4,9 @@
 // platform/object_store.hpp. A paginated list is joined into one; its revision is that of
 // the first page, so that the list misses no change up to its revision. A watch or write
 // that the store rejects without executing it yields store_refused, and so does a write
-// that was not sent. Any other call without an unambiguous answer yields store_no_answer;
-// a write may then have taken effect or not.
+// that was not sent, such as one on a condition of an earlier era. Any other call without
+// an unambiguous answer yields store_no_answer; a write may then have taken effect or
+// not.
 //
 // An answer whose era is an error (store_era.hpp) yields store_no_answer. A watch that
 // was asked in one era and answered in a later one yields store_history_lost, as the
--- a/src/process/operator_api.cpp
+++ b/src/process/operator_api.cpp
@@ -137,6 +137,8 @@
         return {.body = "accepted number " + std::to_string(number) + "\n"};
     if (std::holds_alternative<store_conflict>(answer))
         return error_response(409, "conflict: another change was written first");
+    if (std::holds_alternative<store_refused>(answer))
+        return error_response(503, "the store refused the change; try again");
     return error_response(
         504,
         "unknown: the store did not answer; read the configuration number to see whether "
--- a/tests/store_client_test.cpp
+++ b/tests/store_client_test.cpp
@@ -137,7 +137,7 @@
     auto const so_far = calls;
     store_write const write{
         .name = evacuation_object("a"), .expected = before, .value = {}};
-    EXPECT_TRUE(std::holds_alternative<store_conflict>(call(write)));
+    EXPECT_TRUE(std::holds_alternative<store_refused>(call(write)));
     EXPECT_EQ(calls, so_far);
 }
 
