Cold upstreams: a ratio of 0 is refused, and no wait is beyond an hour

What callers saw: with cold_upstreams.ratio = 0 the time until a start was the ceiling of infinity, undefined behaviour. Change: settings want a ratio above 0; the time is bounded whatever the rate.

--- a/src/request/start_limit.cpp
+++ b/src/request/start_limit.cpp
@@ -24,6 +24,9 @@
 // Without a request for this long, the upstream may have become cold unnoticed.
 constexpr duration silence = 2s;
 
+// More is no time to wait for anything; a rate may be as good as 0.
+constexpr double longest_wait_s = 3'600;
+
 double seconds(duration d)
 {
     return std::chrono::duration<double>(d).count();
@@ -31,7 +34,8 @@
 
 duration from_seconds(double s)
 {
-    return std::chrono::ceil<duration>(std::chrono::duration<double>(s));
+    return std::chrono::ceil<duration>(
+        std::chrono::duration<double>(std::min(s, longest_wait_s)));
 }
 
 } // namespace
--- a/src/version/config.cpp
+++ b/src/version/config.cpp
@@ -116,6 +116,16 @@
         return *value;
     }
 
+    // Returns a number above 0.
+    double positive(std::string const& key, std::int64_t high, double fallback)
+    {
+        auto const errors_before = m_errors.size();
+        auto const value = number(key, 0, high, fallback);
+        if (value > 0 || m_errors.size() > errors_before)
+            return value;
+        return fail(key, *find(key, true, ""), "a number above 0"), fallback;
+    }
+
     // Returns a time in milliseconds, whose number may have a fraction.
     duration milliseconds(std::string const& key, std::int64_t low, std::int64_t high,
                           duration fallback)
@@ -630,7 +640,7 @@
     constexpr std::int64_t max_ratio = 1'000;
     constexpr std::int64_t max_reserve = 1'000'000;
     table_reader r(table, "cold_upstreams.", errors);
-    settings.cold_ratio = r.number("ratio", 0, max_ratio, settings.cold_ratio);
+    settings.cold_ratio = r.positive("ratio", max_ratio, settings.cold_ratio);
     settings.cold_reserve = r.number("reserve", 0, max_reserve, settings.cold_reserve);
     r.report_unknown_keys();
 }
--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -212,7 +212,8 @@
     EXPECT_EQ(settings.retry_reserve, 202);
     for (auto const* bad : {"", "vm", "vm.memory_mb", "vm.=3", ".memory_mb=3", "vm=3.5",
                             "vm.memory_mb=many", "vm.memory_mb=1 2", "vm.memory_mb=1e99",
-                            "vm.memory=1", "node.name=3", "nodes.name=3"})
+                            "vm.memory=1", "node.name=3", "nodes.name=3",
+                            "cold_upstreams.ratio=0", "cold_upstreams.ratio=-1"})
         EXPECT_TRUE(parse_settings(text, {bad}).has_error()) << bad;
 }
 
--- a/tests/start_limit_test.cpp
+++ b/tests/start_limit_test.cpp
@@ -233,6 +233,22 @@
     EXPECT_EQ(start_all(limit, at_ms(20'400), id), 1'000U);
 }
 
+TEST(start_limit, a_rate_as_good_as_none_gives_no_time_beyond_an_hour)
+{
+    for (double const ratio : {0.0, 1e-300})
+    {
+        auto opts = cold_service();
+        opts.ratio = ratio;
+        start_limit limit(opts);
+        limit.on_report(4s, at_ms(10'000));
+        EXPECT_LE(limit.until_start(50, at_ms(10'000)), 4s);
+        EXPECT_GT(limit.until_start(50, at_ms(10'000)), 0s);
+        limit.on_report(0s, at_ms(10'000));
+        EXPECT_LE(limit.until_start(50, at_ms(20'000)), 1h); // after a silence
+        EXPECT_GT(limit.until_start(50, at_ms(20'000)), 0s);
+    }
+}
+
 TEST(start_limit, a_new_incarnation_inherits_what_was_sent_to_the_one_before)
 {
     start_limit before(cold_service());
