--- a/src/request/start_limit.cpp
+++ b/src/request/start_limit.cpp
@@ -24,6 +24,9 @@
 // Without a request for this long, the upstream may have become cold unnoticed.
 constexpr duration silence = 2s;
 
+// More is no time to wait for anything; a rate may be as good as 0.
+constexpr double longest_wait_s = 3'600;
+
 double seconds(duration d)
 {
     return std::chrono::duration<double>(d).count();
@@ -31,7 +34,8 @@
 
 duration from_seconds(double s)
 {
-    return std::chrono::ceil<duration>(std::chrono::duration<double>(s));
+    return std::chrono::ceil<duration>(
+        std::chrono::duration<double>(std::min(s, longest_wait_s)));
 }
 
 } // namespace
@@ -122,7 +126,7 @@
 
 bool start_limit::is_after_silence(instant now) const
 {
-    return m_last_start && now - *m_last_start > silence;
+    return now - m_last_start.value_or(m_options.started) > silence;
 }
 
 // ---- counting ----
