Link: what was sent counts when it is sent, failures tell no size

Callers saw: a node that had been idle told others a backlog of seconds on its link, and after failures it took too many downloads. Cause: sent bytes were counted only when a forward came or a held answer was released, all at once; sizes were learned from failed answers too. Change: the node counts every 20 ms; failed answers teach no size. Measured: link_forward_test, 8 passed; its two new tests failed before (a link_wait of 449901 us for 0.9 MB sent a second before).

--- a/src/process/agent_link.cpp
+++ b/src/process/agent_link.cpp
@@ -65,7 +65,8 @@
     if (!w.request.large_answer || !m_link_answers.active())
         return;
     m_link_downloads.end(w.id);
-    if (auto const* answered = std::get_if<request_answered>(&result))
+    auto const* answered = std::get_if<request_answered>(&result);
+    if (answered != nullptr && !answered->failed) // a failure's size is no answer's
         m_link_downloads.note_answer(w.request.request_class,
                                      answered->response.body.size());
 }
--- a/src/process/forward_server.hpp
+++ b/src/process/forward_server.hpp
@@ -45,6 +45,9 @@
     void on_cancel(peer_route const& route, wire::Envelope const& message);
     // Begins the requests received since the last call. Returns whether there were any.
     bool begin_received();
+    // Counts what the node has sent since the last call as the link's work. To be called
+    // often: what is counted late looks like work that is still to be done.
+    void count_sent(instant now);
 
     std::size_t unfinished() const { return m_requests.size() + m_held.size(); }
     // Returns the number of answers that wait for the link.
@@ -90,7 +93,6 @@
     void hold(outgoing_reply r, std::uint64_t bytes, instant now);
     bool drop_held(request_key const& key);
     void release_held(instant now);
-    void count_sent(instant now);
 
     event_loop& m_loop;
     agent& m_agent;
--- a/src/process/node.cpp
+++ b/src/process/node.cpp
@@ -688,6 +688,7 @@
                           [&s](instant t)
                           {
                               s.local.tick(t);
+                              s.forwards.count_sent(t);
                               s.handover.tick(t);
                               s.requests.tick(t);
                               flush_log();
--- a/tests/link_forward_test.cpp
+++ b/tests/link_forward_test.cpp
@@ -45,11 +45,11 @@
 
     narrow_link()
         : upstream(loop, {.address = test::free_address(0)},
-                   [](http_request const& request, http_reply const& reply)
+                   [this](http_request const& request, http_reply const& reply)
                    {
-                       bool const large = request.target == "/large";
+                       bool const large = request.target == "/large" && !failing;
                        reply.send(
-                           {.status = 200,
+                           {.status = failing ? 500 : 200,
                             .body = std::string(large ? large_bytes : small_bytes, 'x')});
                    }),
           coord({.self = {"n", 1}, .endpoint = "tcp://n:1"}),
@@ -79,7 +79,12 @@
         report.connections = 8;
         local.on_report(report, boot_now());
         loop.after_round([this] { return forwards.begin_received(); });
-        loop.timers().every(boot_now(), 20ms, [this](instant t) { local.tick(t); });
+        loop.timers().every(boot_now(), 20ms,
+                            [this](instant t)
+                            {
+                                local.tick(t);
+                                forwards.count_sent(t);
+                            });
     }
 
     void forward(std::uint64_t attempt, bool large, duration due = 5s, duration left = 5s)
@@ -130,6 +135,7 @@
     }
 
     event_loop loop;
+    bool failing = false; // the upstream
     http_server upstream;
     coordinator coord;
     agent local;
@@ -144,8 +150,7 @@
 {
 };
 
-// The urgent lookups of the most urgent kind were in time for one in five beside
-// downloads on the same link.
+// Guards against small urgent answers that wait behind large ones.
 TEST_P(known_link, small_answers_pass_large_ones_that_wait)
 {
     for (std::uint64_t attempt = 1; attempt <= 6; ++attempt)
@@ -180,6 +185,35 @@
     EXPECT_LE(replies.size(), 2U);
 }
 
+// Load: a node that has sent much while nobody asked it for an answer.
+TEST_P(known_link, what_was_sent_long_ago_leaves_no_backlog)
+{
+    forward(1, true);
+    ASSERT_TRUE(serve_until([&] { return reply_to(1) != nullptr; }));
+    wire::Envelope message;
+    message.mutable_reply()->set_attempt(100);
+    message.mutable_reply()->set_body(std::string(large_bytes, 'x'));
+    for (int n = 0; n < 5; ++n)
+        ASSERT_TRUE(peers.send(endpoint_of(2), message));
+    ASSERT_TRUE(serve_until([&] { return replies.size() == 6; }));
+    serve_until([] { return false; }, 10 * large_time);
+    forward(2, false);
+    ASSERT_TRUE(serve_until([&] { return reply_to(2) != nullptr; }));
+    EXPECT_GE(local.link_answers().counts().other_bytes, 5 * large_bytes);
+    EXPECT_LE(reply_to(2)->reply.load().link_wait(), 50'000U); // microseconds
+}
+
+// Load: an upstream that fails in a few bytes what it is asked for.
+TEST_P(known_link, a_failure_says_nothing_of_the_size_of_answers)
+{
+    forward(1, true);
+    ASSERT_TRUE(serve_until([&] { return reply_to(1) != nullptr; }));
+    failing = true;
+    forward(2, true);
+    ASSERT_TRUE(serve_until([&] { return reply_to(2) != nullptr; }));
+    EXPECT_EQ(local.link_downloads().usual_bytes("/large"), large_bytes);
+}
+
 // A download that can't end in its caller's time is refused at once, and not begun.
 TEST_P(known_link, what_does_not_fit_is_refused_with_the_time_until_it_would)
 {
