--- a/include/buckthornusher/memory_budget.hpp
+++ b/include/buckthornusher/memory_budget.hpp
@@ -26,6 +26,9 @@
 namespace buckthornusher
 {
 
+// Messages and bodies of more are long, and whoever holds one is a large holder.
+inline constexpr std::uint64_t long_message_bytes = 65'536;
+
 struct memory_options
 {
     // Of the whole process; the default is that of the smallest VM.
@@ -33,7 +36,7 @@
     // The program, its replica, and its buffers of bounded size.
     std::uint64_t program_bytes = 48'000'000;
     std::uint64_t min_bytes = 16'000'000; // of the budget, however small the process
-    std::uint64_t large_bytes = 65'536;   // a holder of more is a large one
+    std::uint64_t large_bytes = long_message_bytes; // a holder of more is a large one
     // Kept from large holders; at most a quarter of the budget.
     std::uint64_t ordinary_reserve = 8'000'000;
     duration patience = 1s; // without progress, after which a holder may be closed
@@ -54,8 +57,14 @@
     std::uint64_t closed() const { return m_closed; }
     memory_options const& options() const { return m_options; }
 
-    // Whether a holder of `before` bytes may hold `after`.
-    bool has_room(std::uint64_t before, std::uint64_t after) const;
+    // Whether a holder of `before` bytes may hold `after`, for a message of `size`, which
+    // may be held several times.
+    bool has_room(std::uint64_t before, std::uint64_t after, std::uint64_t size) const;
+    // Whether there is room for that much while nothing else is held.
+    bool ever_has_room(std::uint64_t bytes, std::uint64_t size) const
+    {
+        return bytes <= allowed(size);
+    }
     // Whether the budget is exceeded, as answers are held without asking.
     bool exceeded() const { return m_held > m_limit; }
 
@@ -70,6 +79,8 @@
 
 private:
     friend class memory_hold;
+    std::uint64_t allowed(std::uint64_t size) const;
+
     memory_options m_options;
     std::uint64_t m_limit = 0;
     std::uint64_t m_held = 0; // sum over all holds
@@ -100,7 +111,9 @@
 
     std::uint64_t bytes() const { return m_bytes; }
     // Returns false, and changes nothing, if there is no room for it.
-    bool try_set(std::uint64_t bytes);
+    bool try_set(std::uint64_t bytes) { return try_set(bytes, bytes); }
+    // The same for a message of `size` that is held several times.
+    bool try_set(std::uint64_t bytes, std::uint64_t size);
     void set(std::uint64_t bytes);
 
 private:
--- a/src/connection/http_server.cpp
+++ b/src/connection/http_server.cpp
@@ -37,6 +37,7 @@
 // Between searches for stalled connections, as each looks at all of them.
 constexpr duration victim_search_period = 100ms;
 constexpr char const* no_memory_text = "no memory for this request now";
+constexpr char const* too_long_text = "this body is too long for this node's memory";
 
 http_response rejection_response(int status, std::string const& what)
 {
@@ -78,6 +79,7 @@
     timer_service::timer_id sweep;
 
     bool close_stalled();
+    char const* no_room_text(std::uint64_t bytes, std::uint64_t size) const;
     void close_until_within_budget();
     bool close_victim(victim_search search, instant now);
     void accept_all();
@@ -113,7 +115,9 @@
     void take_bytes(std::string_view bytes);
     std::size_t read_requests(std::string_view bytes);
     bool read_request(std::string_view bytes, std::size_t& used);
-    bool hold_input();
+    bool make_room(memory_hold& hold, std::uint64_t bytes, std::uint64_t size);
+    bool reads_request() const { return watch.is_open() && reader.has_value(); }
+    bool waits_for_handler() const;
     void dispatch_request();
     void reject(int status, std::string const& what);
     void add(std::shared_ptr<http_exchange> exchange);
@@ -231,20 +235,29 @@
             out.emplace_back(continue_response);
             flush();
         }
-        if (watch.is_open() && !hold_input())
-            reject(service_unavailable, no_memory_text);
+        if (!reads_request())
+            return false;
+        auto const bytes = reader->held_bytes();
+        if (!make_room(input, bytes, bytes) && reads_request())
+            reject(service_unavailable, server->no_room_text(bytes, bytes));
         return false;
     }
     dispatch_request();
     return true;
 }
 
-// Returns false if there is no memory for what has arrived of the request, also after
-// stalled connections have been closed.
-bool http_server::connection::hold_input()
+// Sets the hold to `bytes`, for a request of `size`, and closes stalled connections for
+// that if it must. Returns false if there is no room. Closing others cancels their
+// requests, so others begin and are answered, which may end this connection too: it may
+// be closed or read no request afterwards.
+bool http_server::connection::make_room(memory_hold& hold, std::uint64_t bytes,
+                                        std::uint64_t size)
 {
-    auto const bytes = reader->held_bytes();
-    return input.try_set(bytes) || (server->close_stalled() && input.try_set(bytes));
+    while (!hold.try_set(bytes, size))
+        if (!server->opts.memory->ever_has_room(bytes, size) ||
+            !server->close_stalled() || !reads_request())
+            return false;
+    return true;
 }
 
 void http_server::connection::dispatch_request()
@@ -252,10 +265,12 @@
     auto exchange = std::make_shared<http_exchange>();
     exchange->connection = this;
     exchange->held = memory_hold(server->opts.memory);
-    auto const bytes = copies_of_request * reader->held_bytes();
+    auto const size = reader->held_bytes();
+    auto const bytes = copies_of_request * size;
     input.set(0);
-    bool const fits = exchange->held.try_set(bytes) ||
-                      (server->close_stalled() && exchange->held.try_set(bytes));
+    bool const fits = make_room(exchange->held, bytes, size);
+    if (!reads_request())
+        return;
     exchange->close_after = !reader->keep_alive();
     input_ended = exchange->close_after;
     auto request = reader->take();
@@ -266,7 +281,7 @@
         server->opts.memory->note_refused();
     if (!fits)
         return http_reply(exchange).send(
-            rejection_response(service_unavailable, no_memory_text));
+            rejection_response(service_unavailable, server->no_room_text(bytes, size)));
     if (server->exchanges > server->opts.max_exchanges)
         return http_reply(exchange).send(
             rejection_response(service_unavailable, "too many requests at once"));
@@ -387,6 +402,13 @@
     return bytes;
 }
 
+// Whether its oldest request is being handled, so that no progress is no fault of its
+// caller.
+bool http_server::connection::waits_for_handler() const
+{
+    return !exchanges.empty() && !exchanges.front()->response;
+}
+
 void http_server::connection::flush()
 {
     while (watch.is_open() && !out.empty())
@@ -494,11 +516,14 @@
     for (auto const& entry : connections)
     {
         auto const* c = entry.first;
-        // A connection that asks for room for its request is not the one to close.
-        bool const asks = c->handling && search == victim_search::stalled;
-        if (c->held() == 0 || asks)
+        // Neither a connection that asks for room for its request nor one that waits for
+        // its answer is stalled.
+        bool const spared = c->handling || c->waits_for_handler();
+        if (c->held() == 0 || (spared && search == victim_search::stalled))
             continue;
-        holders.push_back({.bytes = c->held(), .last_progress = c->last_progress});
+        holders.push_back(
+            {.bytes = c->held(),
+             .last_progress = c->waits_for_handler() ? now : c->last_progress});
         holding.push_back(entry.first);
     }
     auto const victim = choose_victim(holders, search, now, opts.memory->options());
@@ -509,6 +534,11 @@
     return true;
 }
 
+char const* http_server::impl::no_room_text(std::uint64_t bytes, std::uint64_t size) const
+{
+    return opts.memory->ever_has_room(bytes, size) ? no_memory_text : too_long_text;
+}
+
 // Closes a stalled connection. Returns false if there is none.
 bool http_server::impl::close_stalled()
 {
--- a/src/connection/http_server.hpp
+++ b/src/connection/http_server.hpp
@@ -15,9 +15,10 @@
 //
 // What a connection holds of incomplete requests, unanswered requests and unwritten
 // answers is counted in the process's memory budget, if there is one. A request that
-// finds no room is answered with 503 before it reaches the handler. The connection that
-// has made no progress for longest and holds most is closed first; its caller sees an
-// answer that ends before its length.
+// finds no room is answered with 503 before it reaches the handler. Before that, stalled
+// connections are closed, the one that holds most first; if answers exceed the budget,
+// then also the slowest reader. Its caller sees an answer that ends before its length. A
+// connection whose request is being handled waits for the server and is not stalled.
 //
 // Cost: O(bytes). Reading pauses while a connection has `max_pipelined` unanswered
 // requests.
--- a/src/connection/peer_socket.cpp
+++ b/src/connection/peer_socket.cpp
@@ -1,6 +1,7 @@
 // Implementation of the socket between nodes; see the header.
 #include "connection/peer_socket.hpp"
 
+#include "buckthornusher/memory_budget.hpp"
 #include "process/event_loop.hpp"
 
 #include "wire.pb.h"
@@ -22,7 +23,6 @@
 constexpr int max_queued_messages = 4'000; // per peer and direction
 constexpr int max_messages_per_round = 32;
 constexpr std::int64_t max_message_bytes = 83'886'080;
-constexpr std::size_t long_message_bytes = 65'536; // a longer one is counted
 constexpr int reconnect_ms = 100;
 constexpr int max_reconnect_ms = 1'000;
 constexpr int unacknowledged_timeout_ms = 5'000;
--- a/src/process/forward_server.cpp
+++ b/src/process/forward_server.cpp
@@ -12,7 +12,6 @@
 
 namespace
 {
-constexpr std::size_t long_body_bytes = 65'536;
 constexpr std::uint64_t copies_of_body = 2; // the agent's and its connection's
 constexpr duration overloaded_retry_after = 200ms;
 
@@ -24,10 +23,10 @@
 {
     auto const& in = message.forward();
     std::shared_ptr<memory_hold> held;
-    if (in.body().size() > long_body_bytes)
+    if (in.body().size() > long_message_bytes)
     {
         held = std::make_shared<memory_hold>(m_memory);
-        if (!held->try_set(copies_of_body * in.body().size()))
+        if (!held->try_set(copies_of_body * in.body().size(), in.body().size()))
             return reply(
                 {.route = route,
                  .attempt = in.attempt(),
--- a/src/process/node.cpp
+++ b/src/process/node.cpp
@@ -137,8 +137,7 @@
           callers(loop, {.address = to_address(settings.callers), .memory = &memory},
                   [this](http_request request, http_reply const& reply)
                   { requests.on_request(std::move(request), reply); }),
-          operator_server(loop,
-                          {.address = to_address(settings.operators), .memory = &memory},
+          operator_server(loop, {.address = to_address(settings.operators)},
                           [this](http_request request, http_reply const& reply)
                           { operators.handle(std::move(request), reply); })
     {
--- a/src/request/memory_budget.cpp
+++ b/src/request/memory_budget.cpp
@@ -54,17 +54,21 @@
     m_limit = std::max(left, opts.min_bytes);
 }
 
-bool memory_budget::has_room(std::uint64_t before, std::uint64_t after) const
+// Returns what all holders together may have for a message of that size to be added.
+std::uint64_t memory_budget::allowed(std::uint64_t size) const
+{
+    if (size <= m_options.large_bytes)
+        return m_limit;
+    return m_limit - std::min(m_options.ordinary_reserve, m_limit / max_reserve_divisor);
+}
+
+bool memory_budget::has_room(std::uint64_t before, std::uint64_t after,
+                             std::uint64_t size) const
 {
     if (after <= before)
         return true;
-    auto const reserve =
-        after > m_options.large_bytes
-            ? std::min(m_options.ordinary_reserve, m_limit / max_reserve_divisor)
-            : 0;
     auto const others = m_held - std::min(m_held, before);
-    auto const allowed = m_limit - reserve;
-    return others <= allowed && after <= allowed - others;
+    return others <= allowed(size) && after <= allowed(size) - others;
 }
 
 std::uint64_t memory_budget::max_incomplete_answers() const
@@ -77,9 +81,9 @@
     return std::max(m_limit / bounded_part_divisor, longest_answer);
 }
 
-bool memory_hold::try_set(std::uint64_t bytes)
+bool memory_hold::try_set(std::uint64_t bytes, std::uint64_t size)
 {
-    if (m_budget != nullptr && !m_budget->has_room(m_bytes, bytes))
+    if (m_budget != nullptr && !m_budget->has_room(m_bytes, bytes, size))
         return false;
     set(bytes);
     return true;
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -455,11 +455,14 @@
     event_loop loop;
     memory_budget budget;
     int handled = 0;
+    std::vector<http_reply> later; // of the path "/later"
     http_server server{loop,
                        {.address = test::free_address(), .memory = &budget},
                        [this](http_request const& request, http_reply const& reply)
                        {
                            ++handled;
+                           if (request.path() == "/later")
+                               return later.push_back(reply);
                            bool const is_long = request.path() == "/long";
                            reply.send(
                                {.body = std::string(is_long ? long_answer : 2, 'a')});
@@ -507,6 +510,57 @@
     EXPECT_FALSE(second.closed());
 }
 
+// Load: the same, with more of them than one to close for a body.
+TEST(http_server, as_many_stalled_connections_are_closed_as_a_body_needs)
+{
+    server_with_budget s(0s);
+    std::vector<std::unique_ptr<raw_connection>> stalled;
+    constexpr std::size_t piece = 80'000;
+    for (std::size_t n = 1; n <= 4; ++n)
+    {
+        stalled.push_back(std::make_unique<raw_connection>(s.loop, test::free_address()));
+        stalled.back()->write("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 90000\r\n"
+                              "\r\n" +
+                              std::string(piece, 'b'));
+        while (s.budget.held() < n * piece)
+            s.loop.run_once();
+    }
+    raw_connection whole(s.loop, test::free_address());
+    whole.write("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 80000\r\n\r\n" +
+                std::string(piece, 'b'));
+    EXPECT_NE(whole.read_until("\r\n\r\n").find("200 OK"), std::string::npos);
+    EXPECT_EQ(s.budget.closed(), 3U);
+    EXPECT_EQ(s.budget.refused(), 0U);
+}
+
+// Load: a caller that has sent part of its next request while its first is being handled.
+TEST(http_server, a_connection_that_waits_for_its_answer_is_not_stalled)
+{
+    server_with_budget s(0s);
+    s.first.write("GET /later HTTP/1.1\r\nHost: h\r\n\r\n");
+    while (s.later.empty())
+        s.loop.run_once();
+    s.send_part(s.first);
+    raw_connection second(s.loop, test::free_address());
+    s.send_part(second);
+    EXPECT_NE(second.read_until("ran").find("for this request now"), std::string::npos);
+    EXPECT_EQ(s.budget.closed(), 0U);
+    s.later.front().send({.body = "aa"});
+    EXPECT_NE(s.first.read_until("aa").find("200 OK"), std::string::npos);
+}
+
+// A body that cannot be held as often as it must be, though nothing else is held.
+TEST(http_server, a_body_that_never_fits_is_told_so)
+{
+    server_with_budget s(1h);
+    s.first.write("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 150000\r\n\r\n" +
+                  std::string(150'000, 'b'));
+    auto const text = s.first.read_until("ran");
+    EXPECT_NE(text.find("503"), std::string::npos);
+    EXPECT_NE(text.find("too long for this node's memory"), std::string::npos);
+    EXPECT_EQ(s.handled, 0);
+}
+
 // Load: a long answer that its caller does not read. It never looks whole.
 TEST(http_server, an_answer_that_is_not_read_is_cut_when_others_need_its_memory)
 {
--- a/tests/memory_budget_test.cpp
+++ b/tests/memory_budget_test.cpp
@@ -52,10 +52,23 @@
     EXPECT_EQ(budget.held(), 92 * megabyte);
     memory_hold ordinary(&budget);
     EXPECT_TRUE(ordinary.try_set(30'000));
+    // What counts is a request's own size, not how often it is held.
+    EXPECT_TRUE(memory_hold(&budget).try_set(72'000, 24'000));
+    EXPECT_FALSE(memory_hold(&budget).try_set(72'000, 72'000));
     large.pop_back();
     EXPECT_TRUE(memory_hold(&budget).try_set(900'000));
 }
 
+TEST(memory_budget, tells_what_never_has_room_from_what_has_none_now)
+{
+    auto budget = make_budget();
+    memory_hold other(&budget);
+    EXPECT_TRUE(other.try_set(92 * megabyte));
+    EXPECT_FALSE(memory_hold(&budget).try_set(megabyte));
+    EXPECT_TRUE(budget.ever_has_room(90 * megabyte, 30 * megabyte));
+    EXPECT_FALSE(budget.ever_has_room(93 * megabyte, 31 * megabyte));
+}
+
 TEST(memory_budget, holds_give_back_what_they_have)
 {
     auto budget = make_budget();
