--- a/src/process/node.cpp
+++ b/src/process/node.cpp
@@ -137,8 +137,7 @@
           callers(loop, {.address = to_address(settings.callers), .memory = &memory},
                   [this](http_request request, http_reply const& reply)
                   { requests.on_request(std::move(request), reply); }),
-          operator_server(loop,
-                          {.address = to_address(settings.operators), .memory = &memory},
+          operator_server(loop, {.address = to_address(settings.operators)},
                           [this](http_request request, http_reply const& reply)
                           { operators.handle(std::move(request), reply); })
     {
@@ -688,6 +687,7 @@
                           [&s](instant t)
                           {
                               s.local.tick(t);
+                              s.forwards.count_sent(t);
                               s.handover.tick(t);
                               s.requests.tick(t);
                               flush_log();
