Coordination: after an era's rise the configuration counts as caught up

What callers saw: with an old setup in the document, shards could stay without a start after the store's era had risen. Cause: the new era's revision, masked, was compared with the fleet's versions of the old one, which are higher. Change: the replica keeps the highest plain revision of any era for it. Measured: tests only: evacuation_test 27 of 27 (the new test, of a new function, can't be built before), coordinator_test 22 of 22.

--- a/include/buckthornusher/replica.hpp
+++ b/include/buckthornusher/replica.hpp
@@ -53,6 +53,9 @@
 
     std::uint64_t revision() const { return m_revision; }
     std::uint64_t config_revision() const { return m_config_revision; }
+    // The highest revision of any era up to which the configuration was complete, for
+    // comparison with the fleet's versions, which have no era.
+    std::uint64_t plain_config_revision() const { return m_plain_config_revision; }
     // Notes that the configuration is complete up to `to`.
     void note_config_revision(std::uint64_t to);
 
@@ -109,6 +112,7 @@
 
     std::uint64_t m_revision = 0;
     std::uint64_t m_config_revision = 0;
+    std::uint64_t m_plain_config_revision = 0;
     std::uint64_t m_evacuation_revision = 0;
     std::uint64_t m_change_count = 0;
     std::uint64_t m_member_change_count = 0;
--- a/src/coordination/coordinator.cpp
+++ b/src/coordination/coordinator.cpp
@@ -403,7 +403,7 @@
     if (!has_takeover_state() || has_gap_before(shard))
         return false;
     if (!opts.ordered_configuration ||
-        revision_of_version(copy.config_revision()) >= group_version(shard))
+        copy.plain_config_revision() >= group_version(shard))
         return true;
     config_reader.want_list();
     return false;
--- a/src/coordination/replica.cpp
+++ b/src/coordination/replica.cpp
@@ -163,6 +163,7 @@
 void replica::note_config_revision(std::uint64_t to)
 {
     m_config_revision = std::max(m_config_revision, to);
+    m_plain_config_revision = std::max(m_plain_config_revision, revision_of_version(to));
 }
 
 std::vector<object> replica::changed_since(std::uint64_t since) const
--- a/tests/evacuation_test.cpp
+++ b/tests/evacuation_test.cpp
@@ -136,6 +136,18 @@
 
 // ---- the replica ----
 
+// The fleet's versions have no era: they compare with the highest revision of any.
+TEST(ConfigurationReplica, KnowsTheHighestRevisionOfAnyEra)
+{
+    replica copy;
+    copy.note_config_revision(qualified_version(3, 100));
+    copy.note_config_revision(qualified_version(4, 90));
+    EXPECT_EQ(copy.config_revision(), qualified_version(4, 90));
+    EXPECT_EQ(copy.plain_config_revision(), 100U);
+    copy.note_config_revision(qualified_version(4, 120));
+    EXPECT_EQ(copy.plain_config_revision(), 120U);
+}
+
 TEST(EvacuationReplica, KeepsThemApartFromTheFleet)
 {
     replica copy;
