Upstreams: one line a second and upstream on broken loads

What operators saw: a warning for each answer with a broken load. Change: at most one a second for each link; the counter has all. Also regions_of, the number of a document, is now regions_as_of. Measured: built; no test of the log.

--- a/src/process/agent_impl.hpp
+++ b/src/process/agent_impl.hpp
@@ -36,6 +36,7 @@
     std::optional<instant> expecting_since; // incoming shards, from then on
     dependency state;
     bool logged_cold = false;
+    instant broken_load_logged_at; // long ago: not yet
 
     bool draining() const
     {
@@ -59,7 +60,7 @@
     std::uint64_t epoch = 0;
     link_ptr backend; // destination
     bool old_setup = false;
-    std::uint64_t regions_of = 0;     // m_routes_number when its regions were determined
+    std::uint64_t regions_as_of = 0;  // m_routes_number when its regions were determined
     bool counted_in_backends = false; // in m_backends
     bool counted_in_coordinator = false; // between its try_begin() and end()
     std::optional<operation_id> operation;
--- a/src/process/agent_regions.cpp
+++ b/src/process/agent_regions.cpp
@@ -15,10 +15,10 @@
 // came into force here since.
 bool agent::outside_regions(active_request& w) const
 {
-    if (m_binds_regions && w.regions_of != m_routes_number)
+    if (m_binds_regions && w.regions_as_of != m_routes_number)
         w.request.regions =
             regions_now(m_routes.get(), w.request.request, w.request.regions);
-    w.regions_of = m_routes_number;
+    w.regions_as_of = m_routes_number;
     if (w.request.regions.allows(m_options.region))
         return false;
     w.trace.add("outside", {{"regions", to_string(w.request.regions)},
--- a/src/process/agent_starts.cpp
+++ b/src/process/agent_starts.cpp
@@ -21,6 +21,8 @@
 constexpr duration process_settles = 5s;
 // Connections that fail for this long are an outage.
 constexpr duration outage = 1s;
+// Of the log of an upstream's broken loads; the counter has all.
+constexpr duration broken_load_log_period = 1s;
 
 } // namespace
 
@@ -93,6 +95,9 @@
                           [&](load_broken const&)
                           {
                               ++m_broken_loads;
+                              if (now < l.broken_load_logged_at + broken_load_log_period)
+                                  return;
+                              l.broken_load_logged_at = now;
                               log_event(log_level::warning, "upstream-load-broken",
                                         {{"life", to_string(l.report.incarnation)}});
                           },
--- a/src/process/ingress_impl.hpp
+++ b/src/process/ingress_impl.hpp
@@ -33,7 +33,7 @@
     duration latency_bound{0}; // of the latency objective
     std::uint32_t max_attempts = 1;
     // The document by which its regions were determined last; 0: none.
-    std::uint64_t regions_of = 0;
+    std::uint64_t regions_as_of = 0;
     attempt_history attempts;
     owner_search search;  // for the shard's owner
     std::string sent_to;  // the peer with the outstanding attempt; empty: none
--- a/src/process/ingress_regions.cpp
+++ b/src/process/ingress_regions.cpp
@@ -23,9 +23,9 @@
 // it was dispatched before.
 void ingress::renew_regions(pending_request& pending) const
 {
-    if (pending.regions_of == m_config_number)
+    if (pending.regions_as_of == m_config_number)
         return;
-    pending.regions_of = m_config_number;
+    pending.regions_as_of = m_config_number;
     if (!m_binds_regions)
         return;
     auto const& before = pending.request.regions;
