--- a/src/version/config.cpp
+++ b/src/version/config.cpp
@@ -404,7 +404,6 @@
         static_cast<std::uint32_t>(reader.integer("connections", 0, 1'000'000, 0));
     service.cold_rate = reader.number("cold_rate", 0, max_cold_rate, 0);
     service.cold_time = reader.milliseconds("cold_ms", 0, max_cold_ms, duration{0});
-    service.health_path = reader.text("health_path", "");
     for (auto const* route : reader.tables("route", true))
         doc.routes.push_back(read_route(*route, path + "route.", name, errors));
     reader.report_unknown_keys();
--- a/src/version/config.hpp
+++ b/src/version/config.hpp
@@ -101,7 +101,6 @@
     std::uint32_t connections = 0; // maximum per upstream that reports none; 0: default
     double cold_rate = 0;          // requests per second to a cold upstream; 0: no bound
     duration cold_time{0};         // for which an upstream is cold after its start
-    std::string health_path;       // of its upstreams' health checks; empty: none
     friend bool operator==(service_config const&, service_config const&) = default;
 };
 
