--- a/include/buckthornusher/evacuation.hpp
+++ b/include/buckthornusher/evacuation.hpp
@@ -42,8 +42,7 @@
                             duration bound);
 
 // Whether operators may name a domain so by a node's interface: up to 200 letters,
-// digits,
-// '-', '_' and '.'.
+// digits, '-', '_' and '.'.
 bool is_plain_domain(std::string_view name);
 
 // Whether an entry may send a request to an upstream of the domain. No window: the domain
--- a/include/buckthornusher/next_step.hpp
+++ b/include/buckthornusher/next_step.hpp
@@ -6,7 +6,8 @@
 //
 //   regions      it is outside the request's regions (region_rule.hpp)
 //   reach        messages to its node cannot be dated, as the node's clock is not known
-//   evacuation   its failure domain is evacuated
+//   evacuation   its failure domain is evacuated; the ingress leaves these out
+//                before (refresh_upstream_nodes)
 //   refusal      it refused or failed the request in this round of offers
 //
 // Among the others the earliest expected answer wins (placement.hpp), whose terms are
--- a/src/request/next_step.cpp
+++ b/src/request/next_step.cpp
@@ -103,7 +103,6 @@
                        .why = {}};
 }
 
-// All that could be asked refused the request, or nobody is there to be asked.
 // The step of a request whose upstreams are all in evacuated domains, or none are known.
 step_action wait_for_other_domain(step_request const& request, instant now,
                                   step_options const& opts)
@@ -115,6 +114,7 @@
     return wait_or_refuse(request, now, opts);
 }
 
+// All that could be asked refused the request, or nobody is there to be asked.
 step_action without_choice(step_request const& request, request_progress const& progress,
                            offer_rounds const& rounds, region_supply const& supply,
                            instant now, step_options const& opts)
--- a/src/request/reported_load.cpp
+++ b/src/request/reported_load.cpp
@@ -27,7 +27,7 @@
 
 double fade_slowness(double slowness, duration age)
 {
-    if (!std::isfinite(slowness) || slowness <= 0)
+    if (!std::isfinite(slowness) || slowness <= 0 || slowness == 1)
         return 1;
     auto const bounded = std::clamp(slowness, min_slowness, max_slowness);
     return 1 + (bounded - 1) * halvings(age, fading_half_life);
