Memory: a request counts until nobody holds it

Callers saw: nothing yet; a node could hold more than its budget. Cause: when a caller or sending node left, its request's part was given back, though the agent still ran one that may run once only, body and all. Change: the part is shared by whoever holds the request.

--- a/src/connection/http_server.cpp
+++ b/src/connection/http_server.cpp
@@ -62,7 +62,8 @@
     bool dropped = false; // ends the connection without an answer
     std::optional<http_response> response;
     std::function<void()> on_disconnect;
-    memory_hold held; // of the request, then of the response
+    std::shared_ptr<memory_hold> request_held; // null once there is a response
+    memory_hold held;                          // of the response
 };
 
 struct http_server::impl
@@ -264,11 +265,12 @@
 {
     auto exchange = std::make_shared<http_exchange>();
     exchange->connection = this;
+    exchange->request_held = std::make_shared<memory_hold>(server->opts.memory);
     exchange->held = memory_hold(server->opts.memory);
     auto const size = reader->held_bytes();
     auto const bytes = copies_of_request * size;
     input.set(0);
-    bool const fits = make_room(exchange->held, bytes, size);
+    bool const fits = make_room(*exchange->request_held, bytes, size);
     if (!reads_request())
         return;
     exchange->close_after = !reader->keep_alive();
@@ -607,11 +609,18 @@
     auto const exchange = m_exchange.lock();
     if (exchange == nullptr || exchange->connection == nullptr || exchange->response)
         return;
+    exchange->request_held.reset();
     exchange->held.set(response.body.size());
     exchange->response = std::move(response);
     exchange->connection->write_answers();
 }
 
+std::shared_ptr<memory_hold> http_reply::request_hold() const
+{
+    auto const exchange = m_exchange.lock();
+    return exchange == nullptr ? nullptr : exchange->request_held;
+}
+
 void http_reply::on_disconnect(std::function<void()> fn) const
 {
     if (auto const exchange = m_exchange.lock())
--- a/src/connection/http_server.hpp
+++ b/src/connection/http_server.hpp
@@ -50,6 +50,9 @@
     // Sets a function to call if the caller's connection closes before the answer is
     // sent.
     void on_disconnect(std::function<void()> fn) const;
+    // Returns the request's part of the memory budget, or null. It is given back once the
+    // server has the answer or lost the caller, and no copy of this is left.
+    std::shared_ptr<memory_hold> request_hold() const;
     // Closes the connection without an answer, once earlier requests are answered.
     void drop() const;
 
--- a/src/process/agent.cpp
+++ b/src/process/agent.cpp
@@ -495,6 +495,7 @@
     note_link_end(w, result);
     auto const owned = m_requests.extract(w.id); // keeps `w` alive until the return
     m_waiting.erase(w.id);
+    w.request.held.reset();
     auto const done = std::move(w.done);
     if (w.counted_in_backends)
     {
--- a/src/process/agent.hpp
+++ b/src/process/agent.hpp
@@ -19,6 +19,7 @@
 #include "buckthornusher/coordinator.hpp"
 #include "buckthornusher/grant_table.hpp"
 #include "buckthornusher/link_room.hpp"
+#include "buckthornusher/memory_budget.hpp"
 #include "buckthornusher/operation_table.hpp"
 #include "buckthornusher/outcome.hpp"
 #include "buckthornusher/placement.hpp"
@@ -64,6 +65,8 @@
     instant due;               // an answer after this time is late
     instant deadline;          // no answer is of use after this time
     instant start_until;       // after this time the sender prefers another node
+    // Its part of the memory budget, until nobody holds it any more; null: none.
+    std::shared_ptr<memory_hold> held;
 };
 
 // ---- results of a request ----
--- a/src/process/forward_server.cpp
+++ b/src/process/forward_server.cpp
@@ -36,6 +36,7 @@
                                            .retry_after = overloaded_retry_after}});
     }
     auto request = decode(in);
+    request.held = std::move(held);
     request.sender = message.sender().node();
     auto const sent_at = from_micros(in.token().sent_at());
     auto const after_sent = [&](std::uint64_t us)
@@ -50,8 +51,7 @@
                           .attempt = in.attempt(),
                           .session = in.token().session(),
                           .request = std::move(request),
-                          .read_at = boot_now(),
-                          .held = std::move(held)});
+                          .read_at = boot_now()});
 }
 
 bool forward_server::begin_received()
@@ -67,7 +67,7 @@
 
 void forward_server::begin(received_request arrived)
 {
-    auto const& [route, attempt, session, request, read_at, held] = arrived;
+    auto const& [route, attempt, session, request, read_at] = arrived;
     request_key const key{route.identity, attempt};
     request_kind const kind{.service = request.service,
                             .request_class = request.request_class};
@@ -85,7 +85,7 @@
     auto const deadline = request.deadline;
     auto const id = m_agent.run(std::move(arrived.request),
                                 [this, route = route, key, kind, read_at = read_at, large,
-                                 due, deadline, held = held](request_result result)
+                                 due, deadline](request_result result)
                                 {
                                     m_requests.erase(key);
                                     send_or_hold({.route = route,
--- a/src/process/forward_server.hpp
+++ b/src/process/forward_server.hpp
@@ -63,7 +63,6 @@
         std::uint64_t session = 0; // of the process it was sent to
         upstream_request request;
         instant read_at;
-        std::shared_ptr<memory_hold> held; // null: its body is not long
     };
 
     // What a reply's load report is about.
--- a/src/process/ingress.cpp
+++ b/src/process/ingress.cpp
@@ -180,6 +180,7 @@
     routed.deadline = arrived + time_limit_of(facts, match);
     routed.due = std::min(routed.deadline, arrived + pending.latency_bound);
     routed.start_until = routed.deadline;
+    routed.held = reply.request_hold();
     std::visit([&](auto const& form) { form.strip(request); }, m_options.form);
     routed.request = std::move(request);
     pending.timer =
@@ -265,6 +266,7 @@
     end_attempt(pending, kind != outcome_kind::answered, now);
     m_waiting.erase(pending.id);
     auto const owned = m_pending.extract(pending.id);
+    pending.request.held.reset(); // the answer takes its place
     pending.reply.send(std::move(response));
 }
 
--- a/tests/crowd_process_test.cpp
+++ b/tests/crowd_process_test.cpp
@@ -123,12 +123,13 @@
 
 // Waits until a node serves a request with a body of that length.
 bool wait_until_served_with_body(event_loop& loop, tcp_address const& node,
-                                 std::size_t bytes)
+                                 std::string const& name, std::size_t bytes)
 {
     auto const deadline = boot_now() + max_wait;
     for (int n = 0; boot_now() < deadline; ++n)
     {
-        auto request = make_request("desk", "long-body-" + std::to_string(n));
+        auto request =
+            make_request("desk", "whole-body-" + name + "-" + std::to_string(n));
         request.body = std::string(bytes, 'l');
         auto const answer = ask(loop, node, std::move(request));
         if (answer && answer->status == 200)
@@ -169,9 +170,10 @@
         return sum;
     }
 
-    // Runs until the crowd neither sends nor receives any more.
+    // Runs until the crowd neither sends nor receives any more, once it has begun to.
     void let_crowd_settle()
     {
+        ASSERT_TRUE(run_until(loop, [this] { return moved() > 0; }));
         auto const deadline = boot_now() + max_wait;
         for (auto before = moved() + 1; before != moved() && boot_now() < deadline;)
         {
@@ -201,7 +203,8 @@
             EXPECT_TRUE(wait_until_served(i, "desk")) << "beside the crowd, node " << i;
         m_crowd.clear();
         for (std::size_t i = 0; i < upstreams.size(); ++i)
-            EXPECT_TRUE(wait_until_served_with_body(loop, callers_of(i), body_limit))
+            EXPECT_TRUE(wait_until_served_with_body(loop, callers_of(i),
+                                                    std::to_string(i), body_limit))
                 << "node " << i;
         check_processes();
     }
@@ -345,7 +348,9 @@
     for (std::size_t i = 0; i < upstreams.size(); ++i)
     {
         EXPECT_TRUE(wait_until_served(i, "desk"));
-        EXPECT_TRUE(wait_until_served_with_body(loop, callers_of(i), longest_body)) << i;
+        EXPECT_TRUE(wait_until_served_with_body(loop, callers_of(i), std::to_string(i),
+                                                longest_body))
+            << i;
     }
     for (std::size_t i = 0; i < upstreams.size(); ++i)
     {
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -549,6 +549,26 @@
     EXPECT_NE(s.first.read_until("aa").find("200 OK"), std::string::npos);
 }
 
+// Load: callers that leave while what they asked for is still being done.
+TEST(http_server, a_request_is_counted_while_anybody_holds_it)
+{
+    server_with_budget s(1h);
+    s.first.write("GET /later HTTP/1.1\r\nHost: h\r\n\r\n");
+    while (s.later.empty())
+        s.loop.run_once();
+    auto hold = s.later.front().request_hold();
+    ASSERT_NE(hold, nullptr);
+    auto const bytes = s.budget.held();
+    EXPECT_GT(bytes, 0U);
+    s.first.close();
+    while (s.server.connections() > 0)
+        s.loop.run_once();
+    EXPECT_EQ(s.budget.held(), bytes);
+    EXPECT_EQ(s.later.front().request_hold(), nullptr);
+    hold.reset();
+    EXPECT_EQ(s.budget.held(), 0U);
+}
+
 // A body that cannot be held as often as it must be, though nothing else is held.
 TEST(http_server, a_body_that_never_fits_is_told_so)
 {
--- a/tests/link_forward_test.cpp
+++ b/tests/link_forward_test.cpp
@@ -47,6 +47,8 @@
         : upstream(loop, {.address = test::free_address(0)},
                    [this](http_request const& request, http_reply const& reply)
                    {
+                       if (request.target == "/later")
+                           return later.push_back(reply);
                        bool const large = request.target == "/large" && !failing;
                        reply.send(
                            {.status = failing ? 500 : 200,
@@ -108,6 +110,26 @@
         ASSERT_TRUE(sender.send(endpoint_of(1), message));
     }
 
+    // Forwards a request that is not repeatable and is answered later.
+    void forward_body(std::uint64_t attempt, std::size_t bytes)
+    {
+        upstream_request request;
+        request.service = "s";
+        request.request = {
+            .method = "POST", .target = "/later", .body = std::string(bytes, 'x')};
+        wire::Envelope message;
+        message.mutable_sender()->set_node("caller");
+        auto& out = *message.mutable_forward();
+        encode(request, out);
+        out.set_attempt(attempt);
+        out.mutable_token()->set_session(table.session());
+        out.mutable_token()->set_sent_at(to_micros(boot_now()));
+        out.set_budget(5'000'000);
+        out.set_due(5'000'000);
+        out.set_start_within(5'000'000);
+        ASSERT_TRUE(sender.send(endpoint_of(1), message));
+    }
+
     void cancel(std::uint64_t attempt)
     {
         wire::Envelope message;
@@ -135,14 +157,16 @@
     }
 
     event_loop loop;
-    bool failing = false; // the upstream
+    bool failing = false;          // the upstream
+    std::vector<http_reply> later; // of the path "/later"
+    memory_budget memory{{}};
     http_server upstream;
     coordinator coord;
     agent local;
     peer_socket peers;
     peer_socket sender;
     peer_table table{peers, "n", 7, {}};
-    forward_server forwards{loop, local, peers, table, "n"};
+    forward_server forwards{loop, local, peers, table, "n", &memory};
     std::vector<arrived_reply> replies;
 };
 
@@ -203,6 +227,19 @@
     EXPECT_LE(reply_to(2)->reply.load().link_wait(), 50'000U); // microseconds
 }
 
+// Load: senders that leave while long bodies that may run once only are being worked on.
+TEST_P(known_link, a_body_is_counted_until_its_request_ends)
+{
+    forward_body(1, large_bytes);
+    ASSERT_TRUE(serve_until([&] { return !later.empty(); }));
+    EXPECT_EQ(memory.held(), 2 * large_bytes);
+    cancel(1);
+    ASSERT_TRUE(serve_until([&] { return forwards.unfinished() == 0; }));
+    EXPECT_EQ(memory.held(), 2 * large_bytes);
+    later.front().send({.status = 200});
+    EXPECT_TRUE(serve_until([&] { return memory.held() == 0; }));
+}
+
 // Load: an upstream that fails in a few bytes what it is asked for.
 TEST_P(known_link, a_failure_says_nothing_of_the_size_of_answers)
 {
