Reading of the change: one piece each for link time, the wait of a rank, and answers to commands

Found in the change itself, no behaviour meant to change: - link_schedule and link_intake each had the time of bytes on a link and the check of its rate; both call link_time.hpp now. The receiving side rounds up to the microsecond as the sending one did. - the agent had its own sum of a rank's backlog beside placement's; both call wait_of_rank(). - 'config apply' and 'domain evacuate' had the same switch over statuses, with other statuses for bad input: finish_change(). The operators' API said 'refused by the store' twice. - two constants and a member had slipped out of their places.

--- a/include/buckthornusher/placement.hpp
+++ b/include/buckthornusher/placement.hpp
@@ -69,6 +69,11 @@
     friend bool operator==(rank_backlog const&, rank_backlog const&) = default;
 };
 
+// Returns the wait of a request of the rank until a slot is free for it: it waits for the
+// queued requests of the same or a more urgent rank.
+duration wait_of_rank(std::uint32_t rank, duration until_slot,
+                      std::vector<rank_backlog> const& backlog);
+
 // Load of an upstream, as reported by the node beside it.
 struct upstream_load
 {
--- a/src/process/agent_link.cpp
+++ b/src/process/agent_link.cpp
@@ -6,21 +6,6 @@
 namespace buckthornusher
 {
 
-namespace
-{
-
-// Returns the expected wait of a request of the rank for a slot.
-duration slot_wait(upstream_queue const& queue, std::uint32_t rank)
-{
-    auto wait = queue.until_free_slot();
-    for (auto const& b : queue.backlog())
-        if (b.rank <= rank)
-            wait += b.time;
-    return wait;
-}
-
-} // namespace
-
 // Returns false if the request has been refused or waits for the link. A request that was
 // taken from a caller here crosses no link.
 bool agent::admit_to_link(active_request& w, instant now)
@@ -29,16 +14,16 @@
     if (!r.large_answer || r.sender.empty() || !m_link_answers.active())
         return true;
     auto const& queue = w.backend->queue;
-    auto const verdict =
-        m_link_downloads.arrive({.id = w.id,
-                                 .request_class = r.request_class,
-                                 .due = r.due,
-                                 .deadline = r.deadline,
-                                 .start_until = r.start_until,
-                                 .may_be_held = !r.shard},
-                                {.slot_wait = slot_wait(queue, r.rank),
-                                 .service = queue.expected_service(r.request_class)},
-                                now);
+    auto const verdict = m_link_downloads.arrive(
+        {.id = w.id,
+         .request_class = r.request_class,
+         .due = r.due,
+         .deadline = r.deadline,
+         .start_until = r.start_until,
+         .may_be_held = !r.shard},
+        {.slot_wait = wait_of_rank(r.rank, queue.until_free_slot(), queue.backlog()),
+         .service = queue.expected_service(r.request_class)},
+        now);
     auto const* held = std::get_if<held_for_link>(&verdict);
     auto const* full = std::get_if<link_is_full>(&verdict);
     if (held == nullptr || !w.held_for_link)
--- a/src/process/operator_api.cpp
+++ b/src/process/operator_api.cpp
@@ -34,6 +34,11 @@
     return {.status = status, .body = message + "\n"};
 }
 
+http_response refused_by_store()
+{
+    return error_response(503, "the store refused the change; try again");
+}
+
 std::string to_json(member_id const& id)
 {
     return "\"" + id.node + "@" + std::to_string(id.incarnation) + "\"";
@@ -138,7 +143,7 @@
     if (std::holds_alternative<store_conflict>(answer))
         return error_response(409, "conflict: another change was written first");
     if (std::holds_alternative<store_refused>(answer))
-        return error_response(503, "the store refused the change; try again");
+        return refused_by_store();
     return error_response(
         504,
         "unknown: the store did not answer; read the configuration number to see whether "
@@ -172,7 +177,7 @@
                            409, "conflict: another change was written first; try again");
     }
     if (std::holds_alternative<store_refused>(answer))
-        return error_response(503, "the store refused the change; try again");
+        return refused_by_store();
     return error_response(504, "unknown: the store did not answer; list the evacuated "
                                "domains to see whether the change was written");
 }
--- a/src/process/operator_client.cpp
+++ b/src/process/operator_client.cpp
@@ -12,7 +12,9 @@
 #include <google/protobuf/struct.pb.h>
 #include <google/protobuf/util/json_util.h>
 
+#include <algorithm>
 #include <charconv>
+#include <initializer_list>
 #include <iomanip>
 #include <iostream>
 #include <map>
@@ -46,6 +48,26 @@
     return std::nullopt;
 }
 
+void print(http_response const& response)
+{
+    (response.status == 200 ? std::cout : std::cerr) << response.body;
+}
+
+// Prints the answer to a change and returns the exit code. `bad_input`: the statuses that
+// are the command's own fault.
+int finish_change(http_response const& response, std::initializer_list<int> bad_input)
+{
+    print(response);
+    if (response.status == 200)
+        return exit_ok;
+    if (response.status == 409)
+        return exit_conflict;
+    return std::find(bad_input.begin(), bad_input.end(), response.status) ==
+                   bad_input.end()
+               ? exit_failed
+               : exit_bad_input;
+}
+
 int put_document(node_address const& node, std::string document, std::uint64_t expected)
 {
     auto const response =
@@ -54,19 +76,7 @@
                     .body = std::move(document)});
     if (!response)
         return exit_failed;
-    (response->status == 200 ? std::cout : std::cerr) << response->body;
-    switch (response->status)
-    {
-    case 200:
-        return exit_ok;
-    case 409:
-        return exit_conflict;
-    case 400:
-    case 422:
-        return exit_bad_input;
-    default:
-        return exit_failed;
-    }
+    return finish_change(*response, {400, 422});
 }
 
 int change_evacuation(node_address const& node, std::string const& method,
@@ -79,19 +89,7 @@
         call(node, {.method = method, .target = "/v1/evacuations?domain=" + domain});
     if (!response)
         return exit_failed;
-    (response->status == 200 ? std::cout : std::cerr) << response->body;
-    switch (response->status)
-    {
-    case 200:
-        return exit_ok;
-    case 409:
-        return exit_conflict;
-    case 400:
-    case 404:
-        return exit_bad_input;
-    default:
-        return exit_failed;
-    }
+    return finish_change(*response, {400, 404});
 }
 
 std::multiset<std::string> lines_of(std::string const& text)
@@ -194,7 +192,7 @@
     auto const response = call(node, {.method = "GET", .target = "/v1/evacuations"});
     if (!response)
         return exit_failed;
-    (response->status == 200 ? std::cout : std::cerr) << response->body;
+    print(*response);
     return response->status == 200 ? exit_ok : exit_failed;
 }
 
--- a/src/process/request_wire.cpp
+++ b/src/process/request_wire.cpp
@@ -16,13 +16,13 @@
 {
 
 constexpr std::uint64_t max_bound_us = 3'600'000'000; // of what a load says of the future
+constexpr std::uint64_t max_link_wait_us = 60'000'000; // a higher one is not believed
 
 // A figure that is negative or no number says nothing.
 double decode_figure(double value)
 {
     return std::isfinite(value) && value > 0 ? value : 0;
 }
-constexpr std::uint64_t max_link_wait_us = 60'000'000; // a higher one is not believed
 
 void encode_result(request_answered const& answered, wire::Reply& out)
 {
@@ -187,7 +187,7 @@
         .bounded_for = from_us(std::min<std::uint64_t>(in.bounded_for(), max_bound_us)),
         .slowness = fade_slowness(in.speed(), duration{0}),
         .link_wait = from_us(std::min(in.link_wait(), max_link_wait_us)),
-        .link_rate = std::isfinite(in.link_rate()) ? std::max(0.0, in.link_rate()) : 0.0};
+        .link_rate = decode_figure(in.link_rate())};
     for (auto const& b : in.backlog())
         load.backlog.push_back({.rank = b.rank(), .time = from_us(b.time())});
     return load;
--- a/src/request/link_intake.cpp
+++ b/src/request/link_intake.cpp
@@ -1,24 +1,17 @@
 // Room on a link for downloads that are asked for; see the header.
 #include "buckthornusher/link_intake.hpp"
 
+#include "buckthornusher/link_time.hpp"
+
 #include <algorithm>
 #include <cmath>
 
 namespace buckthornusher
 {
 
-namespace
-{
-
-constexpr double us_per_second = 1e6;
-constexpr duration max_link_time = 60s;
-
-} // namespace
-
 link_intake::link_intake(link_intake_options opts) : m_options(opts)
 {
-    if (!std::isfinite(m_options.bytes_per_second) || m_options.bytes_per_second < 0)
-        m_options.bytes_per_second = 0;
+    m_options.bytes_per_second = usable_link_rate(m_options.bytes_per_second);
 }
 
 double link_intake::size(double bytes) const
@@ -28,12 +21,7 @@
 
 duration link_intake::time_of(double bytes) const
 {
-    if (!active())
-        return duration{0};
-    auto const us =
-        std::min(bytes * us_per_second / (m_options.bytes_per_second * m_options.share),
-                 static_cast<double>(duration(max_link_time).count()));
-    return duration(static_cast<duration::rep>(us));
+    return link_time(bytes, m_options.bytes_per_second * m_options.share);
 }
 
 std::optional<duration> link_intake::until_room(double bytes, instant due,
--- a/src/request/link_schedule.cpp
+++ b/src/request/link_schedule.cpp
@@ -1,39 +1,21 @@
 // Order and pace of answers on a link; see the header.
 #include "buckthornusher/link_schedule.hpp"
 
+#include "buckthornusher/link_time.hpp"
+
 #include <algorithm>
-#include <cmath>
 
 namespace buckthornusher
 {
 
-namespace
-{
-
-constexpr double us_per_second = 1e6;
-// An answer is never taken to need longer, whatever its size and the rate are.
-constexpr duration max_link_time = 60s;
-
-duration time_for(double bytes, double bytes_per_second)
-{
-    if (!(bytes_per_second > 0) || !(bytes > 0))
-        return duration{0};
-    auto const us = std::min(bytes * us_per_second / bytes_per_second,
-                             static_cast<double>(duration(max_link_time).count()));
-    return duration(static_cast<duration::rep>(std::ceil(us)));
-}
-
-} // namespace
-
 link_schedule::link_schedule(link_schedule_options opts) : m_options(opts)
 {
-    if (!std::isfinite(m_options.bytes_per_second) || m_options.bytes_per_second < 0)
-        m_options.bytes_per_second = 0;
+    m_options.bytes_per_second = usable_link_rate(m_options.bytes_per_second);
 }
 
 duration link_schedule::time_of(std::uint64_t bytes) const
 {
-    return time_for(static_cast<double>(bytes), large_bytes_per_second());
+    return link_time(static_cast<double>(bytes), large_bytes_per_second());
 }
 
 void link_schedule::add(large_answer const& answer, instant now)
@@ -61,7 +43,7 @@
         return;
     m_counts.other_bytes += bytes;
     m_all_free = std::max(m_all_free, now) +
-                 time_for(static_cast<double>(bytes), m_options.bytes_per_second);
+                 link_time(static_cast<double>(bytes), m_options.bytes_per_second);
 }
 
 // The next large answer goes when the one before has passed and so have small messages,
@@ -69,7 +51,7 @@
 instant link_schedule::ready_at() const
 {
     auto first = instant::max();
-    auto shortest = duration(max_link_time);
+    auto shortest = max_link_time;
     for (auto const& [id, w] : m_waiting)
     {
         first = std::min(first, w.since);
@@ -135,7 +117,7 @@
 {
     auto const& w = chosen->second;
     auto const full_rate_time =
-        time_for(static_cast<double>(w.answer.bytes), m_options.bytes_per_second);
+        link_time(static_cast<double>(w.answer.bytes), m_options.bytes_per_second);
     m_large_free = std::max(m_large_free, now - m_options.catch_up) + w.time;
     // What was not waited for is forgiven, so that small messages cannot pile up a debt.
     m_all_free = now + full_rate_time;
--- a/src/request/placement.cpp
+++ b/src/request/placement.cpp
@@ -44,22 +44,26 @@
     return std::clamp(load.start_rate * service_s, 1.0, slots);
 }
 
-// Returns the expected wait of a request of the rank: it waits for the queued requests of
-// the same or a more urgent rank.
 duration expected_wait(upstream_load const& load, std::uint32_t rank, duration service)
 {
     bool const backlog_known = load.waiting == 0 || !load.backlog.empty();
     if (!backlog_known)
         return service * (load.waiting + 1) / std::max(1U, load.slots);
-    auto wait = load.until_slot;
-    for (auto const& b : load.backlog)
+    return wait_of_rank(rank, load.until_slot, load.backlog);
+}
+
+} // namespace
+
+duration wait_of_rank(std::uint32_t rank, duration until_slot,
+                      std::vector<rank_backlog> const& backlog)
+{
+    auto wait = until_slot;
+    for (auto const& b : backlog)
         if (b.rank <= rank)
             wait += b.time;
     return wait;
 }
 
-} // namespace
-
 double placement::decaying_mean::at(instant now, double half_life) const
 {
     return value * std::exp2(-seconds(now - updated) / half_life);
--- a/src/version/config.hpp
+++ b/src/version/config.hpp
@@ -198,9 +198,9 @@
     // `cold_rate` times the ratio, plus the reserve.
     double cold_ratio = 1;
     double cold_reserve = 0;
-    std::uint64_t memory_bytes =
-        0;                // of this process; 0: not given, the smallest VM's are assumed
-    double link_bits = 0; // per second, of the VM's link; 0: not known
+    // Of this process; 0: not given, those of the smallest VM are assumed.
+    std::uint64_t memory_bytes = 0;
+    double link_bits = 0;        // per second, of the VM's link; 0: not known
     double retry_ratio = 0.2;    // retry budget: retries per request, over all nodes
     double retry_reserve = 50;   // retries allowed in a window in addition to the ratio
     duration retry_window = 10s; // over which the retry budget is counted
