--- /dev/null
+++ b/tests/broken_answer_test.cpp
@@ -0,0 +1,279 @@
+// Tests that the HTTP client takes no broken answer for an answer, and that it delivers
+// sound answers of unusual form. The upstream is a stand-in that sends raw bytes.
+#include "connection/http_client.hpp"
+#include "process/event_loop.hpp"
+#include "raw_peers.hpp"
+
+#include <gtest/gtest.h>
+
+#include <array>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace buckthornusher
+{
+namespace
+{
+
+// More than the sockets of both sides hold, so that a request with such a body is still
+// being written while its upstream reads no further.
+constexpr std::size_t long_body_bytes = 16'000'000;
+constexpr std::size_t read_before_answer = 65'536;
+
+// A client and its raw upstream on one loop.
+class broken_answer : public testing::Test
+{
+protected:
+    http_result call(http_request request)
+    {
+        std::optional<http_result> result;
+        m_client.call(std::move(request), 10s,
+                      [&](http_result r) { result = std::move(r); });
+        while (!result)
+            m_loop.run_once();
+        return std::move(*result);
+    }
+
+    // The upstream answers with these bytes as soon as it has read the header.
+    http_result get(std::string const& bytes, std::string method = "GET")
+    {
+        m_upstream.answer_after = 0;
+        m_upstream.answer = [&](int)
+        {
+            return bytes;
+        };
+        return call({.method = std::move(method), .target = "/"});
+    }
+
+    // The upstream answers a long upload when it has read the beginning.
+    http_result upload(std::string const& bytes, std::size_t body_bytes = long_body_bytes)
+    {
+        m_upstream.answer_after = read_before_answer;
+        m_upstream.answer = [&](int)
+        {
+            return bytes;
+        };
+        return call(
+            {.method = "POST", .target = "/", .body = std::string(body_bytes, 'u')});
+    }
+
+    static void expect_broken(http_result const& result, std::string const& bytes)
+    {
+        ASSERT_TRUE(result.has_error())
+            << result.value().status << " with " << result.value().body.size()
+            << " bytes for " << bytes.substr(0, 200);
+        EXPECT_EQ(result.error().failed_step, http_failure::step::answer) << bytes;
+        EXPECT_TRUE(result.error().sent) << bytes;
+    }
+
+    static void expect_body(http_result const& result, std::string_view body,
+                            std::string const& bytes)
+    {
+        ASSERT_TRUE(result.has_value())
+            << to_string(result.error().failed_step) << " for " << bytes.substr(0, 200);
+        EXPECT_EQ(result.value().status, 200);
+        EXPECT_EQ(result.value().body, body) << bytes.substr(0, 200);
+    }
+
+    event_loop m_loop;
+    test::raw_upstream m_upstream{m_loop};
+    http_client m_client{m_loop, {.peer = test::free_address(), .max_connections = 2}};
+};
+
+// ---- the end of the connection ----
+
+// Lengths of what was sent: none, a part, and more than one read takes.
+std::vector<std::string> bodies()
+{
+    return {"", "a part of the body", std::string(100'000, 'p')};
+}
+
+std::string const no_length = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\n";
+
+TEST_F(broken_answer, a_reset_after_the_request_ends_no_answer_without_a_length)
+{
+    for (auto const& body : bodies())
+    {
+        auto const bytes = no_length + body + "<reset>";
+        expect_broken(get(bytes), bytes);
+    }
+}
+
+TEST_F(broken_answer, an_answer_that_is_shorter_than_it_says_is_none)
+{
+    for (std::string const part :
+         {"Content-Length: 100\r\n\r\na part",
+          "Transfer-Encoding: chunked\r\n\r\n6\r\na part\r\n",
+          "Transfer-Encoding: chunked\r\n\r\n6\r\na part\r\n0\r\nX-After: 1\r\n"})
+        for (std::string const end : {"<end>", "<end-write>", "<reset>", "<end-reset>"})
+        {
+            auto const bytes = "HTTP/1.1 200 OK\r\n" + part + end;
+            expect_broken(get(bytes), bytes);
+            expect_broken(upload(bytes), bytes);
+        }
+}
+
+TEST_F(broken_answer, without_a_length_and_with_a_clean_end_is_whole)
+{
+    for (auto const& body : bodies())
+        for (std::string const end : {"<end>", "<end-write>"})
+        {
+            auto const bytes = no_length + body + end;
+            expect_body(get(bytes), body, bytes);
+        }
+}
+
+// An upstream may answer before it has read a long body. Its answer ends with its side of
+// the connection, whatever becomes of the other side.
+TEST_F(broken_answer, early_without_a_length_and_with_a_clean_end_is_whole)
+{
+    for (auto const& body : bodies())
+        for (std::string const end : {"<end-write>", "<end-reset>"})
+        {
+            auto const bytes = no_length + body + end;
+            expect_body(upload(bytes), body, bytes);
+        }
+}
+
+TEST_F(broken_answer, early_and_whole_by_its_length_or_chunks_is_whole)
+{
+    for (std::string const end : {"", "<end-write>", "<end>", "<reset>", "<end-reset>"})
+        for (std::string const whole :
+             {"Content-Length: 4\r\n\r\nbody",
+              "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+              "Transfer-Encoding: chunked\r\n\r\n2\r\nbo\r\n2;x=y\r\ndy\r\n0\r\n"
+              "X-After: 1\r\n\r\n"})
+        {
+            auto const bytes = "HTTP/1.1 200 OK\r\n" + whole + end;
+            expect_body(upload(bytes), "body", bytes);
+        }
+}
+
+// ---- the status ----
+
+TEST_F(broken_answer, a_status_that_is_none_is_no_answer)
+{
+    for (std::string const status : {"000", "001", "099", "101", "600", "999"})
+        for (std::string const rest :
+             {"Content-Length: 4\r\n\r\nbody", "Content-Length: 0\r\n\r\n",
+              "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+              "\r\nbody<end>"})
+        {
+            auto const bytes = "HTTP/1.1 " + status + " Odd\r\n" + rest;
+            expect_broken(get(bytes), bytes);
+            expect_broken(get("HTTP/1.1 100 Continue\r\n\r\n" + bytes), bytes);
+            expect_broken(upload(bytes), bytes);
+        }
+    auto const to_head = std::string("HTTP/1.1 000 Odd\r\nContent-Length: 4\r\n\r\n");
+    expect_broken(get(to_head, "HEAD"), to_head);
+}
+
+// ---- the names of fields ----
+
+bool is_token_byte(char c)
+{
+    constexpr std::string_view others = "!#$%&'*+-.^_`|~";
+    return (c >= '0' && c <= '9') || (c >= 'A' && c <= 'Z') || (c >= 'a' && c <= 'z') ||
+           others.find(c) != std::string_view::npos;
+}
+
+// All bytes that a name may hold, and all others but those that end it.
+struct name_bytes
+{
+    std::string tokens;
+    std::string others;
+};
+
+name_bytes sort_bytes()
+{
+    name_bytes sorted;
+    for (int value = 0; value < 256; ++value)
+    {
+        auto const c = static_cast<char>(value);
+        if (is_token_byte(c))
+            sorted.tokens += c;
+        else if (c != ':')
+            sorted.others += c;
+    }
+    return sorted;
+}
+
+// Returns names that hold the byte at the beginning, inside and at the end.
+std::array<std::string, 3> names_with(char c)
+{
+    return {c + std::string("ame"), std::string("na") + c + "me",
+            std::string("name") + c};
+}
+
+TEST_F(broken_answer, a_name_that_is_no_token_is_no_answer)
+{
+    std::string const head = "HTTP/1.1 200 OK\r\n";
+    std::string const length = "Content-Length: 4\r\n";
+    for (char const c : sort_bytes().others)
+        for (auto const& name : names_with(c))
+        {
+            auto const line = name + ": value\r\n";
+            expect_broken(get(head + line + length + "\r\nbody"), name);
+            expect_broken(get(head + length + line + "\r\nbody"), name);
+            expect_broken(get(head + line + "\r\nbody<end>"), name);
+        }
+}
+
+TEST_F(broken_answer, a_name_that_is_no_token_after_chunks_is_no_answer)
+{
+    for (char const c : sort_bytes().others)
+        for (auto const& name : names_with(c))
+        {
+            auto const bytes = "HTTP/1.1 200 OK\r\nTransfer-Encoding: "
+                               "chunked\r\n\r\n4\r\nbody\r\n0\r\n" +
+                               name + ": value\r\n\r\n<end>";
+            expect_broken(get(bytes), name);
+        }
+}
+
+TEST_F(broken_answer, a_name_that_is_no_token_in_an_interim_answer_is_no_answer)
+{
+    for (char const c : sort_bytes().others)
+        for (auto const& name : names_with(c))
+        {
+            auto const bytes = "HTTP/1.1 103 Early Hints\r\n" + name +
+                               ": value\r\n\r\nHTTP/1.1 200 OK\r\n"
+                               "Content-Length: 4\r\n\r\nbody";
+            expect_broken(get(bytes), name);
+        }
+}
+
+// The body of such an answer would not be the upstream's.
+TEST_F(broken_answer, a_name_of_framing_that_is_no_token_is_no_answer)
+{
+    for (std::string const framing : {"Content-Length", "Transfer-Encoding"})
+        for (char const c : sort_bytes().others)
+        {
+            auto const value = framing == "Content-Length" ? ": 4" : ": chunked";
+            auto const bytes = "HTTP/1.1 200 OK\r\n" + framing + c + value +
+                               "\r\n\r\n4\r\nbody\r\n0\r\n\r\n<end>";
+            expect_broken(get(bytes), bytes);
+        }
+}
+
+TEST_F(broken_answer, names_of_any_token_bytes_are_delivered)
+{
+    auto const tokens = sort_bytes().tokens;
+    for (auto const& name : {tokens, std::string("!"), std::string("~|`^_"),
+                             std::string("0"), std::string("X-Odd.Name*")})
+    {
+        auto const bytes =
+            "HTTP/1.1 200 OK\r\n" + name + ": value\r\nContent-Length: 4\r\n\r\nbody";
+        auto const result = get(bytes);
+        expect_body(result, "body", bytes);
+        EXPECT_EQ(find_header(result.value().headers, name), "value");
+    }
+    std::string const folded = "HTTP/1.1 200 OK\r\nX-Folded: one\r\n two\r\n"
+                               "X-Empty:\r\nContent-Length: 4\r\n\r\nbody";
+    expect_body(get(folded), "body", folded);
+}
+
+} // namespace
+} // namespace buckthornusher
--- a/tests/raw_peers.hpp
+++ b/tests/raw_peers.hpp
@@ -79,11 +79,15 @@
     descriptor_watch m_watch;
 };
 
-// Listens at free_address(), or at the given address, and answers each request (without a
-// body) with the result of `answer`. A mark at its end is not sent but executed:
-//   <end>      closes the connection normally
-//   <reset>    resets the connection
-//   <endless>  sends `unit` repeatedly until the peer closes
+// Listens at free_address(), or at the given address, and answers each request with the
+// result of `answer`: a request without a body at its end, and a longer one once
+// `answer_after` bytes of it were read. The rest of it stays unread. A mark at the end of
+// the answer is not sent but executed:
+//   <end>        closes the connection normally
+//   <reset>      resets the connection
+//   <end-reset>  ends its own side normally and then resets the connection
+//   <end-write>  ends its own side and leaves the connection open
+//   <endless>    sends `unit` repeatedly until the peer closes
 struct raw_upstream
 {
     explicit raw_upstream(event_loop& on, tcp_address const& at = free_address())
@@ -100,6 +104,7 @@
     std::vector<int> requests_per_connection; // same index as `connections`
     std::string read;
     std::function<std::string(int)> answer; // argument: number of the request, from 0
+    std::size_t answer_after = 0;           // 0: at the end of the request's header
     std::string unit;
     std::size_t unit_bytes_sent = 0;
     int requests = 0;
@@ -126,7 +131,7 @@
     {
         auto const at = unit_bytes_sent % unit.size();
         auto const sent = tcp_write(to.fd(), std::string_view(unit).substr(at));
-        if (sent.status == io_status::broken)
+        if (sent.status != io_status::done && sent.status != io_status::not_ready)
             return to.close();
         unit_bytes_sent += sent.bytes;
         to.request_write();
@@ -140,26 +145,39 @@
         if (got.status != io_status::done)
             return c->close();
         read.append(space.data(), got.bytes);
-        if (!read.ends_with("\r\n\r\n"))
+        m_unanswered += got.bytes;
+        bool const early = answer_after > 0 && m_unanswered >= answer_after;
+        if (!early && !read.ends_with("\r\n\r\n"))
             return;
+        m_unanswered = 0;
+        if (early)
+            c->pause_reading(true);
         ++requests_per_connection[n];
-        auto const text = answer(requests++);
-        constexpr std::string_view end_mark = "<end>";
-        constexpr std::string_view reset_mark = "<reset>";
-        constexpr std::string_view endless_mark = "<endless>";
-        auto const plain = text.substr(0, text.find('<'));
-        tcp_write(c->fd(), plain);
-        if (text.ends_with(endless_mark))
-            c->request_write();
-        if (text.ends_with(end_mark))
-            c->close();
-        if (text.ends_with(reset_mark))
+        send_answer(*c, answer(requests++));
+    }
+
+    void send_answer(descriptor_watch& to, std::string_view text)
+    {
+        std::string_view mark;
+        if (text.ends_with('>'))
+            mark = text.substr(text.rfind('<'));
+        text.remove_suffix(mark.size());
+        tcp_write(to.fd(), text);
+        if (mark == "<endless>")
+            to.request_write();
+        if (mark == "<end-write>" || mark == "<end-reset>")
+            tcp_shutdown_write(to.fd());
+        if (mark == "<reset>" || mark == "<end-reset>")
         {
             linger const hard{.l_onoff = 1, .l_linger = 0};
-            ::setsockopt(c->fd(), SOL_SOCKET, SO_LINGER, &hard, sizeof(hard));
-            c->close();
+            ::setsockopt(to.fd(), SOL_SOCKET, SO_LINGER, &hard, sizeof(hard));
         }
+        if (mark == "<end>" || mark == "<reset>" || mark == "<end-reset>")
+            to.close();
     }
+
+private:
+    std::size_t m_unanswered = 0; // bytes read since the last answer
 };
 
 } // namespace buckthornusher::test
