A reset found while the request is written ends no answer without a length

What callers saw: a target answered a long upload at once with 200 and no length, sent a part of its body and reset the connection while the upload was still being written.

Cause: http_client takes the end of the connection for the end of a body without a length. The kernel reports a reset once, to whoever calls first. While a request is being written that is tcp_write(); the read that follows it returns what has arrived and then 0, as after a clean end. flush() went on to read and forgot what the write had said.

Change: the connection remembers that a write found it lost; the end of its stream then fails the call with 'answer', as a reset that a read finds always did. An answer that is whole by its length or its chunks is still delivered. So is one whose end arrived before the reset: tcp_write() now tells that apart, as the kernel then reports EPIPE in place of the reset, and the end stays readable behind the bytes. All callers of tcp_write() treat either as the end of writing. All users of http_client get the rule: targets, the store, the operators' client.

--- a/src/connection/http_client.cpp
+++ b/src/connection/http_client.cpp
@@ -81,6 +81,7 @@
     std::size_t written = 0;       // of `out`, and then of the call's body
     bool body_follows_out = false; // it is long, and not in `out`
     bool reused = false;
+    bool lost = false;              // a write found the connection broken
     bool unmatched_message = false; // a message that was not the response arrived
     bool any_sent = false;
     bool any_received = false;      // of the current call's response
@@ -154,9 +155,12 @@
         auto const put = tcp_write(watch.fd(), next);
         if (put.status == io_status::not_ready)
             return watch.request_write();
-        // The peer may have responded before it closed, so the response is read first.
-        if (put.status == io_status::broken)
+        if (put.status != io_status::done)
+        {
+            // The peer may have responded before, so the response is read first.
+            lost = put.status == io_status::broken;
             return on_readable();
+        }
         any_sent = true;
         written += put.bytes;
     }
@@ -178,9 +182,9 @@
         auto const got = tcp_read(watch.fd(), buffer.data(), buffer.size());
         if (got.status == io_status::not_ready)
             return;
-        if (got.status == io_status::ended)
+        if (got.status == io_status::ended && !lost)
             return end_of_stream();
-        if (got.status == io_status::broken)
+        if (got.status != io_status::done)
             return fail(http_failure::step::answer);
         take_bytes({buffer.data(), got.bytes});
         // Must follow take_bytes(): the callback of a call that fails here may read into
--- a/src/connection/http_client.hpp
+++ b/src/connection/http_client.hpp
@@ -16,6 +16,10 @@
 // A status outside 100 to 599, or 101, is no answer: the call fails with `answer` and the
 // connection is closed. So does one whose last message is an interim response.
 //
+// A response without a length ends where the peer ends its side of the connection, also
+// if it does so before it has read the request. If the connection is lost instead, which
+// a read or a write may be the first to find, the call fails with `answer`.
+//
 // If a peer sends more bytes during a call than `limits` allow, in a response or in
 // messages that are not the response, the call fails with `too_long` and the connection
 // is closed at once.
--- a/src/connection/http_server.cpp
+++ b/src/connection/http_server.cpp
@@ -419,7 +419,7 @@
             tcp_write(watch.fd(), std::string_view(out.front()).substr(written));
         if (put.status == io_status::not_ready)
             return watch.request_write();
-        if (put.status == io_status::broken)
+        if (put.status != io_status::done)
             return close();
         written += put.bytes;
         last_progress = boot_now();
--- a/src/connection/tcp_socket.cpp
+++ b/src/connection/tcp_socket.cpp
@@ -129,8 +129,10 @@
     auto const put = ::send(fd, bytes.data(), bytes.size(), MSG_NOSIGNAL);
     if (put >= 0)
         return {.status = io_status::done, .bytes = static_cast<std::size_t>(put)};
-    bool const retry = errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR;
-    return {.status = retry ? io_status::not_ready : io_status::broken};
+    if (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR)
+        return {.status = io_status::not_ready};
+    // A reset gives EPIPE only if the end of the peer's bytes arrived before it.
+    return {.status = errno == EPIPE ? io_status::ended : io_status::broken};
 }
 
 void tcp_shutdown_write(int fd)
--- a/src/connection/tcp_socket.hpp
+++ b/src/connection/tcp_socket.hpp
@@ -53,6 +53,10 @@
 // Reads until no bytes are available (`not_ready`), the buffer is full (`done`) or the
 // connection has ended (`ended`, `broken`); `bytes` counts the bytes read before that.
 io_result tcp_read_all(int fd, char* buffer, std::size_t size);
+// Returns `ended` if the peer had closed its side cleanly and then refused the bytes: all
+// that it sent can be read up to its end. Returns `broken` if the connection was lost.
+// The loss is reported once: the reads that follow return what has arrived, and then
+// `ended`.
 io_result tcp_write(int fd, std::string_view bytes);
 // Shuts down the sending side; the peer's bytes can still be read.
 void tcp_shutdown_write(int fd);
--- a/tests/broken_answer_process_test.cpp
+++ b/tests/broken_answer_process_test.cpp
@@ -112,6 +112,13 @@
 
 std::string const ok = "HTTP/1.1 200 OK\r\n";
 
+// Guards against a part of an answer being delivered as a whole one.
+TEST_F(broken_answer_fleet, a_reset_during_the_upload_is_no_end_of_an_answer)
+{
+    expect_lost(ok, "\r\nbody<reset>", upload_bytes);
+    expect_lost(ok, "\r\n" + std::string(100'000, 'p') + "<reset>", upload_bytes);
+}
+
 // Guards against an upstream in trouble whose answer bears a status that is none.
 TEST_F(broken_answer_fleet, a_status_that_is_none_is_never_passed_on)
 {
--- a/tests/broken_answer_test.cpp
+++ b/tests/broken_answer_test.cpp
@@ -92,6 +92,18 @@
 
 std::string const no_length = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\n";
 
+TEST_F(broken_answer, a_reset_during_the_upload_ends_no_answer_without_a_length)
+{
+    for (std::string const& head :
+         {no_length, std::string("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"),
+          std::string("HTTP/1.0 200 OK\r\n\r\n")})
+        for (auto const& body : bodies())
+        {
+            auto const bytes = head + body + "<reset>";
+            expect_broken(upload(bytes), bytes);
+        }
+}
+
 TEST_F(broken_answer, a_reset_after_the_request_ends_no_answer_without_a_length)
 {
     for (auto const& body : bodies())
--- a/tests/crowd_process_test.cpp
+++ b/tests/crowd_process_test.cpp
@@ -79,7 +79,7 @@
             next = std::string_view(m_options.piece)
                        .substr((m_sent - m_options.head.size()) % m_options.piece.size());
         auto const put = tcp_write(m_watch.fd(), next.substr(0, total - m_sent));
-        if (put.status == io_status::broken)
+        if (put.status != io_status::done && put.status != io_status::not_ready)
             return m_watch.close();
         m_sent += put.bytes;
         m_moved += put.bytes;
