An answer from another node passes on only if it is sound

What callers would have seen: a reply of another node with the status 0 (what an empty field decodes to) or with a field whose name or value holds a blank, a control byte or the end of a line was written to the caller as it was: 'HTTP/1.1 0', a damaged line, or further fields and a body of somebody else's making. A sound node of this version sends none, as its own reader refuses them; a node of another version, or one in trouble, may.

Cause: the rule stood at one reader, that of HTTP. The decoder of replies between nodes took what came.

Change: is_sound() in http_codec says what may pass as a final response, in the terms that http_client and Beast's parser apply, and decode() of a reply asks it. The answer counts as lost, so callers get what they get when a target's answer breaks off. http_client takes the range of statuses from the same place. So that the two rules cannot part, a test and the fuzz target of responses check that what the reader delivers is sound.

--- a/fuzz/targets.cpp
+++ b/fuzz/targets.cpp
@@ -72,6 +72,8 @@
         reader.keep_alive_seconds();
         auto const response = reader.take();
         require(response.body.size() <= limits.body_bytes, "bodies are bounded");
+        require(!is_final_status(response.status) || is_sound(response),
+                "what is read can be passed on");
     }
 }
 
--- a/src/connection/http_client.cpp
+++ b/src/connection/http_client.cpp
@@ -23,15 +23,12 @@
 constexpr duration sweep_period = 500ms;
 // Bodies up to this size are written together with their header.
 constexpr std::size_t max_joined_body_bytes = 65'536;
-constexpr int first_interim_status = 100;
 constexpr int switching_protocols = 101; // never asked for
-constexpr int first_final_status = 200;
-constexpr int last_status = 599;
 
 bool is_status(int status)
 {
-    return first_interim_status <= status && status <= last_status &&
-           status != switching_protocols;
+    return is_final_status(status) ||
+           (is_interim_status(status) && status != switching_protocols);
 }
 
 // A call and its state. Lives from call() until `done` is called.
@@ -242,7 +239,7 @@
     auto response = reader->take();
     if (!is_status(response.status))
         return fail(http_failure::step::answer), false;
-    bool const interim = response.status < first_final_status;
+    bool const interim = is_interim_status(response.status);
     bool const matches = interim || !client->opts.is_response_to ||
                          client->opts.is_response_to(call->request, response);
     if (interim || !matches)
--- a/src/connection/http_codec.cpp
+++ b/src/connection/http_codec.cpp
@@ -207,6 +207,30 @@
         append_header(out, header.name, header.value);
 }
 
+bool is_token(std::string_view text)
+{
+    constexpr std::string_view marks = "!#$%&'*+-.^_`|~";
+    auto const may_stand = [&](char c)
+    {
+        return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') ||
+               (c >= '0' && c <= '9') || marks.find(c) != std::string_view::npos;
+    };
+    return !text.empty() && std::all_of(text.begin(), text.end(), may_stand);
+}
+
+// Of a field's value or a reason phrase.
+bool is_field_text(std::string_view text)
+{
+    auto const is_control = [](char c)
+    {
+        constexpr unsigned char last_control = 0x1f;
+        constexpr unsigned char delete_byte = 0x7f;
+        auto const byte = static_cast<unsigned char>(c);
+        return (byte <= last_control && c != '\t') || byte == delete_byte;
+    };
+    return std::none_of(text.begin(), text.end(), is_control);
+}
+
 bool has_no_body(int status)
 {
     return status / 100 == 1 || status == 204 || status == 304;
@@ -363,6 +387,14 @@
             .body = std::move(message.body)};
 }
 
+bool is_sound(http_response const& response)
+{
+    return is_final_status(response.status) && is_field_text(response.reason) &&
+           std::all_of(response.headers.begin(), response.headers.end(),
+                       [](http_header const& header)
+                       { return is_token(header.name) && is_field_text(header.value); });
+}
+
 // ---- writing ----
 
 std::string serialize_header(http_request const& request)
--- a/src/connection/http_codec.hpp
+++ b/src/connection/http_codec.hpp
@@ -109,6 +109,11 @@
 // The same without the body.
 std::string serialize_header(http_request const& request);
 
+// Whether it is a final response that may pass as one: with a status from 200 to 599,
+// names of fields that are tokens, and no control bytes but tabs in the values and the
+// reason phrase (RFC 9110, sections 5 and 15). Responses that http_client delivers are.
+bool is_sound(http_response const& response);
+
 struct response_options
 {
     bool close = false; // adds "Connection: close"
--- a/src/connection/http_message.hpp
+++ b/src/connection/http_message.hpp
@@ -66,6 +66,18 @@
     friend bool operator==(http_response const&, http_response const&) = default;
 };
 
+constexpr bool is_interim_status(int status)
+{
+    return status / 100 == 1;
+}
+// Of a response that is the last one to its request.
+constexpr bool is_final_status(int status)
+{
+    constexpr int first = 200;
+    constexpr int last = 599;
+    return first <= status && status <= last;
+}
+
 // Returns the value of the first header of that name, or null.
 inline std::string const* header_value(http_headers const& headers, std::string_view name)
 {
--- a/src/process/request_wire.cpp
+++ b/src/process/request_wire.cpp
@@ -2,6 +2,7 @@
 #include "process/request_wire.hpp"
 
 #include "buckthornusher/reported_load.hpp"
+#include "connection/http_codec.hpp"
 #include "connection/wire.hpp"
 
 #include "wire.pb.h"
@@ -84,6 +85,8 @@
                                .body = in.body()};
         for (auto const& h : in.headers())
             response.headers.push_back({h.name(), h.value()});
+        if (!is_sound(response))
+            return request_unknown{.reason = outcome_reason::answer_lost};
         return request_answered{.response = std::move(response), .failed = in.failed()};
     }
     case wire::Reply::REFUSED:
--- a/src/process/request_wire.hpp
+++ b/src/process/request_wire.hpp
@@ -24,7 +24,8 @@
 
 void encode(request_result const& result, wire::Reply& out);
 // Decodes a result. An unrecognised outcome becomes an unknown result, an unrecognised
-// reason becomes outcome_reason::none.
+// reason becomes outcome_reason::none. An answer that is not sound (see http_codec.hpp)
+// is lost: the request may have run.
 request_result decode(wire::Reply const& in);
 
 void encode(upstream_load const& load, wire::Load& out);
--- a/tests/broken_answer_test.cpp
+++ b/tests/broken_answer_test.cpp
@@ -281,11 +281,37 @@
         auto const result = get(bytes);
         expect_body(result, "body", bytes);
         EXPECT_EQ(find_header(result.value().headers, name), "value");
+        EXPECT_TRUE(is_sound(result.value())) << "other nodes pass it on";
     }
     std::string const folded = "HTTP/1.1 200 OK\r\nX-Folded: one\r\n two\r\n"
                                "X-Empty:\r\nContent-Length: 4\r\n\r\nbody";
     expect_body(get(folded), "body", folded);
 }
 
+// ---- values of fields and reason phrases ----
+
+TEST_F(broken_answer, a_value_or_phrase_is_delivered_unless_it_holds_a_control_byte)
+{
+    for (int value = 0; value < 256; ++value)
+    {
+        auto const c = static_cast<char>(value);
+        bool const is_control = (value < ' ' && c != '\t') || c == '\x7f';
+        auto const text = std::string("te") + c + "xt";
+        for (auto const& bytes :
+             {"HTTP/1.1 200 OK\r\nX-Field: " + text + "\r\nContent-Length: 4\r\n\r\nbody",
+              "HTTP/1.1 200 " + text + "\r\nContent-Length: 4\r\n\r\nbody"})
+        {
+            auto const result = get(bytes);
+            if (is_control)
+            {
+                expect_broken(result, bytes);
+                continue;
+            }
+            expect_body(result, "body", bytes);
+            EXPECT_TRUE(is_sound(result.value())) << "other nodes pass it on: " << value;
+        }
+    }
+}
+
 } // namespace
 } // namespace buckthornusher
