A whole answer without a length survives a reset that follows its end

What callers saw: an upstream answered without a length, ended its side, and closed its connection with bytes of the request unread, so that a reset followed. If the request had been written by then, the answer counted as lost (502), though its end had arrived.

Cause: after a short read the connection waited for the next event to read the end. The event loop's watch closes a descriptor that both sides are done with once its reader returns, so that event never came.

Change: while a response is awaited, the connection reads until nothing is left.

--- a/src/connection/http_client.cpp
+++ b/src/connection/http_client.cpp
@@ -188,7 +188,9 @@
         // the same thread-local buffer.
         if (watch.is_open())
             client->enforce_byte_limit();
-        if (got.bytes < buffer.size())
+        // While a response is awaited its end may be there too. It must be read now, as
+        // the watch closes a descriptor that both sides are done with.
+        if (got.bytes < buffer.size() && !call)
             return;
     }
 }
--- a/tests/broken_answer_test.cpp
+++ b/tests/broken_answer_test.cpp
@@ -149,6 +149,17 @@
         }
 }
 
+// The same for a body that the sockets hold, so that its upload is over.
+TEST_F(broken_answer, whole_before_a_reset_that_finds_nothing_to_write_is_whole)
+{
+    for (auto const& body : bodies())
+    {
+        auto const bytes = no_length + body + "<end-reset>";
+        expect_body(get(bytes), body, bytes);
+        expect_body(upload(bytes, 2 * read_before_answer), body, bytes);
+    }
+}
+
 TEST_F(broken_answer, early_and_whole_by_its_length_or_chunks_is_whole)
 {
     for (std::string const end : {"", "<end-write>", "<end>", "<reset>", "<end-reset>"})
