An upstream that reads a long request slowly is not taken for lost

What callers saw: a target that is sound reads the beginning of a long body, answers without a length over some seconds and reads on later. 3.1 s later the node itself gave the connection up.

Cause: TCP_USER_TIMEOUT (3 s), by which the client notices a lost machine, also runs while the peer's window is closed, even if the peer acknowledges every probe of it.

Two unanswered ones and the same 3 s mean a lost peer. A peer that reads slowly answers each probe, so only the call's own timeout ends the call. Short requests and idle connections keep the kernel's timeout, and so do all where the system doesn't tell.

That a silent peer is still noticed is tested with a socket filter that drops all that comes, once with the peer's window closed and once with bytes on their way: 1.5 s after its silence at a timeout of 1 s while bytes are on their way, and 4.5 s after it with a closed window, as the kernel's probes have become rarer by then.

--- a/src/connection/http_client.cpp
+++ b/src/connection/http_client.cpp
@@ -23,6 +23,8 @@
 constexpr duration sweep_period = 500ms;
 // Bodies up to this size are written together with their header.
 constexpr std::size_t max_joined_body_bytes = 65'536;
+// A request that is no longer fits into the receive buffer of any peer.
+constexpr std::size_t max_unhindered_bytes = 1'024;
 constexpr int switching_protocols = 101; // never asked for
 
 bool is_status(int status)
@@ -76,9 +78,11 @@
     std::optional<response_reader> reader;
     std::string out;
     std::size_t written = 0;       // of `out`, and then of the call's body
+    std::size_t request_bytes = 0; // of the current call
     bool body_follows_out = false; // it is long, and not in `out`
     bool reused = false;
     bool lost = false;              // a write found the connection broken
+    bool checks_silence = false;    // in place of the kernel
     bool unmatched_message = false; // a message that was not the response arrived
     bool any_sent = false;
     bool any_received = false;      // of the current call's response
@@ -94,6 +98,7 @@
     bool add_received_bytes(std::size_t count);
     void release_bytes();
     bool handle_message(std::string_view rest);
+    void check_silence();
     void finish(http_response response, bool reuse);
     void fail(http_failure::step failed_step);
     void end_of_stream();
@@ -111,6 +116,7 @@
     body_follows_out = call->request.body.size() > max_joined_body_bytes;
     out = body_follows_out ? serialize_header(call->request) : serialize(call->request);
     written = 0;
+    request_bytes = out.size() + (body_follows_out ? call->request.body.size() : 0);
     any_sent = false;
     any_received = false;
     reader.emplace(client->opts.limits, call->request.method == "HEAD");
@@ -262,6 +268,21 @@
     return false;
 }
 
+// Fails the call if its peer is lost. The kernel would also take a peer for lost that
+// reads a long request slowly, so it is not left to it once a call takes longer.
+void http_client::connection::check_silence()
+{
+    if (request_bytes <= max_unhindered_bytes)
+        return;
+    auto const silence = tcp_peer_silence(watch.fd());
+    if (!silence)
+        return;
+    if (!std::exchange(checks_silence, true))
+        tcp_set_unacknowledged_timeout(watch.fd(), 0s);
+    if (is_lost(*silence, client->opts.unacknowledged_timeout))
+        fail(http_failure::step::answer);
+}
+
 void http_client::connection::finish(http_response response, bool reuse)
 {
     auto const self = shared_from_this();
@@ -275,6 +296,9 @@
     if (reuse)
     {
         reused = true;
+        if (std::exchange(checks_silence, false))
+            tcp_set_unacknowledged_timeout(watch.fd(),
+                                           client->opts.unacknowledged_timeout);
         client->idle.push_back(this);
     }
     else
@@ -397,6 +421,8 @@
             c.fail(http_failure::step::connect);
         else if (!c.call && c.idle_until <= now)
             c.close();
+        else if (c.call && !c.connecting)
+            c.check_silence();
     }
     if (destroyed)
         return;
--- a/src/connection/http_client.hpp
+++ b/src/connection/http_client.hpp
@@ -24,6 +24,9 @@
 // messages that are not the response, the call fails with `too_long` and the connection
 // is closed at once.
 //
+// While a call with a long request is in work, the client itself watches for a peer that
+// falls silent, twice a second; for all others the kernel does.
+//
 // Cost: O(bytes) for each call, O(1) to find a connection; memory up to twice
 // `max_incomplete_bytes` for incomplete responses.
 #ifndef BUCKTHORNUSHER_CONNECTION_HTTP_CLIENT_HPP
@@ -90,7 +93,8 @@
         std::size_t max_connections = 8;
         duration idle_timeout = 20s; // unless the peer announces a shorter one
         duration connect_timeout = 1s;
-        // A connection is lost if sent bytes stay unacknowledged for this long.
+        // A connection is lost if sent bytes stay unacknowledged for this long. A peer
+        // that reads slowly acknowledges: only the call's timeout ends its call.
         duration unacknowledged_timeout = 3s;
         // For one response, including messages discarded while waiting for it.
         http_read_limits limits = {.header_bytes = 65'536, .body_bytes = 8'388'608};
--- a/src/connection/tcp_socket.cpp
+++ b/src/connection/tcp_socket.cpp
@@ -82,10 +82,7 @@
     if (fd < 0)
         return -1;
     set_option(fd, IPPROTO_TCP, TCP_NODELAY, 1);
-    set_option(fd, IPPROTO_TCP, TCP_USER_TIMEOUT,
-               static_cast<int>(std::chrono::duration_cast<std::chrono::milliseconds>(
-                                    unacknowledged_timeout)
-                                    .count()));
+    tcp_set_unacknowledged_timeout(fd, unacknowledged_timeout);
     if (::connect(fd, reinterpret_cast<sockaddr const*>(&socket_address),
                   sizeof(socket_address)) != 0 &&
         errno != EINPROGRESS)
@@ -100,6 +97,30 @@
     return ::getsockopt(fd, SOL_SOCKET, SO_ERROR, &error, &size) == 0 ? error : errno;
 }
 
+void tcp_set_unacknowledged_timeout(int fd, duration timeout)
+{
+    auto const ms = std::chrono::duration_cast<std::chrono::milliseconds>(timeout);
+    set_option(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(ms.count()));
+}
+
+std::optional<tcp_silence> tcp_peer_silence(int fd)
+{
+    tcp_info info{};
+    socklen_t size = sizeof(info);
+    if (::getsockopt(fd, IPPROTO_TCP, TCP_INFO, &info, &size) != 0)
+        return std::nullopt;
+    return tcp_silence{.unanswered = info.tcpi_retransmits + info.tcpi_probes,
+                       .since_acknowledged =
+                           std::chrono::milliseconds(info.tcpi_last_ack_recv)};
+}
+
+bool is_lost(tcp_silence const& silence, duration unacknowledged_timeout)
+{
+    constexpr int min_unanswered = 2;
+    return silence.unanswered >= min_unanswered &&
+           silence.since_acknowledged >= unacknowledged_timeout;
+}
+
 io_result tcp_read(int fd, char* buffer, std::size_t size)
 {
     auto const got = ::recv(fd, buffer, size, 0);
--- a/src/connection/tcp_socket.hpp
+++ b/src/connection/tcp_socket.hpp
@@ -8,6 +8,7 @@
 #include "buckthornusher/time.hpp"
 
 #include <cstddef>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -42,13 +43,31 @@
 int tcp_listen(tcp_address const& address);
 // Returns the next pending connection, or -1 if none can be accepted.
 int tcp_accept(int listener);
-// Starts to connect and returns the descriptor, or -1 with errno set. The connection is
-// lost if sent bytes stay unacknowledged for `unacknowledged_timeout`.
+// Starts to connect and returns the descriptor, or -1 with errno set. The kernel takes
+// the connection for lost if sent bytes stay unacknowledged for `unacknowledged_timeout`,
+// or if the peer's window stays closed for that long, even if the peer acknowledges all
+// probes of it (RFC 9293, section 3.8.6.1).
 int tcp_connect(tcp_address const& peer, duration unacknowledged_timeout);
 // Returns the result of tcp_connect() once the descriptor is writable: 0, or the errno
 // with which it failed.
 int tcp_connect_error(int fd);
 
+// Sets that timeout anew; zero: the kernel's own limits apply, which are minutes.
+void tcp_set_unacknowledged_timeout(int fd, duration timeout);
+
+// How long a peer has been silent that should have acknowledged something.
+struct tcp_silence
+{
+    int unanswered = 0; // retransmissions and probes of its window since it did
+    duration since_acknowledged{0};
+    friend bool operator==(tcp_silence const&, tcp_silence const&) = default;
+};
+// Returns nothing if the system does not tell.
+std::optional<tcp_silence> tcp_peer_silence(int fd);
+// Whether a peer that is silent in this way is lost. One that only keeps its window
+// closed answers each probe; a single one may be on its way, or lost by the network.
+bool is_lost(tcp_silence const& silence, duration unacknowledged_timeout);
+
 io_result tcp_read(int fd, char* buffer, std::size_t size);
 // Reads until no bytes are available (`not_ready`), the buffer is full (`done`) or the
 // connection has ended (`ended`, `broken`); `bytes` counts the bytes read before that.
--- a/tests/raw_peers.hpp
+++ b/tests/raw_peers.hpp
@@ -7,6 +7,7 @@
 #include "process/boot_clock.hpp"
 #include "process/event_loop.hpp"
 
+#include <linux/filter.h>
 #include <sys/socket.h>
 
 #include <array>
@@ -79,6 +80,15 @@
     descriptor_watch m_watch;
 };
 
+// The socket takes no further packet, so that its peer hears no acknowledgement, as if
+// the machine were gone.
+inline void fall_silent(int fd)
+{
+    sock_filter drop_all = BPF_STMT(BPF_RET | BPF_K, 0);
+    sock_fprog const program{.len = 1, .filter = &drop_all};
+    ::setsockopt(fd, SOL_SOCKET, SO_ATTACH_FILTER, &program, sizeof(program));
+}
+
 // Listens at free_address(), or at the given address, and answers each request with the
 // result of `answer`: a request without a body at its end, and a longer one once
 // `answer_after` bytes of it were read. The rest of it stays unread. A mark at the end of
