A handed-over answer passes on only if it is sound

What callers would have seen: the answer of an operation that its owner hands to the successor is given to callers who ask for the operation again. It was taken as it came: with a status that is none, or with a content type that holds a control byte or the end of a line. It is the second place that takes answers from other nodes.

Evidence: request_wire.the_answer_of_an_operation_that_is_not_sound_is_lost failed on the code before in all its five cases (the conversion had been moved, unchanged, to where a test reaches it).

Change: the conversion of handovers stands beside that of replies in request_wire, and asks is_sound() likewise. The outcome of such an operation is unknown, as if its answer had been lost. Beside it a test of the store's client, which held before: broken answers, each with a whole document in it, are no answers to a list, a watch or a removal, and sound ones of unusual form are.

--- a/src/process/request_wire.cpp
+++ b/src/process/request_wire.cpp
@@ -1,14 +1,16 @@
-// Conversion of upstream requests, their results and load reports to and from protobuf.
+// Implementation of the conversion to and from protobuf; see the header.
 #include "process/request_wire.hpp"
 
 #include "buckthornusher/reported_load.hpp"
 #include "connection/http_codec.hpp"
 #include "connection/wire.hpp"
+#include "process/boot_clock.hpp"
 
 #include "wire.pb.h"
 
 #include <algorithm>
 #include <cmath>
+#include <optional>
 
 namespace buckthornusher
 {
@@ -62,6 +64,16 @@
         encode(moved.owner, *out.mutable_owner());
 }
 
+std::optional<operation_answer> decode_answer(wire::HandedOperation const& in)
+{
+    http_response const response{.status = static_cast<int>(in.status()),
+                                 .headers = {{"content-type", in.content_type()}}};
+    if (!in.done() || !is_sound(response))
+        return std::nullopt;
+    return operation_answer{
+        .status = response.status, .content_type = in.content_type(), .body = in.body()};
+}
+
 } // namespace
 
 void encode(request_result const& result, wire::Reply& out)
@@ -196,4 +208,47 @@
     return load;
 }
 
+void encode(operation_handover const& handover, wire::Handover& out)
+{
+    out.set_service(handover.shard.service);
+    out.set_shard(handover.shard.index);
+    for (auto const& e : handover.epochs)
+    {
+        auto& epoch = *out.add_epochs();
+        epoch.set_epoch(e.epoch);
+        epoch.set_now(to_micros(e.now));
+        epoch.set_since(to_micros(e.since));
+    }
+    for (auto const& o : handover.operations)
+    {
+        auto& operation = *out.add_operations();
+        operation.set_id(to_string(o.id));
+        operation.set_done(o.answer.has_value());
+        if (!o.answer)
+            continue;
+        operation.set_status(static_cast<std::uint32_t>(o.answer->status));
+        operation.set_content_type(o.answer->content_type);
+        operation.set_body(o.answer->body);
+    }
+}
+
+operation_handover decode(wire::Handover const& in)
+{
+    operation_handover handover{.shard = {.service = in.service(), .index = in.shard()},
+                                .epochs = {},
+                                .operations = {}};
+    for (auto const& e : in.epochs())
+        handover.epochs.push_back({.epoch = e.epoch(),
+                                   .now = from_micros(e.now()),
+                                   .since = from_micros(e.since())});
+    for (auto const& o : in.operations())
+    {
+        auto const id = parse_operation_id(o.id());
+        if (!id)
+            continue;
+        handover.operations.push_back({.id = *id, .answer = decode_answer(o)});
+    }
+    return handover;
+}
+
 } // namespace buckthornusher
--- a/src/process/request_wire.hpp
+++ b/src/process/request_wire.hpp
@@ -1,10 +1,12 @@
-// Conversion of upstream requests, their results and load reports to and from protobuf.
+// Conversion of upstream requests, their results, load reports and operations that change
+// hands to and from protobuf.
 //
 // On the wire an upstream request is a `Forward`, its result is a `Reply`, and the reason
 // phrase of a response is `status_text`.
 #ifndef BUCKTHORNUSHER_PROCESS_REQUEST_WIRE_HPP
 #define BUCKTHORNUSHER_PROCESS_REQUEST_WIRE_HPP
 
+#include "buckthornusher/operation_table.hpp"
 #include "process/agent.hpp"
 
 namespace buckthornusher
@@ -13,6 +15,7 @@
 namespace wire
 {
 class Forward;
+class Handover;
 class Load;
 class Reply;
 } // namespace wire
@@ -31,6 +34,11 @@
 void encode(upstream_load const& load, wire::Load& out);
 upstream_load decode(wire::Load const& in);
 
+void encode(operation_handover const& handover, wire::Handover& out);
+// Leaves out operations whose id is none. The outcome of one whose answer is not sound is
+// unknown.
+operation_handover decode(wire::Handover const& in);
+
 } // namespace buckthornusher
 
 #endif
--- a/src/process/shard_handover.cpp
+++ b/src/process/shard_handover.cpp
@@ -3,6 +3,7 @@
 
 #include "connection/wire.hpp"
 #include "process/boot_clock.hpp"
+#include "process/request_wire.hpp"
 
 #include "wire.pb.h"
 
@@ -14,54 +15,6 @@
 
 constexpr duration operations_timeout = 300ms;
 
-void encode_handover(operation_handover const& handover, wire::Handover& out)
-{
-    out.set_service(handover.shard.service);
-    out.set_shard(handover.shard.index);
-    for (auto const& e : handover.epochs)
-    {
-        auto& epoch = *out.add_epochs();
-        epoch.set_epoch(e.epoch);
-        epoch.set_now(to_micros(e.now));
-        epoch.set_since(to_micros(e.since));
-    }
-    for (auto const& o : handover.operations)
-    {
-        auto& operation = *out.add_operations();
-        operation.set_id(to_string(o.id));
-        operation.set_done(o.answer.has_value());
-        if (!o.answer)
-            continue;
-        operation.set_status(static_cast<std::uint32_t>(o.answer->status));
-        operation.set_content_type(o.answer->content_type);
-        operation.set_body(o.answer->body);
-    }
-}
-
-operation_handover decode_handover(wire::Handover const& in)
-{
-    operation_handover handover{.shard = {.service = in.service(), .index = in.shard()},
-                                .epochs = {},
-                                .operations = {}};
-    for (auto const& e : in.epochs())
-        handover.epochs.push_back({.epoch = e.epoch(),
-                                   .now = from_micros(e.now()),
-                                   .since = from_micros(e.since())});
-    for (auto const& o : in.operations())
-    {
-        auto const id = parse_operation_id(o.id());
-        if (!id)
-            continue;
-        handed_operation operation{.id = *id, .answer = {}};
-        if (o.done())
-            operation.answer = operation_answer{.status = static_cast<int>(o.status()),
-                                                .content_type = o.content_type(),
-                                                .body = o.body()};
-        handover.operations.push_back(std::move(operation));
-    }
-    return handover;
-}
-
 } // namespace
 
 // Returns false if the successor is not a serving member or cannot be sent to.
@@ -73,8 +26,8 @@
         return false;
     wire::Envelope message;
     encode(m_coordinator->self(), *message.mutable_sender());
-    encode_handover(m_agent.operations().hand_over(shard, drained.release.epoch, now),
-                    *message.mutable_handover());
+    encode(m_agent.operations().hand_over(shard, drained.release.epoch, now),
+           *message.mutable_handover());
     return m_peers.send(successor->endpoint, message);
 }
 
@@ -98,7 +51,7 @@
 void shard_handover::on_handover(peer_route const& route, wire::Envelope const& message,
                                  instant now)
 {
-    auto const handover = decode_handover(message.handover());
+    auto const handover = decode(message.handover());
     if (handover.epochs.empty())
         return;
     m_agent.operations().take_over(handover, now);
--- a/tests/broken_answer_test.cpp
+++ b/tests/broken_answer_test.cpp
@@ -1,6 +1,8 @@
-// Tests that the HTTP client takes no broken answer for an answer, and that it delivers
-// sound answers of unusual form. The upstream is a stand-in that sends raw bytes.
+// Tests that the HTTP client, and the store's client on it, take no broken answer for an
+// answer, and that they deliver sound answers of unusual form. The upstream is a stand-in
+// that sends raw bytes.
 #include "connection/http_client.hpp"
+#include "connection/store_client.hpp"
 #include "process/boot_clock.hpp"
 #include "process/event_loop.hpp"
 #include "raw_peers.hpp"
@@ -417,5 +419,55 @@
     }
 }
 
+// ---- the store's client ----
+
+class broken_store_answer : public testing::Test
+{
+protected:
+    store_answer call(store_operation const& operation, std::string const& bytes)
+    {
+        m_store.answer = [&](int)
+        {
+            return bytes;
+        };
+        std::optional<store_answer> answer;
+        m_client.call(operation, [&](store_answer a) { answer = std::move(a); });
+        while (!answer)
+            m_loop.run_once();
+        return std::move(*answer);
+    }
+
+    event_loop m_loop;
+    test::raw_upstream m_store{m_loop};
+    store_client m_client{m_loop,
+                          {.address = test::free_address(), .user_agent = "test"}};
+};
+
+// Each bears a whole document, so that only its form tells that it is broken.
+TEST_F(broken_store_answer, is_no_answer)
+{
+    store_list const list{.kind = object_kind::fleet};
+    store_watch const watch{.kind = object_kind::fleet, .since = 1, .wait = 10ms};
+    store_write const removal{.name = member_object("a"), .expected = 1};
+    std::string const body = R"({"items":[],"events":[],"store_revision":7})";
+    std::string const length =
+        "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    std::string const ok = "HTTP/1.1 200 OK\r\n";
+    for (auto const& bytes :
+         {ok + "\r\n" + body + "<reset>", "HTTP/1.1 000 Odd\r\n" + length,
+          ok + "X Odd: value\r\n" + length, ok + "X\x01Odd: value\r\n" + length})
+        for (store_operation const& operation :
+             {store_operation(list), store_operation(watch), store_operation(removal)})
+            EXPECT_TRUE(std::holds_alternative<store_no_answer>(call(operation, bytes)))
+                << bytes;
+    for (auto const& bytes : {ok + length, ok + "\r\n" + body + "<end>",
+                              ok + "X!#$%&'*+-.^_`|~9: value\r\n" + length})
+    {
+        EXPECT_TRUE(std::holds_alternative<store_objects>(call(list, bytes))) << bytes;
+        EXPECT_TRUE(std::holds_alternative<store_objects>(call(watch, bytes))) << bytes;
+        EXPECT_TRUE(std::holds_alternative<store_written>(call(removal, bytes))) << bytes;
+    }
+}
+
 } // namespace
 } // namespace buckthornusher
--- a/tests/request_wire_test.cpp
+++ b/tests/request_wire_test.cpp
@@ -1,4 +1,6 @@
-// Tests of the decoding of answers that other nodes have got from their upstreams.
+// Tests of what is taken from other nodes of answers that their upstreams gave.
+#include "buckthornusher/operation_table.hpp"
+#include "process/boot_clock.hpp"
 #include "process/request_wire.hpp"
 
 #include "wire.pb.h"
@@ -87,5 +89,48 @@
     expect_lost(reply);
 }
 
+// ---- the answers of operations that change hands ----
+
+operation_handover make_handover(operation_answer const& answer)
+{
+    operation_id const id{.epoch = 1, .shard = 2, .made = 3, .nonce = 4};
+    return {.shard = {.service = "s", .index = 2},
+            .epochs = {{.epoch = 1, .now = from_micros(9), .since = from_micros(1)}},
+            .operations = {{.id = id, .answer = answer}}};
+}
+
+operation_handover sent(operation_handover const& handover)
+{
+    wire::Handover out;
+    encode(handover, out);
+    return decode(out);
+}
+
+TEST(request_wire, the_answer_of_an_operation_passes_as_it_is)
+{
+    for (std::string const& type : {std::string("text/plain"), std::string()})
+    {
+        auto const handover =
+            make_handover({.status = 404, .content_type = type, .body = "body"});
+        EXPECT_EQ(sent(handover), handover);
+    }
+}
+
+// The operation has run, and nobody knows its answer.
+TEST(request_wire, the_answer_of_an_operation_that_is_not_sound_is_lost)
+{
+    for (operation_answer const& answer :
+         {operation_answer{.status = 0, .content_type = "text/plain"},
+          operation_answer{.status = 101, .content_type = "text/plain"},
+          operation_answer{.status = 600, .content_type = "text/plain"},
+          operation_answer{.status = 200, .content_type = "a\r\nX-Other: b"},
+          operation_answer{.status = 200, .content_type = std::string("a\0b", 3)}})
+    {
+        auto const handover = sent(make_handover(answer));
+        ASSERT_EQ(handover.operations.size(), 1U);
+        EXPECT_EQ(handover.operations.front().answer, std::nullopt) << answer.status;
+    }
+}
+
 } // namespace
 } // namespace buckthornusher
