--- a/tests/broken_answer_process_test.cpp
+++ b/tests/broken_answer_process_test.cpp
@@ -38,7 +38,7 @@
             loop, tcp_address{.ip = machine_ip(0), .port = upstream_port});
         m_raw->answer = [this](int)
         {
-            return m_begin + request_id_line() + m_rest;
+            return join({m_begin, request_id_line(), m_rest});
         };
     }
 
@@ -101,7 +101,7 @@
         constexpr std::string_view name = "X-Buckthornusher-Request-Id: ";
         auto const at = m_raw->read.rfind(name) + name.size();
         auto const id = m_raw->read.substr(at, m_raw->read.find('\r', at) - at);
-        return std::string(name) + id + "\r\n" + std::string(signed_by_upstream);
+        return join({name, id, "\r\n", signed_by_upstream});
     }
 
     std::unique_ptr<raw_upstream> m_raw;
@@ -116,7 +116,7 @@
 TEST_F(broken_answer_fleet, a_reset_during_the_upload_is_no_end_of_an_answer)
 {
     expect_lost(ok, "\r\nbody<reset>", upload_bytes);
-    expect_lost(ok, "\r\n" + std::string(100'000, 'p') + "<reset>", upload_bytes);
+    expect_lost(ok, join({"\r\n", std::string(100'000, 'p'), "<reset>"}), upload_bytes);
 }
 
 // Guards against an upstream in trouble whose answer bears a status that is none.
@@ -124,7 +124,7 @@
 {
     for (std::string const status : {"000", "099", "600"})
         for (std::string const rest : {"Content-Length: 4\r\n\r\nbody", "\r\nbody<end>"})
-            expect_lost("HTTP/1.1 " + status + " Odd\r\n", rest);
+            expect_lost(join({"HTTP/1.1 ", status, " Odd\r\n"}), rest);
 }
 
 // Guards against an upstream in trouble whose lines are damaged.
@@ -134,10 +134,10 @@
     std::string const nul(1, '\0');
     for (std::string const& name :
          {std::string("X Odd"), std::string("X-Odd "), std::string("X\tOdd"),
-          std::string("X\x01Odd"), std::string("X\x7fOdd"), "X" + nul + "Odd"})
+          std::string("X\x01Odd"), std::string("X\x7fOdd"), join({"X", nul, "Odd"})})
     {
-        expect_lost(ok + name + ": value\r\n", length);
-        expect_lost(ok, name + ": value\r\n" + length);
+        expect_lost(join({ok, name, ": value\r\n"}), length);
+        expect_lost(ok, join({name, ": value\r\n", length}));
     }
     expect_lost(ok, "Content-Length : 4\r\n\r\nbody and more<end>");
     expect_lost(ok, "Transfer-Encoding\x0b: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n<end>");
--- a/tests/broken_answer_test.cpp
+++ b/tests/broken_answer_test.cpp
@@ -21,6 +21,8 @@
 namespace
 {
 
+using test::join;
+
 // More than the sockets of both sides hold, so that a request with such a body is still
 // being written while its upstream reads no further.
 constexpr std::size_t long_body_bytes = 16'000'000;
@@ -99,6 +101,7 @@
     return {"", "a part of the body", std::string(100'000, 'p')};
 }
 
+std::string const ok = "HTTP/1.1 200 OK\r\n";
 std::string const no_length = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\n";
 
 TEST_F(broken_answer, a_reset_during_the_upload_ends_no_answer_without_a_length)
@@ -108,7 +111,7 @@
           std::string("HTTP/1.0 200 OK\r\n\r\n")})
         for (auto const& body : bodies())
         {
-            auto const bytes = head + body + "<reset>";
+            auto const bytes = join({head, body, "<reset>"});
             expect_broken(upload(bytes), bytes);
         }
 }
@@ -117,7 +120,7 @@
 {
     for (auto const& body : bodies())
     {
-        auto const bytes = no_length + body + "<reset>";
+        auto const bytes = join({no_length, body, "<reset>"});
         expect_broken(get(bytes), bytes);
     }
 }
@@ -130,7 +133,7 @@
           "Transfer-Encoding: chunked\r\n\r\n6\r\na part\r\n0\r\nX-After: 1\r\n"})
         for (std::string const end : {"<end>", "<end-write>", "<reset>", "<end-reset>"})
         {
-            auto const bytes = "HTTP/1.1 200 OK\r\n" + part + end;
+            auto const bytes = join({ok, part, end});
             expect_broken(get(bytes), bytes);
             expect_broken(upload(bytes), bytes);
         }
@@ -141,7 +144,7 @@
     for (auto const& body : bodies())
         for (std::string const end : {"<end>", "<end-write>"})
         {
-            auto const bytes = no_length + body + end;
+            auto const bytes = join({no_length, body, end});
             expect_body(get(bytes), body, bytes);
         }
 }
@@ -153,7 +156,7 @@
     for (auto const& body : bodies())
         for (std::string const end : {"<end-write>", "<end-reset>"})
         {
-            auto const bytes = no_length + body + end;
+            auto const bytes = join({no_length, body, end});
             expect_body(upload(bytes), body, bytes);
         }
 }
@@ -163,7 +166,7 @@
 {
     for (auto const& body : bodies())
     {
-        auto const bytes = no_length + body + "<end-reset>";
+        auto const bytes = join({no_length, body, "<end-reset>"});
         expect_body(get(bytes), body, bytes);
         expect_body(upload(bytes, 2 * read_before_answer), body, bytes);
     }
@@ -178,7 +181,7 @@
               "Transfer-Encoding: chunked\r\n\r\n2\r\nbo\r\n2;x=y\r\ndy\r\n0\r\n"
               "X-After: 1\r\n\r\n"})
         {
-            auto const bytes = "HTTP/1.1 200 OK\r\n" + whole + end;
+            auto const bytes = join({ok, whole, end});
             expect_body(upload(bytes), "body", bytes);
         }
 }
@@ -279,7 +282,7 @@
               "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
               "\r\nbody<end>"})
         {
-            auto const bytes = "HTTP/1.1 " + status + " Odd\r\n" + rest;
+            auto const bytes = join({"HTTP/1.1 ", status, " Odd\r\n", rest});
             expect_broken(get(bytes), bytes);
             expect_broken(get("HTTP/1.1 100 Continue\r\n\r\n" + bytes), bytes);
             expect_broken(upload(bytes), bytes);
@@ -321,21 +324,20 @@
 // Returns names that hold the byte at the beginning, inside and at the end.
 std::array<std::string, 3> names_with(char c)
 {
-    return {c + std::string("ame"), std::string("na") + c + "me",
-            std::string("name") + c};
+    std::string const byte(1, c);
+    return {join({byte, "ame"}), join({"na", byte, "me"}), join({"name", byte})};
 }
 
 TEST_F(broken_answer, a_name_that_is_no_token_is_no_answer)
 {
-    std::string const head = "HTTP/1.1 200 OK\r\n";
     std::string const length = "Content-Length: 4\r\n";
     for (char const c : sort_bytes().others)
         for (auto const& name : names_with(c))
         {
-            auto const line = name + ": value\r\n";
-            expect_broken(get(head + line + length + "\r\nbody"), name);
-            expect_broken(get(head + length + line + "\r\nbody"), name);
-            expect_broken(get(head + line + "\r\nbody<end>"), name);
+            auto const line = join({name, ": value\r\n"});
+            expect_broken(get(join({ok, line, length, "\r\nbody"})), name);
+            expect_broken(get(join({ok, length, line, "\r\nbody"})), name);
+            expect_broken(get(join({ok, line, "\r\nbody<end>"})), name);
         }
 }
 
@@ -356,9 +358,9 @@
     for (char const c : sort_bytes().others)
         for (auto const& name : names_with(c))
         {
-            auto const bytes = "HTTP/1.1 103 Early Hints\r\n" + name +
-                               ": value\r\n\r\nHTTP/1.1 200 OK\r\n"
-                               "Content-Length: 4\r\n\r\nbody";
+            auto const bytes =
+                join({"HTTP/1.1 103 Early Hints\r\n", name, ": value\r\n\r\n", ok,
+                      "Content-Length: 4\r\n\r\nbody"});
             expect_broken(get(bytes), name);
         }
 }
@@ -370,8 +372,8 @@
         for (char const c : sort_bytes().others)
         {
             auto const value = framing == "Content-Length" ? ": 4" : ": chunked";
-            auto const bytes = "HTTP/1.1 200 OK\r\n" + framing + c + value +
-                               "\r\n\r\n4\r\nbody\r\n0\r\n\r\n<end>";
+            auto const bytes = join({ok, framing, std::string(1, c), value,
+                                     "\r\n\r\n4\r\nbody\r\n0\r\n\r\n<end>"});
             expect_broken(get(bytes), bytes);
         }
 }
@@ -382,8 +384,7 @@
     for (auto const& name : {tokens, std::string("!"), std::string("~|`^_"),
                              std::string("0"), std::string("X-Odd.Name*")})
     {
-        auto const bytes =
-            "HTTP/1.1 200 OK\r\n" + name + ": value\r\nContent-Length: 4\r\n\r\nbody";
+        auto const bytes = join({ok, name, ": value\r\nContent-Length: 4\r\n\r\nbody"});
         auto const result = get(bytes);
         expect_body(result, "body", bytes);
         EXPECT_EQ(find_header(result.value().headers, name), "value");
@@ -402,10 +403,10 @@
     {
         auto const c = static_cast<char>(value);
         bool const is_control = (value < ' ' && c != '\t') || c == '\x7f';
-        auto const text = std::string("te") + c + "xt";
+        auto const text = join({"te", std::string(1, c), "xt"});
         for (auto const& bytes :
-             {"HTTP/1.1 200 OK\r\nX-Field: " + text + "\r\nContent-Length: 4\r\n\r\nbody",
-              "HTTP/1.1 200 " + text + "\r\nContent-Length: 4\r\n\r\nbody"})
+             {join({ok, "X-Field: ", text, "\r\nContent-Length: 4\r\n\r\nbody"}),
+              join({"HTTP/1.1 200 ", text, "\r\nContent-Length: 4\r\n\r\nbody"})})
         {
             auto const result = get(bytes);
             if (is_control)
@@ -451,17 +452,17 @@
     store_write const removal{.name = member_object("a"), .expected = 1};
     std::string const body = R"({"items":[],"events":[],"store_revision":7})";
     std::string const length =
-        "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
-    std::string const ok = "HTTP/1.1 200 OK\r\n";
+        join({"Content-Length: ", std::to_string(body.size()), "\r\n\r\n", body});
     for (auto const& bytes :
-         {ok + "\r\n" + body + "<reset>", "HTTP/1.1 000 Odd\r\n" + length,
-          ok + "X Odd: value\r\n" + length, ok + "X\x01Odd: value\r\n" + length})
+         {join({ok, "\r\n", body, "<reset>"}), join({"HTTP/1.1 000 Odd\r\n", length}),
+          join({ok, "X Odd: value\r\n", length}),
+          join({ok, "X\x01Odd: value\r\n", length})})
         for (store_operation const& operation :
              {store_operation(list), store_operation(watch), store_operation(removal)})
             EXPECT_TRUE(std::holds_alternative<store_no_answer>(call(operation, bytes)))
                 << bytes;
-    for (auto const& bytes : {ok + length, ok + "\r\n" + body + "<end>",
-                              ok + "X!#$%&'*+-.^_`|~9: value\r\n" + length})
+    for (auto const& bytes : {join({ok, length}), join({ok, "\r\n", body, "<end>"}),
+                              join({ok, "X!#$%&'*+-.^_`|~9: value\r\n", length})})
     {
         EXPECT_TRUE(std::holds_alternative<store_objects>(call(list, bytes))) << bytes;
         EXPECT_TRUE(std::holds_alternative<store_objects>(call(watch, bytes))) << bytes;
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -21,6 +21,7 @@
 namespace
 {
 
+using test::join;
 using test::raw_connection;
 
 std::string text_of(http_request const& request)
@@ -82,14 +83,6 @@
     return count;
 }
 
-std::string join(std::initializer_list<std::string_view> parts)
-{
-    std::string text;
-    for (auto const part : parts)
-        text += part;
-    return text;
-}
-
 // ---- client and server together ----
 
 TEST(http, carries_method_target_headers_and_body)
--- a/tests/raw_peers.hpp
+++ b/tests/raw_peers.hpp
@@ -12,13 +12,23 @@
 
 #include <array>
 #include <functional>
+#include <initializer_list>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace buckthornusher::test
 {
 
+inline std::string join(std::initializer_list<std::string_view> parts)
+{
+    std::string text;
+    for (auto const part : parts)
+        text += part;
+    return text;
+}
+
 // A client connection that exchanges raw bytes. Waits at most 20 s for the peer.
 class raw_connection
 {
