The kernel's timeout stays where the system tells nothing of a peer's silence

What callers would have seen: on a system that accepts TCP_INFO and fills in nothing, the client took the kernel's timeout off a connection and then never saw a silent peer; its calls ended at their own timeouts only.

Change: the answer counts only with a TCP state in it, which is never 0.

--- a/src/connection/tcp_socket.cpp
+++ b/src/connection/tcp_socket.cpp
@@ -107,7 +107,9 @@
 {
     tcp_info info{};
     socklen_t size = sizeof(info);
-    if (::getsockopt(fd, IPPROTO_TCP, TCP_INFO, &info, &size) != 0)
+    bool const answered = ::getsockopt(fd, IPPROTO_TCP, TCP_INFO, &info, &size) == 0;
+    // No TCP state is 0: a system that fills in nothing does not tell.
+    if (!answered || info.tcpi_state == 0)
         return std::nullopt;
     return tcp_silence{.unanswered = info.tcpi_retransmits + info.tcpi_probes,
                        .since_acknowledged =
--- a/tests/broken_answer_test.cpp
+++ b/tests/broken_answer_test.cpp
@@ -9,6 +9,9 @@
 
 #include <gtest/gtest.h>
 
+#include <sys/socket.h>
+#include <unistd.h>
+
 #include <array>
 #include <functional>
 #include <optional>
@@ -272,6 +275,19 @@
     EXPECT_TRUE(is_lost({.unanswered = 2, .since_acknowledged = 3s}, timeout));
 }
 
+TEST(tcp_silence, is_told_of_a_connection_only)
+{
+    event_loop loop;
+    test::raw_upstream const upstream(loop);
+    test::raw_connection const connection(loop, test::free_address());
+    auto const silence = tcp_peer_silence(connection.fd());
+    ASSERT_TRUE(silence.has_value());
+    EXPECT_EQ(silence->unanswered, 0);
+    int const no_connection = ::socket(AF_UNIX, SOCK_STREAM, 0);
+    EXPECT_FALSE(tcp_peer_silence(no_connection).has_value());
+    ::close(no_connection);
+}
+
 // ---- the status ----
 
 TEST_F(broken_answer, a_status_that_is_none_is_no_answer)
--- a/tests/raw_peers.hpp
+++ b/tests/raw_peers.hpp
@@ -60,6 +60,7 @@
         return m_read;
     }
     bool closed() const { return m_closed; }
+    int fd() const { return m_watch.fd(); }
     void close() { m_watch.close(); }
 
 private:
