Only an answer that ends with its connection is read on for its end

What callers saw: nothing. Only where the end of the connection is that of the answer can there be anything left to read.

Change: response_reader tells whether it reads such a body.

Measured: broken_answer_test 21 tests, http_test 38, broken_answer_process_test 4: passed, one run each.

--- a/src/connection/http_client.cpp
+++ b/src/connection/http_client.cpp
@@ -194,9 +194,10 @@
         // the same thread-local buffer.
         if (watch.is_open())
             client->enforce_byte_limit();
-        // While a response is awaited its end may be there too. It must be read now, as
+        // The end of the connection may be that of the response. It must be read now, as
         // the watch closes a descriptor that both sides are done with.
-        if (got.bytes < buffer.size() && !call)
+        bool const needs_eof = reader && reader->needs_eof();
+        if (got.bytes < buffer.size() && !needs_eof)
             return;
     }
 }
--- a/src/connection/http_codec.cpp
+++ b/src/connection/http_codec.cpp
@@ -346,6 +346,11 @@
         state.fail(bad_request, code.message());
 }
 
+bool response_reader::needs_eof() const
+{
+    return m_impl->state.header_done && !complete() && m_impl->state.parser.need_eof();
+}
+
 bool response_reader::complete() const
 {
     return m_impl->state.parser.is_done() && !failed();
--- a/src/connection/http_codec.hpp
+++ b/src/connection/http_codec.hpp
@@ -86,6 +86,8 @@
     // Signals that the peer closed its side cleanly, which completes a body without a
     // length.
     void put_eof();
+    // Whether it reads such a body.
+    bool needs_eof() const;
 
     bool complete() const;
     bool failed() const { return error().status != 0; }
