A report of another program does not take an upstream's keys

Cause: nobody asked who may speak for an address. agent::on_report() made a link for any service; by its later start at the same address supersedes() took the upstream for ended, which starts a new owner generation at once and on purpose (a restart is not made to wait), and the link stayed for good. Evidence: upstream-life service=log-shipper, then the node's record with a new generation, without dependency-lost or a successor before it: neither silence nor the planner moved the keys.

Change: who may speak is one decision in upstream_history, without a network. A service speaks if it is the node's own by its settings, or is or was named by a configuration that the process knows; a report of another leaves no trace, is answered 503, logged (report-of-stranger) and counted.

--- a/include/buckthornusher/upstream_history.hpp
+++ b/include/buckthornusher/upstream_history.hpp
@@ -1,4 +1,14 @@
-// What a node must not forget of the upstreams beside it, even if its process ends.
+// Who may speak for the upstreams beside a node, and what the node must not forget of
+// them, even if its process ends.
+//
+// Any program on the VM reaches the socket for reports. A report can be of an upstream
+// only if its service is the node's own by its settings, or is or was named by a
+// configuration that this process knows. Before the first configuration only the own
+// service speaks; a node without one takes any report then. A report of another service
+// is a stranger's: it changes nothing that is known of the node's upstreams.
+//
+// Of two voices for one address the one that started later speaks (report_order.hpp), for
+// whichever service, until it has been unheard for `voice_lapse`.
 //
 // A report or an announcement may arrive after later ones, also after a restart of the
 // node's process. What an upstream was told once must bind the next process too:
@@ -10,9 +20,10 @@
 // only once is_recorded() holds for its record. A new process calls restore() with that
 // record, and must take no report before.
 //
-//   upstream_history history;
-//   history.restore(record);                     // at the start, and when it changes
-//   switch (history.classify(report)) ...
+//   upstream_history history("own-service");
+//   history.add_services(names);                 // of each configuration
+//   history.restore(record, now);                // at the start, and when it changes
+//   switch (history.classify(report, now)) ...
 //   auto const gone = history.note_departure({.id = id, ...});
 //   write_to_record(history.departed());
 //   if (is_recorded({gone, announced::departure}, record)) acknowledge();
@@ -32,7 +43,9 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace buckthornusher
@@ -70,17 +83,28 @@
                    upstream_incarnation const& departed);
 
 // Whether `later` shows that the incarnation of `earlier` has ended: it started later at
-// the same address, possibly for another service.
-bool supersedes(upstream_report const& later, upstream_report const& earlier);
+// the same address, possibly for another service, and was heard within `voice_lapse`.
+bool supersedes(upstream_report const& later, duration later_unheard,
+                upstream_report const& earlier);
 
 class upstream_history
 {
 public:
+    // `own_service`: of the upstream beside the node, by its settings; may be empty.
+    explicit upstream_history(std::string own_service = {})
+        : m_own_service(std::move(own_service))
+    {
+    }
+
+    // The services of a configuration may speak from now on.
+    void add_services(std::vector<std::string> const& names);
+
     // Takes over what the record says. Never removes anything.
-    void restore(member_record const& record);
+    void restore(member_record const& record, instant now);
 
-    // Classifies a report. Must be called once for each report, in order of arrival.
-    report_verdict classify(upstream_report const& report);
+    // Classifies a report. Must be called once for each report, in order of arrival. That
+    // of a stranger leaves no trace.
+    report_verdict classify(upstream_report const& report, instant now);
 
     // Notes an exit and returns the incarnation that it ends. All incarnations with that
     // id that did not start later have departed.
@@ -96,6 +120,10 @@
     std::vector<target> const& restored() const { return m_restored; }
 
 private:
+    bool may_speak(std::string const& service) const;
+
+    std::string m_own_service;
+    std::set<std::string> m_named_services;       // empty: no configuration yet
     std::map<std::string, report_order> m_orders; // by service
     std::vector<upstream_incarnation> m_departed; // latest last
     std::vector<target> m_restored;
--- a/src/coordination/upstream_history.cpp
+++ b/src/coordination/upstream_history.cpp
@@ -48,26 +48,41 @@
         list.erase(list.begin());
 }
 
-bool supersedes(upstream_report const& later, upstream_report const& earlier)
+bool supersedes(upstream_report const& later, duration later_unheard,
+                upstream_report const& earlier)
 {
-    return later.ip == earlier.ip && later.port == earlier.port &&
+    return later_unheard < voice_lapse && later.ip == earlier.ip &&
+           later.port == earlier.port &&
            later.incarnation.started > earlier.incarnation.started;
 }
 
-void upstream_history::restore(member_record const& record)
+void upstream_history::add_services(std::vector<std::string> const& names)
+{
+    m_named_services.insert(names.begin(), names.end());
+}
+
+bool upstream_history::may_speak(std::string const& service) const
+{
+    bool const any_may = m_named_services.empty() && m_own_service.empty();
+    return any_may || service == m_own_service || m_named_services.contains(service);
+}
+
+void upstream_history::restore(member_record const& record, instant now)
 {
     for (auto const& t : record.targets)
-        m_orders[t.service].restore(parse_incarnation(t.incarnation));
+        m_orders[t.service].restore(parse_incarnation(t.incarnation), now);
     for (auto const& incarnation : record.departed)
         add_departure(m_departed, incarnation);
     m_restored = record.targets;
 }
 
-report_verdict upstream_history::classify(upstream_report const& report)
+report_verdict upstream_history::classify(upstream_report const& report, instant now)
 {
+    if (!may_speak(report.service))
+        return report_verdict::stranger;
     if (has_departed(report.incarnation))
         return report_verdict::departed;
-    return m_orders[report.service].classify(report.incarnation, report.sequence);
+    return m_orders[report.service].classify(report.incarnation, report.sequence, now);
 }
 
 upstream_incarnation upstream_history::note_departure(departure_notice const& notice)
--- a/src/process/agent.cpp
+++ b/src/process/agent.cpp
@@ -42,6 +42,7 @@
 
 agent::agent(event_loop& loop, coordinator& coord, agent_options opts)
     : m_loop(loop), m_coordinator(&coord), m_options(opts), m_started(boot_now()),
+      m_history(opts.service),
       m_link_answers({.bytes_per_second = opts.link_bytes_per_second}),
       m_link_downloads(m_link_answers), m_operations({.since = boot_now()}),
       m_sampler(max_sampled_traces_per_second), m_random(std::random_device{}()),
@@ -596,6 +597,10 @@
 {
     m_routes = std::move(routes);
     set_region_routes();
+    std::vector<std::string> services;
+    for (auto const& service : m_routes->source().services)
+        services.push_back(service.name);
+    m_history.add_services(services);
     for (auto const& [name, l] : m_links)
         if (name != old_setup_link)
             set_start_options(*l, name);
--- a/src/process/agent.hpp
+++ b/src/process/agent.hpp
@@ -99,6 +99,7 @@
 {
     upstream_form form;
     std::string region;              // of this node
+    std::string service = {};        // of the upstream beside it; may be empty
     duration report_interval = 1s;   // between reports of an upstream
     std::string domain = {};         // the failure domain of the upstreams
     duration drain_limit = 30s;      // a draining upstream gets no new requests after it
@@ -152,6 +153,8 @@
     // first report, and again after each change of the record.
     void restore(member_record const& record, instant now);
     upstream_history const& history() const { return m_history; }
+    // Returns the number of reports whose service may not speak here.
+    std::uint64_t reports_of_strangers() const { return m_strangers; }
 
     // Returns the upstreams that can own shards, by the rules of upstream_liveness.hpp.
     // Returns nothing soon after the start if no upstream has reported: one that kept
@@ -237,7 +240,7 @@
     void wait_for_shard(active_request& w);
     void mark_departed(instant now);
     void add_unreported(std::vector<target>& found, instant now) const;
-    bool is_superseded(link const& l) const;
+    bool is_superseded(link const& l, instant now) const;
     bool is_superseded(upstream_incarnation const& unreported) const;
     upstream_evidence evidence_of(link const& l, instant now) const;
     bool is_silent(link const& l, instant now) const;
@@ -296,6 +299,7 @@
     std::mt19937_64 m_random;
     request_id m_next_id = 1;
     std::uint64_t m_broken_loads = 0;
+    std::uint64_t m_strangers = 0; // their reports
     loop_lag m_lag;
     std::optional<planned_stop> m_stop;
     bool m_closing = false;
--- a/src/process/agent_upstreams.cpp
+++ b/src/process/agent_upstreams.cpp
@@ -67,7 +67,15 @@
 
 agent::report_answer agent::on_report(upstream_report const& report, instant now)
 {
-    auto const verdict = m_history.classify(report);
+    auto const verdict = m_history.classify(report, now);
+    if (verdict == report_verdict::stranger)
+    {
+        ++m_strangers;
+        log_event(log_level::warning, "report-of-stranger",
+                  {{"service", report.service},
+                   {"life", to_string(report.incarnation)},
+                   {"address", report.ip + ":" + std::to_string(report.port)}});
+    }
     if (verdict != report_verdict::new_incarnation && verdict != report_verdict::next)
         return {.verdict = verdict, .grant = {}};
     auto& l = m_links[report.service];
@@ -183,7 +191,7 @@
 
 void agent::restore(member_record const& record, instant now)
 {
-    m_history.restore(record);
+    m_history.restore(record, now);
     mark_departed(now);
 }
 
@@ -218,11 +226,15 @@
             .connect_failed = l.connect_failed};
 }
 
-bool agent::is_superseded(link const& l) const
+bool agent::is_superseded(link const& l, instant now) const
 {
     return std::any_of(m_links.begin(), m_links.end(),
                        [&](auto const& entry)
-                       { return supersedes(entry.second->report, l.report); });
+                       {
+                           auto const& other = *entry.second;
+                           return supersedes(other.report, now - other.reported_at,
+                                             l.report);
+                       });
 }
 
 // The record has no addresses. An upstream that serves only granted keys is the only one
@@ -266,7 +278,7 @@
         add_unreported(found, now);
     for (auto const& [service, l] : m_links)
     {
-        if (service == old_setup_link || is_superseded(*l))
+        if (service == old_setup_link || is_superseded(*l, now))
             continue;
         auto const standing = standing_of(evidence_of(*l, now), interval);
         if (standing == upstream_standing::gone)
--- a/src/process/node.cpp
+++ b/src/process/node.cpp
@@ -106,6 +106,7 @@
           local(loop, *coord,
                 {.form = make_upstream_form(settings.form),
                  .region = settings.region,
+                 .service = settings.service,
                  .report_interval = settings.report_interval,
                  .domain = settings.domain,
                  .drain_limit = settings.drain_limit,
--- a/src/process/operator_api.cpp
+++ b/src/process/operator_api.cpp
@@ -242,7 +242,9 @@
     report.port = static_cast<int>(*port);
     report.slots = static_cast<std::uint32_t>(*slots);
     report.connections = static_cast<std::uint32_t>(*connections);
-    m_dependencies.local.on_report(report, boot_now());
+    auto const answer = m_dependencies.local.on_report(report, boot_now());
+    if (answer.verdict == report_verdict::stranger)
+        return reply.send(error_response(409, "no configuration names this service"));
     reply.send({.body = "ok\n"});
 }
 
@@ -406,6 +408,8 @@
     auto const lease_left = std::max(coord.lease_until() - now, duration{0});
     m.set("lease_left_ms", static_cast<std::uint64_t>(lease_left / 1ms));
     m.set("upstream_loads_broken_total", m_dependencies.local.broken_loads());
+    m.set("upstream_reports_of_strangers_total",
+          m_dependencies.local.reports_of_strangers());
     m.set("upstream_pace_steps_down", m_dependencies.local.pace_steps_down());
     m.set("loop_lag_ms", static_cast<std::uint64_t>(m_dependencies.local.lag() / 1ms));
     if (routes != nullptr)
--- a/src/process/upstream_announcements.cpp
+++ b/src/process/upstream_announcements.cpp
@@ -84,6 +84,8 @@
                                   unread_announcement const& a, instant now)
 {
     auto const answer = m_local.on_report(report, now);
+    if (answer.verdict == report_verdict::stranger)
+        return a.reply.send({.status = unavailable}); // a configuration may name it later
     if (answer.verdict == report_verdict::stale_incarnation ||
         answer.verdict == report_verdict::departed)
     {
--- a/tests/agent_test.cpp
+++ b/tests/agent_test.cpp
@@ -102,6 +102,46 @@
     return std::make_shared<route_table const>(std::move(parsed).value());
 }
 
+// Guards against a program on the VM that takes the keys of the upstream by one report
+// for its address, with a service that nobody named and a later start.
+TEST_F(agent_test, a_report_of_an_unnamed_service_does_not_end_the_upstream)
+{
+    agent beside(loop, coord, {.service = "s", .report_interval = 1s});
+    auto const routes = parse_document("environment = \"t\"\n[service.s]\n"
+                                       "[[service.s.route]]\nprefix = \"/\"\n");
+    beside.set_routes(std::make_shared<route_table const>(routes.value()));
+    auto const now = boot_now();
+    beside.on_report(report_of(1), now);
+    auto const before = beside.targets(now);
+    ASSERT_TRUE(before && before->size() == 1);
+    auto foreign = report_of(1);
+    foreign.service = "log-shipper";
+    foreign.incarnation = {.id = "log-shipper-1", .started = 2};
+    EXPECT_EQ(beside.on_report(foreign, now).verdict, report_verdict::stranger);
+    EXPECT_EQ(beside.targets(now), before);
+    EXPECT_EQ(beside.reports_of_strangers(), 1U);
+}
+
+// The same by a service that is named: the upstream is back once the other voice is gone.
+TEST_F(agent_test, an_upstream_that_goes_on_reporting_outlasts_a_later_voice)
+{
+    agent beside(loop, coord, {.report_interval = 1s});
+    auto const now = boot_now();
+    auto own = report_of(1);
+    auto other = report_of(1);
+    other.service = "t";
+    other.incarnation = {.id = "v", .started = 2};
+    beside.on_report(own, now);
+    beside.on_report(other, now);
+    ASSERT_EQ(beside.targets(now)->size(), 1U);
+    EXPECT_EQ(beside.targets(now)->front().service, "t") << "a restart is as quick";
+    auto const later = now + voice_lapse;
+    own.sequence = 1;
+    beside.on_report(own, later);
+    ASSERT_EQ(beside.targets(later)->size(), 1U);
+    EXPECT_EQ(beside.targets(later)->front().service, "s");
+}
+
 class agent_in_region : public agent_test
 {
 protected:
--- a/tests/fake_fleet.hpp
+++ b/tests/fake_fleet.hpp
@@ -461,7 +461,8 @@
 
     void on_report(member& m, upstream_report const& report, true_time sent)
     {
-        auto const verdict = m.reports.classify(report.incarnation, report.sequence);
+        auto const verdict =
+            m.reports.classify(report.incarnation, report.sequence, local_time(m));
         if (verdict == report_verdict::late ||
             verdict == report_verdict::stale_incarnation)
             return;
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -220,6 +220,8 @@
         replaced("10.0.0.9:8080", "10.0.0.9:0"),
         replaced("10.0.0.9:8080", "10.0.0.9:99999"),
         replaced("10.0.0.9:8080", ":80"),
+        replaced("10.0.0.9:8080", "10.0.0:80"),
+        replaced("10.0.0.9:8080", "localhost:80"),
         replaced(R"("slots":12)", R"("slots":0)"),
         replaced(R"("slots":12)", R"("slots":"12")"),
         replaced(R"("slots":12)", R"("slots":-1)"),
@@ -245,6 +247,20 @@
         read_announcement({.method = "POST", .target = "/v1/instances/i"})));
 }
 
+// Guards against an id that no record can hold: the node's own could not be written.
+TEST(platform_reports, announcements_with_unreadable_ids_are_rejected)
+{
+    for (std::string const& id :
+         {std::string("i-\xff\xfe"), std::string("i\x01"), std::string(1'000, 'i')})
+    {
+        auto const target = "/v1/instances/" + id;
+        EXPECT_TRUE(std::holds_alternative<invalid_announcement>(
+            read_announcement(heartbeat_request(full_heartbeat, target))));
+        EXPECT_TRUE(std::holds_alternative<invalid_announcement>(
+            read_announcement({.method = "DELETE", .target = target})));
+    }
+}
+
 TEST(platform_reports, a_departure_names_the_incarnation)
 {
     EXPECT_EQ(read_announcement({.method = "DELETE", .target = "/v1/instances/i-7"}),
