A planned stop delivers the answers that are being read

Cause: a request counted as finished once its answer was handed to the HTTP server, so the process took itself for idle; what the connection had not written ended with the process. Evidence: stop-ends with requests=0 orders=0 long before the grace, so neither the end of the grace nor a request given up.

Change: when an answer counts as delivered is one decision without a network (answer_delivery.hpp): once its reader has acknowledged all of it. A stopping process is idle only when no answer is on its way, and ends 0.3 s before its grace at the latest. A reader that takes nothing for 2 s is not waited for, so no grace is waited out for one that is gone or reads nothing; bytes in the kernel count once they were unacknowledged for 150 ms, so callers that go on sending do not hold the process. Kin: long answers to other nodes in ZeroMQ's queues are awaited in the same way; the final answers of the grace too.

--- a/include/buckthornusher/planned_stop.hpp
+++ b/include/buckthornusher/planned_stop.hpp
@@ -2,12 +2,12 @@
 //
 // Callers are told to use another node but may keep sending for a while, or until the
 // process exits. The process therefore first accepts all requests, then only those whose
-// deadline precedes its exit, and exits as soon as no request is running or its grace
-// period ends.
+// deadline precedes its exit, and exits as soon as no request is running and no answer is
+// on its way (answer_delivery.hpp), or its grace period ends.
 //
 //   serving -> closing: `min_serving_time` has passed and the process owns no shards (or
 //                       the next process of this node takes them over)
-//   closing -> ending:  no request is running
+//   closing -> ending:  no request is running, and all answers are delivered
 //   any     -> ending:  final_answers_at() is reached, or the stop is requested again and
 //                       `ends_on_repeated_request` is set
 //
@@ -29,6 +29,7 @@
     duration deadline_check_after{0};     // afterwards requests are checked by deadline
     duration min_serving_time{0};         // in which callers switch to other nodes
     duration final_answer_margin = 700ms; // from the final answers to the end of `grace`
+    duration exit_margin = 300ms;         // from the exit to the end of `grace`
     bool releases_shards = true; // false: the node's next process takes them over
     bool ends_on_repeated_request = true; // ends at once when asked again
     friend bool operator==(planned_stop_options const&,
@@ -46,7 +47,7 @@
 struct stop_progress
 {
     bool shards_released = false; // the process owns no shards
-    bool idle = false;            // no request is running
+    bool idle = false;            // no request is running, all answers are delivered
     int stop_requests = 1;        // received so far
     friend bool operator==(stop_progress const&, stop_progress const&) = default;
 };
@@ -65,6 +66,9 @@
         return m_began + m_options.grace - m_options.final_answer_margin;
     }
 
+    // When the process ends even if answers are still on their way.
+    instant ends_by() const { return m_began + m_options.grace - m_options.exit_margin; }
+
     // Returns whether to accept a request that arrives at `now` with this deadline.
     bool accepts(instant deadline, instant now) const;
 
--- a/src/connection/http_server.cpp
+++ b/src/connection/http_server.cpp
@@ -1,9 +1,11 @@
 // Implementation of the HTTP/1.1 server; see the header.
 #include "connection/http_server.hpp"
 
+#include "buckthornusher/answer_delivery.hpp"
 #include "process/boot_clock.hpp"
 #include "process/event_loop.hpp"
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
 #include <cstring>
@@ -101,8 +103,10 @@
     std::deque<std::shared_ptr<http_exchange>> exchanges; // unanswered, oldest first
     std::deque<std::string> out;                          // none of them is empty
     std::size_t written = 0;                              // of the first of `out`
-    memory_hold input;                                    // incomplete requests
-    memory_hold output;                                   // unwritten answers
+    std::uint64_t handed_over = 0;                        // bytes, ever, to `out`
+    delivery_watch delivery;
+    memory_hold input;  // incomplete requests
+    memory_hold output; // unwritten answers
     bool input_ended = false;
     bool lingering = false;
     bool reading_paused = false;
@@ -125,6 +129,8 @@
     void write_answers();
     void append(http_response response, response_options const& options);
     void hold_output();
+    std::uint64_t unwritten_bytes() const;
+    bool awaits_delivery(instant now);
     std::uint64_t held() const;
     void flush();
     void begin_lingering();
@@ -234,6 +240,7 @@
             exchanges.empty())
         {
             out.emplace_back(continue_response);
+            handed_over += out.back().size();
             flush();
         }
         if (!reads_request())
@@ -375,6 +382,7 @@
     bool const joined = has_body && response.body.size() <= max_joined_body_bytes;
     auto text =
         joined ? serialize(response, options) : serialize_header(response, options);
+    handed_over += text.size() + (has_body && !joined ? response.body.size() : 0);
     if (!out.empty() && out.back().size() + text.size() <= max_joined_body_bytes)
         out.back() += text;
     else
@@ -387,11 +395,26 @@
 // case; if that exceeds the budget, the slowest connections are closed.
 void http_server::connection::hold_output()
 {
-    std::size_t bytes = 0;
+    output.set(unwritten_bytes() + written);
+    server->close_until_within_budget();
+}
+
+std::uint64_t http_server::connection::unwritten_bytes() const
+{
+    std::uint64_t bytes = 0;
     for (auto const& part : out)
         bytes += part.size();
-    output.set(bytes);
-    server->close_until_within_budget();
+    return bytes - written;
+}
+
+bool http_server::connection::awaits_delivery(instant now)
+{
+    auto const sent = handed_over - unwritten_bytes();
+    auto const in_kernel = std::min(sent, tcp_unacknowledged_bytes(watch.fd()));
+    delivery.note(
+        {.handed_over = handed_over, .written = sent, .acknowledged = sent - in_kernel},
+        now);
+    return delivery.awaited(now);
 }
 
 // What closing the connection would give back: requests that are being handled are not
@@ -683,6 +706,13 @@
     return m_impl->unread_disconnects;
 }
 
+std::size_t http_server::awaited_deliveries(instant now)
+{
+    return static_cast<std::size_t>(std::count_if(
+        m_impl->connections.begin(), m_impl->connections.end(),
+        [&](auto const& entry) { return entry.second->awaits_delivery(now); }));
+}
+
 std::size_t http_server::connections() const
 {
     return m_impl->connections.size();
--- a/src/connection/http_server.hpp
+++ b/src/connection/http_server.hpp
@@ -20,6 +20,9 @@
 // then also the slowest reader. Its caller sees an answer that ends before its length. A
 // connection whose request is being handled waits for the server and is not stalled.
 //
+// An answer that is handed over is delivered once its caller has taken all of it. A
+// process that stops must not destroy the server before, see awaited_deliveries().
+//
 // Cost: O(bytes). Reading pauses while a connection has `max_pipelined` unanswered
 // requests.
 #ifndef BUCKTHORNUSHER_CONNECTION_HTTP_SERVER_HPP
@@ -98,6 +101,11 @@
     // "Connection: close", and the connection ends after it.
     void begin_stopping();
 
+    // Returns the number of connections that answers are on their way on, to callers that
+    // go on reading (answer_delivery.hpp). Looks at all connections, and tells how they
+    // get on only if it is called again and again.
+    std::size_t awaited_deliveries(instant now);
+
     std::size_t connections() const;
     // Counts the connections whose callers closed them before all bytes sent were read.
     std::uint64_t unread_disconnects() const;
--- a/src/connection/peer_socket.cpp
+++ b/src/connection/peer_socket.cpp
@@ -1,6 +1,7 @@
 // Implementation of the socket between nodes; see the header.
 #include "connection/peer_socket.hpp"
 
+#include "buckthornusher/answer_delivery.hpp"
 #include "buckthornusher/memory_budget.hpp"
 #include "process/event_loop.hpp"
 
@@ -8,6 +9,7 @@
 
 #include <zmq.hpp>
 
+#include <algorithm>
 #include <atomic>
 #include <cerrno>
 #include <map>
@@ -112,6 +114,7 @@
     bool may_be_ready = true;
     std::uint64_t max_queued_bytes = 0;
     byte_count queued_bytes = std::make_shared<std::atomic<std::uint64_t>>(0);
+    delivery_watch delivery; // of long messages
 
     bool fits_queue(std::size_t bytes) const;
     bool send_body(std::string bytes);
@@ -166,6 +169,7 @@
     }
     ++counts.sent;
     counts.sent_bytes += size;
+    counts.sent_long_bytes += size > long_message_bytes ? size : 0;
     return true;
 }
 
@@ -290,6 +294,16 @@
     return m_impl->queued_bytes->load();
 }
 
+bool peer_socket::awaits_delivery(instant now)
+{
+    auto const handed_over = m_impl->counts.sent_long_bytes;
+    auto const queued = std::min(handed_over, queued_bytes());
+    auto const written = handed_over - queued;
+    m_impl->delivery.note(
+        {.handed_over = handed_over, .written = written, .acknowledged = written}, now);
+    return m_impl->delivery.awaited(now);
+}
+
 std::size_t peer_socket::connections() const
 {
     return m_impl->connections.size();
--- a/src/connection/peer_socket.hpp
+++ b/src/connection/peer_socket.hpp
@@ -10,6 +10,8 @@
 #ifndef BUCKTHORNUSHER_CONNECTION_PEER_SOCKET_HPP
 #define BUCKTHORNUSHER_CONNECTION_PEER_SOCKET_HPP
 
+#include "buckthornusher/time.hpp"
+
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -37,6 +39,7 @@
 {
     std::uint64_t sent = 0;
     std::uint64_t sent_bytes = 0;
+    std::uint64_t sent_long_bytes = 0; // of long messages
     std::uint64_t received = 0;
     std::uint64_t received_bytes = 0;
     std::uint64_t not_sent = 0;  // queue full, connection lost or endpoint invalid
@@ -72,6 +75,9 @@
     peer_counts const& counts() const;
     std::size_t connections() const;
     std::uint64_t queued_bytes() const; // of long messages that are not sent yet
+    // Returns whether long messages wait for peers that go on taking them
+    // (answer_delivery.hpp). Tells so only if it is called again and again.
+    bool awaits_delivery(instant now);
 
 private:
     struct impl;
--- a/src/connection/tcp_socket.cpp
+++ b/src/connection/tcp_socket.cpp
@@ -2,8 +2,10 @@
 #include "connection/tcp_socket.hpp"
 
 #include <arpa/inet.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -123,6 +125,13 @@
            silence.since_acknowledged >= unacknowledged_timeout;
 }
 
+std::uint64_t tcp_unacknowledged_bytes(int fd)
+{
+    int bytes = 0;
+    bool const told = ::ioctl(fd, SIOCOUTQ, &bytes) == 0 && bytes > 0;
+    return told ? static_cast<std::uint64_t>(bytes) : 0;
+}
+
 io_result tcp_read(int fd, char* buffer, std::size_t size)
 {
     auto const got = ::recv(fd, buffer, size, 0);
--- a/src/connection/tcp_socket.hpp
+++ b/src/connection/tcp_socket.hpp
@@ -8,6 +8,7 @@
 #include "buckthornusher/time.hpp"
 
 #include <cstddef>
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -68,6 +69,10 @@
 // closed answers each probe; a single one may be on its way, or lost by the network.
 bool is_lost(tcp_silence const& silence, duration unacknowledged_timeout);
 
+// Returns the bytes written to the connection that its peer has not acknowledged; 0 also
+// if the system does not tell.
+std::uint64_t tcp_unacknowledged_bytes(int fd);
+
 io_result tcp_read(int fd, char* buffer, std::size_t size);
 // Reads until no bytes are available (`not_ready`), the buffer is full (`done`) or the
 // connection has ended (`ended`, `broken`); `bytes` counts the bytes read before that.
--- a/src/process/node.cpp
+++ b/src/process/node.cpp
@@ -600,8 +600,9 @@
             return;
         if (!stop)
             begin_stop(from_micros(stop_requested_us), now);
-        bool const idle =
-            requests.unfinished() == 0 && local.unfinished() == 0 && forwards.held() == 0;
+        bool const delivers = awaits_delivery(now);
+        bool const idle = requests.unfinished() == 0 && local.unfinished() == 0 &&
+                          forwards.held() == 0 && !delivers;
         switch (stop->phase(
             {.shards_released = left, .idle = idle, .stop_requests = stop_requests}, now))
         {
@@ -652,13 +653,34 @@
         log_event(log_level::info, "stop-ends",
                   {{"after_ms", in_ms(now - stop->began())},
                    {"left", left ? "yes" : "no"},
+                   {"delivering", std::to_string(callers.awaited_deliveries(now))},
                    {"requests", std::to_string(requests.unfinished())},
                    {"orders", std::to_string(local.unfinished())}});
         send_goodbyes();
         local.begin_ending();
         requests.finish_all();
         local.finish_all();
-        loop.timers().at(now + last_answers_period, [this](instant) { loop.stop(); });
+        end_once_delivered(now + last_answers_period);
+    }
+
+    // Whether callers or peers still take answers that this process holds.
+    bool awaits_delivery(instant now)
+    {
+        bool const by_callers = callers.awaited_deliveries(now) > 0; // must note both
+        return peers.awaits_delivery(now) || by_callers;
+    }
+
+    // Ends the loop at `earliest`, or later once all answers are delivered.
+    void end_once_delivered(instant earliest)
+    {
+        loop.timers().at(earliest,
+                         [this](instant now)
+                         {
+                             if (now >= stop->ends_by() || !awaits_delivery(now))
+                                 return loop.stop();
+                             end_once_delivered(
+                                 std::min(now + request_period, stop->ends_by()));
+                         });
     }
 
     void send_goodbyes()
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -1,11 +1,13 @@
 // Tests the HTTP server and client against each other and against raw bytes, on one event
 // loop.
+#include "buckthornusher/answer_delivery.hpp"
 #include "connection/http_client.hpp"
 #include "connection/http_server.hpp"
 #include "free_port.hpp"
 #include "process/boot_clock.hpp"
 #include "process/event_loop.hpp"
 #include "raw_peers.hpp"
+#include "slow_reader.hpp"
 
 #include <gtest/gtest.h>
 
@@ -646,6 +648,45 @@
     EXPECT_LT(read.find("one"), read.find("Connection: close"));
 }
 
+// Guards against a stop that takes an answer for delivered while its caller still reads
+// it, and against one that waits for a caller that reads nothing.
+TEST(http_server, an_answer_is_awaited_while_its_caller_reads_it)
+{
+    echo_server echo;
+    test::slow_reader reader(echo.loop,
+                             {.to = test::free_address(),
+                              .requests = "GET /later HTTP/1.1\r\nHost: h\r\n\r\n",
+                              .bytes_per_second = 4'000'000});
+    while (echo.later.empty())
+        echo.loop.run_once();
+    EXPECT_EQ(echo.server.awaited_deliveries(boot_now()), 0U) << "not answered yet";
+    constexpr std::size_t body_bytes = 8'000'000; // more than the sockets hold
+    echo.later[0].second.send({.body = std::string(body_bytes, 'b')});
+    while (echo.server.awaited_deliveries(boot_now()) > 0)
+        echo.loop.run_once();
+    while (reader.text().size() < body_bytes && !reader.ended())
+        echo.loop.run_once();
+    EXPECT_GE(reader.text().size(), body_bytes);
+}
+
+TEST(http_server, an_answer_is_not_awaited_if_its_caller_reads_nothing)
+{
+    echo_server echo;
+    test::slow_reader reader(echo.loop,
+                             {.to = test::free_address(),
+                              .requests = "GET /later HTTP/1.1\r\nHost: h\r\n\r\n",
+                              .bytes_per_second = 0});
+    while (echo.later.empty())
+        echo.loop.run_once();
+    echo.later[0].second.send({.body = std::string(8'000'000, 'b')});
+    EXPECT_EQ(echo.server.awaited_deliveries(boot_now()), 1U);
+    auto const first_looked = boot_now();
+    while (echo.server.awaited_deliveries(boot_now()) > 0 &&
+           boot_now() - first_looked < 3 * reader_patience)
+        echo.loop.run_once();
+    EXPECT_EQ(echo.server.awaited_deliveries(boot_now()), 0U);
+}
+
 // ---- the client against raw bytes ----
 
 struct own_loop
