Tokens stay above all ever given when the store comes back from an older copy

Cause: a node that starts believes the store. It takes over the generation of its node's record and serves at the epochs that stand there, which after a rewind are those of some seconds ago, and nobody is left who knows better. Versions of the fleet's objects had no era, so living members ignored what was written again until the revisions had passed the ones they knew. Evidence: store-era-risen, then shards-granted at once at nodes that started after it, below the epochs in other targets' reports.

Change (docs/design/store-era.md has the argument and what is not proved): versions of all kinds carry the era. The replica keeps what it knows (merged(), store_rewind.hpp), and whoever knows more than the store writes it again. A member vouches for its record in each era; nobody evicts on, or gives away shards by, records of an earlier era before all is settled. A process serves at no epoch of an era before its first, and takes over no generation from a record of an earlier one. The own record's pending write is continued on the new era's version, others are dropped. Without eras nothing changes.

--- a/include/buckthornusher/coordinator.hpp
+++ b/include/buckthornusher/coordinator.hpp
@@ -145,6 +145,8 @@
     std::uint64_t config_bytes_received = 0;
     std::uint64_t evacuation_digests_sent = 0;
     std::uint64_t evacuation_stand_ins = 0; // times that evidence was found too old
+    std::uint64_t store_era_rises = 0;      // the store came back from an older copy
+    std::uint64_t records_restored = 0;     // writes of what it had forgotten
     friend bool operator==(coordinator_counts const&,
                            coordinator_counts const&) = default;
 };
--- a/include/buckthornusher/member.hpp
+++ b/include/buckthornusher/member.hpp
@@ -88,6 +88,8 @@
     std::vector<target> targets;
     std::vector<upstream_incarnation> departed; // announced their exit, latest last
     bool draining = false;                      // gets no further shards
+    // Of the store, in which the member vouched for its record last (store_rewind.hpp).
+    std::uint64_t store_era = 0;
 
     owner_id owner() const { return {.node = id.node, .generation = generation}; }
     friend bool operator==(member_record const&, member_record const&) = default;
--- a/include/buckthornusher/replica.hpp
+++ b/include/buckthornusher/replica.hpp
@@ -6,7 +6,9 @@
 //   copy.missing_from(kind, to, listed); // deletions implied by a full list as of `to`
 //
 // Objects come from the store and from peers, in any order and more than once; for each
-// name the highest version wins, so the copy never goes back. The copy includes all
+// name the highest version wins, so the copy never goes back. After the store came back
+// from an older copy of itself, what it forgot holds under the version that it gave
+// (store_rewind.hpp), until it is written again. The copy includes all
 // changes of fleet objects up to `revision`, all changes of the configuration up to
 // `config_revision`, and all changes of evacuations up to `evacuation_revision`.
 // Deletions are kept as objects without a value so that they reach peers.
@@ -36,9 +38,15 @@
     replica(replica&&) = default;
     replica& operator=(replica&&) = default;
 
-    // Returns whether the object was newer than the known version.
+    // Returns whether the copy has changed.
     bool apply(object const& o);
 
+    // The fleet objects of which the copy knows more than was found in the store.
+    std::set<std::string> const& ahead_of_store() const { return m_ahead; }
+    // Returns the fleet objects that the copy has only by versions of earlier eras. The
+    // store lacks them if it was listed in this one.
+    std::vector<std::string> of_earlier_eras(std::uint64_t era) const;
+
     // Applies all changes of fleet objects in (from, to]. Returns false if there is a gap
     // between the copy's revision and `from`; the objects are applied nevertheless.
     bool apply_range(std::uint64_t from, std::uint64_t to,
@@ -53,9 +61,6 @@
 
     std::uint64_t revision() const { return m_revision; }
     std::uint64_t config_revision() const { return m_config_revision; }
-    // The highest revision of any era up to which the configuration was complete, for
-    // comparison with the fleet's versions, which have no era.
-    std::uint64_t plain_config_revision() const { return m_plain_config_revision; }
     // Notes that the configuration is complete up to `to`.
     void note_config_revision(std::uint64_t to);
 
@@ -109,15 +114,17 @@
 
 private:
     void note_evacuation(std::string_view domain, bool evacuated);
+    std::optional<record> value_of_both(object const& known, object const& found);
+    void index(object const& o);
 
     std::uint64_t m_revision = 0;
     std::uint64_t m_config_revision = 0;
-    std::uint64_t m_plain_config_revision = 0;
     std::uint64_t m_evacuation_revision = 0;
     std::uint64_t m_change_count = 0;
     std::uint64_t m_member_change_count = 0;
     std::uint64_t m_evacuation_change_count = 0;
     std::map<std::string, object> m_objects;
+    std::set<std::string> m_ahead; // see ahead_of_store()
     // Exactly the versions in m_objects.
     std::set<std::pair<std::uint64_t, std::string>> m_by_version;
     // The domains of the evacuations among m_objects that have a value.
--- a/src/connection/store_client.cpp
+++ b/src/connection/store_client.cpp
@@ -17,17 +17,9 @@
 constexpr std::size_t max_remembered_entries = 1'000; // that were skipped
 constexpr std::size_t max_reported_name = 200;        // bytes
 
-// Versions of objects that operators write are qualified by the era; those of the fleet's
-// are not yet, see docs/design/store-era.md.
-bool has_era(object_kind kind)
+// Qualifies the versions in the answer by the era.
+void qualify(std::optional<std::uint64_t> era, store_answer& answer)
 {
-    return kind != object_kind::fleet;
-}
-
-void qualify(object_kind kind, std::optional<std::uint64_t> era, store_answer& answer)
-{
-    if (!has_era(kind))
-        return;
     if (auto* found = std::get_if<store_objects>(&answer))
     {
         found->revision = qualified_version(era, found->revision);
@@ -41,12 +33,6 @@
         conflict->current.version = qualified_version(era, conflict->current.version);
 }
 
-// Returns the revision as the store knows it.
-std::uint64_t plain_revision(object_kind kind, std::uint64_t version)
-{
-    return has_era(kind) ? revision_of_version(version) : version;
-}
-
 } // namespace
 
 store_client::store_client(event_loop& loop, options const& opts)
@@ -57,9 +43,9 @@
 {
 }
 
-bool store_client::is_of_earlier_era(object_kind kind, std::uint64_t version) const
+bool store_client::is_of_earlier_era(std::uint64_t version) const
 {
-    return has_era(kind) && version > 0 &&
+    return version > 0 &&
            era_of_version(version) != era_of_version(qualified_version(m_era.value(), 0));
 }
 
@@ -162,7 +148,7 @@
                  return done(record_outcome("list", result, store_no_answer{}));
              note_skipped(page->skipped);
              store_answer answer = std::move(page->objects);
-             qualify(operation.kind, m_era.value(), answer);
+             qualify(m_era.value(), answer);
              auto& found = std::get<store_objects>(answer);
              if (so_far.revision == 0)
                  so_far.revision = found.revision;
@@ -177,11 +163,11 @@
 
 void store_client::watch(store_watch const& operation, callback done)
 {
-    if (is_of_earlier_era(operation.kind, operation.since))
+    if (is_of_earlier_era(operation.since))
         return done(store_history_lost{}); // the revision means nothing any more
     ++m_counts.watches;
     auto plain = operation;
-    plain.since = plain_revision(operation.kind, operation.since);
+    plain.since = revision_of_version(operation.since);
     send(platform::watch_request(plain), operation.wait + watch_timeout_margin,
          [this, operation, asked = m_era.value(),
           done = std::move(done)](http_result result)
@@ -191,20 +177,19 @@
                              : platform::watch_result{.answer = store_no_answer{}};
              note_skipped(read.skipped);
              auto answer = check_era(result, std::move(read.answer), asked);
-             qualify(operation.kind, m_era.value(), answer);
+             qualify(m_era.value(), answer);
              done(record_outcome("watch", result, std::move(answer)));
          });
 }
 
 void store_client::write(store_write const& operation, callback done)
 {
-    auto const kind = kind_of(operation.name);
     // Its condition might hold again by accident, and nobody has read what stands now.
-    if (is_of_earlier_era(kind, operation.expected))
+    if (is_of_earlier_era(operation.expected))
         return done(store_refused{});
     ++m_counts.writes;
     auto plain = operation;
-    plain.expected = plain_revision(kind, operation.expected);
+    plain.expected = revision_of_version(operation.expected);
     send(platform::write_request(plain), m_options.call_timeout,
          [this, operation, done = std::move(done)](http_result result)
          {
@@ -214,7 +199,7 @@
              {
                  auto answer = check_era(
                      result, platform::read_write(operation, result.value()), {});
-                 qualify(kind_of(operation.name), m_era.value(), answer);
+                 qualify(m_era.value(), answer);
                  return done(record_outcome("write", result, std::move(answer)));
              }
              bool const sent = result.error().sent;
--- a/src/connection/store_client.hpp
+++ b/src/connection/store_client.hpp
@@ -93,7 +93,7 @@
     void list(store_list const& operation, store_objects so_far, std::string const& after,
               callback done);
     // Whether the version is from an earlier era than the store is in.
-    bool is_of_earlier_era(object_kind kind, std::uint64_t version) const;
+    bool is_of_earlier_era(std::uint64_t version) const;
     // Returns the answer, or what it means by its era.
     store_answer check_era(http_result const& result, store_answer answer,
                            asked_era const& asked);
--- a/src/connection/wire.cpp
+++ b/src/connection/wire.cpp
@@ -55,6 +55,7 @@
     w.set_tenure(m.generation);
     w.set_inherited(m.inherited);
     w.set_watcher_changes(m.watcher_changes);
+    w.set_store_era(m.store_era);
     for (auto const& id : m.watchers)
         encode(id, *w.add_watchers());
     for (auto const& t : m.targets)
@@ -138,6 +139,7 @@
     m.generation = w.tenure();
     m.inherited = w.inherited();
     m.watcher_changes = w.watcher_changes();
+    m.store_era = w.store_era();
     for (auto const& id : w.watchers())
         m.watchers.push_back(decode(id));
     for (auto const& t : w.targets())
--- a/src/coordination/assigner.cpp
+++ b/src/coordination/assigner.cpp
@@ -1,6 +1,8 @@
 // Implementation of the assigner; see the header.
 #include "coordination/assigner.hpp"
 
+#include "buckthornusher/store_rewind.hpp"
+
 #include <algorithm>
 
 namespace buckthornusher
@@ -22,10 +24,11 @@
            target_of(m, service) != nullptr;
 }
 
-assignment change_owner(assignment const& a, owner_id const& owner, std::string handover)
+assignment change_owner(assignment const& a, owner_id const& owner, std::string handover,
+                        era_rule const& rule)
 {
     return {.owner = owner,
-            .epoch = a.epoch + 1,
+            .epoch = next_epoch(a.epoch, rule.era),
             .successor = {},
             .handover = std::move(handover)};
 }
@@ -128,11 +131,18 @@
         noted = {.epoch = release.epoch, .handover = release.handover};
 }
 
+// A shard without an epoch may have had one in what the store forgot.
+bool era_rule::allows(assignment const& a) const
+{
+    bool const outdated = a.epoch == 0 ? has_copy : !is_epoch_of(a.epoch, era);
+    return settled || !outdated;
+}
+
 std::optional<shard_group_record>
 next_shard_group(replica const& copy, keyed_service const& service,
                  std::uint32_t first_shard, std::vector<plan_change> const& changes,
                  release_table const& releases, std::set<owner_id> const& unfenced,
-                 bool may_place, guards const& g)
+                 bool may_place, guards const& g, era_rule const& rule)
 {
     auto const count = std::min(shards_per_group, service.shards - first_shard);
     auto const* present = copy.shard_group({service.name, first_shard});
@@ -148,6 +158,8 @@
         auto& a = next.assignments[offset];
         while (change != changes.end() && change->shard < shard)
             ++change;
+        if (!rule.allows(a))
+            continue;
         bool const has_change = change != changes.end() && change->shard == shard;
         auto const* successor = a.successor ? copy.serving(a.successor) : nullptr;
         bool const successor_fit = successor != nullptr &&
@@ -159,9 +171,9 @@
             if (unfenced.contains(a.owner) || !may_place)
                 continue;
             if (successor_fit)
-                a = change_owner(a, a.successor, {});
+                a = change_owner(a, a.successor, {}, rule);
             else if (has_change)
-                a = change_owner(a, change->to, {});
+                a = change_owner(a, change->to, {}, rule);
             continue;
         }
         auto const release = releases.find({service.name, shard});
@@ -169,10 +181,15 @@
             release != releases.end() && release->second.epoch == a.epoch;
         bool const is_released = !g.release_before_move || announced;
         auto const handover = announced ? release->second.handover : std::string();
-        if (a.successor && !successor_fit)
-            a = change_owner(a, a.owner, handover); // cancels the move
+        // The owner's present process cannot know that it is the last epoch.
+        auto const* owner = copy.serving(a.owner);
+        bool const needs_epoch = !is_epoch_of(a.epoch, rule.era) && owner != nullptr &&
+                                 owner->inherited && owner->store_era == rule.era;
+        bool const cancels_move = a.successor && !successor_fit;
+        if (needs_epoch || cancels_move)
+            a = change_owner(a, a.owner, handover, rule);
         else if (a.successor && is_released)
-            a = change_owner(a, a.successor, handover);
+            a = change_owner(a, a.successor, handover, rule);
         else if (!a.successor && has_change && change->to != a.owner)
             a.successor = change->to; // the owner may be live but without its upstream
     }
--- a/src/coordination/assigner.hpp
+++ b/src/coordination/assigner.hpp
@@ -54,14 +54,25 @@
 plan_input make_plan_input(replica const& copy, keyed_service const& service,
                            service_load const* load, instant now);
 
+// Which assignments of earlier eras of the store may be acted on (store_rewind.hpp).
+struct era_rule
+{
+    std::uint64_t era = 0; // in which new epochs are given out
+    bool settled = true;   // nobody can know more than the store any more
+    bool has_copy = false; // records of an earlier era stand in the store
+    bool allows(assignment const& a) const;
+    friend bool operator==(era_rule const&, era_rule const&) = default;
+};
+
 // Returns the updated shard group, or nothing if no change is needed. `changes` is the
 // plan for the whole service. Shards of `unfenced` owners wait although those owners are
-// gone; while not `may_place`, all shards without an owner do.
+// gone; while not `may_place`, all shards without an owner do. What the rule does not
+// allow stays as it is.
 std::optional<shard_group_record>
 next_shard_group(replica const& copy, keyed_service const& service,
                  std::uint32_t first_shard, std::vector<plan_change> const& changes,
                  release_table const& releases, std::set<owner_id> const& unfenced,
-                 bool may_place, guards const& g);
+                 bool may_place, guards const& g, era_rule const& rule = {});
 
 } // namespace buckthornusher
 
--- a/src/coordination/coordinator.cpp
+++ b/src/coordination/coordinator.cpp
@@ -45,7 +45,7 @@
 
 void coordinator::impl::write_record(std::string const& name, record value, instant now)
 {
-    write({.name = name, .expected = copy.version_of(name), .value = std::move(value)},
+    write({.name = name, .expected = store_version(name), .value = std::move(value)},
           now);
 }
 
@@ -53,10 +53,11 @@
                                       std::vector<object> const& objects,
                                       std::optional<member_id> const& sender, instant now)
 {
-    std::vector<object> changed;
+    learn_era(to, now);
+    std::vector<object> changed; // as this member knows them, which may be more
     for (auto const& o : objects)
         if (copy.apply(o))
-            changed.push_back(o);
+            changed.push_back(*copy.find(o.name));
     auto const before = copy.revision();
     bool const contiguous = copy.apply_range(from, to, {});
     if (!contiguous)
@@ -165,6 +166,7 @@
 void coordinator::impl::note_peer_revision(member_id const& peer, std::uint64_t revision,
                                            instant now)
 {
+    learn_era(revision, now);
     bool const peer_ahead = revision > copy.revision();
     if (peer_ahead && !behind_since)
         behind_since = now;
@@ -327,16 +329,20 @@
     if (outcome == store_reader::outcome::watched)
         return apply_changes(copy.revision(), found.revision, found.objects, std::nullopt,
                              now);
+    learn_era(found.revision, now);
     auto objects = found.objects;
-    for (auto& o : copy.missing_from(object_kind::fleet, found.revision, found.objects))
+    for (auto& o : copy.missing_from(object_kind::fleet, found.revision, found.objects,
+                                     /*with_earlier_eras=*/false))
         objects.push_back(std::move(o));
     apply_changes(0, found.revision, objects, std::nullopt, now);
+    rebase_own_record(now);
     register_if_listed(now);
 }
 
 void coordinator::impl::on_decision(write_decision const& decision, instant now)
 {
     auto const version = decision.current.version;
+    learn_era(version, now);
     bool const own = decision.write.name == member_object(opts.self.node);
     if (own && decision.accepted)
         on_own_decision(decision, now); // first, so that the change is forwarded to peers
@@ -352,7 +358,8 @@
 
 void coordinator::impl::on_own_decision(write_decision const& decision, instant now)
 {
-    if (current_phase == phase::ended)
+    // In the listing phase the write was dropped, as the store came back meanwhile.
+    if (current_phase == phase::ended || current_phase == phase::listing)
         return;
     lease.end_watcher_change(decision.accepted);
     if (decision.accepted)
@@ -367,7 +374,7 @@
 
 void coordinator::impl::after_conflict(object const& current, instant now)
 {
-    on_object_changed(current, now);
+    on_object_changed(*copy.find(current.name), now);
     refresh_subjects(now);
     effects.emplace_back(replica_changed{});
 }
@@ -400,10 +407,11 @@
 
 bool coordinator::impl::has_caught_up(shard_id const& shard)
 {
-    if (!has_takeover_state() || has_gap_before(shard))
+    auto const* a = copy.find_assignment(shard);
+    if (!has_takeover_state() || has_gap_before(shard) ||
+        (a != nullptr && !era.may_serve(a->epoch)))
         return false;
-    if (!opts.ordered_configuration ||
-        copy.plain_config_revision() >= group_version(shard))
+    if (!opts.ordered_configuration || copy.config_revision() >= group_version(shard))
         return true;
     config_reader.want_list();
     return false;
@@ -420,10 +428,10 @@
 {
     m_impl->last_tick = now;
     m_impl->started = now;
-    if (m_impl->copy.revision() > 0)
-        m_impl->resume(now);
-    else
-        m_impl->read_store(now);
+    if (m_impl->copy.revision() == 0)
+        return m_impl->read_store(now);
+    m_impl->learn_era(m_impl->copy.revision(), now);
+    m_impl->resume(now);
 }
 
 void coordinator::on_message(member_id const& from, control_message const& message,
@@ -499,6 +507,7 @@
     s.start_evictions(now);
     s.continue_evictions(now);
     s.repeat_releases(now);
+    s.restore_forgotten(now);
     s.write_assignments(now);
     s.delete_gone(now);
 }
@@ -587,6 +596,10 @@
         !m_impl->owns_for_upstream(service, incarnation))
         return std::nullopt;
     auto owned = m_impl->shards.owned_shards(service);
+    if (std::any_of(owned.begin(), owned.end(),
+                    [&](owned_shard const& s)
+                    { return !m_impl->era.may_serve(s.epoch); }))
+        return std::nullopt;
     std::optional<std::uint32_t> checked; // shard group
     for (auto const& s : owned)
     {
--- a/src/coordination/coordinator_assignments.cpp
+++ b/src/coordination/coordinator_assignments.cpp
@@ -89,6 +89,7 @@
     planned_change_count = copy.change_count();
     next_plan = now + plan_interval;
     auto const unfenced = unfenced_owners(now);
+    auto const rule = assignment_rule(now);
     for (auto const& service : opts.services)
     {
         bool may_place = false;
@@ -110,7 +111,7 @@
             }
             auto next =
                 next_shard_group(copy, service, first, *changes, announced_releases,
-                                 unfenced, may_place, opts.guard);
+                                 unfenced, may_place, opts.guard, rule);
             if (!next)
             {
                 write_due_since.erase(name);
--- a/src/coordination/coordinator_config.cpp
+++ b/src/coordination/coordinator_config.cpp
@@ -65,6 +65,7 @@
         return;
     }
     auto const& found = std::get<store_objects>(answer);
+    learn_era(found.revision, now);
     copy.note_config_revision(found.revision);
     auto const* changed = find_config(found.objects);
     auto const held = copy.version_of(config_object);
--- a/src/coordination/coordinator_evictions.cpp
+++ b/src/coordination/coordinator_evictions.cpp
@@ -22,7 +22,8 @@
 {
     auto const* m = copy.member(subject);
     auto const name = member_object(subject.node);
-    if (m == nullptr || m->state != member_state::live || writer.busy(name))
+    if (m == nullptr || m->state != member_state::live || writer.busy(name) ||
+        !era.may_act_on(m->store_era, now))
         return;
     ++counts.evictions_started;
     auto next = *m;
@@ -77,7 +78,7 @@
     {
         auto const* m = copy.member(subject);
         if (m == nullptr || m->state != member_state::evicting ||
-            !drives_eviction(subject, work, now))
+            !era.may_act_on(m->store_era, now) || !drives_eviction(subject, work, now))
             continue;
         if (!work.procedure)
             work.procedure.emplace(*m, opts.lease, opts.guard);
@@ -130,7 +131,8 @@
             writer.busy(name) ||
             work_rank(copy, opts.self, "delete/" + owner.node) != 0 || is_referenced(*m))
             continue;
-        write({.name = name, .expected = copy.version_of(name), .value = {}}, now);
+        if (auto const version = store_version(name); version > 0)
+            write({.name = name, .expected = version, .value = {}}, now);
     }
     std::erase_if(gone_since,
                   [&](auto const& entry)
--- a/src/coordination/coordinator_impl.hpp
+++ b/src/coordination/coordinator_impl.hpp
@@ -2,12 +2,13 @@
 //
 // The implementation is split by subject: coordinator.cpp (events, replica, store),
 // coordinator_config.cpp, coordinator_evacuations.cpp, coordinator_membership.cpp,
-// coordinator_evictions.cpp and coordinator_assignments.cpp.
+// coordinator_evictions.cpp, coordinator_assignments.cpp and coordinator_eras.cpp.
 #ifndef BUCKTHORNUSHER_COORDINATION_COORDINATOR_IMPL_HPP
 #define BUCKTHORNUSHER_COORDINATION_COORDINATOR_IMPL_HPP
 
 #include "buckthornusher/coordinator.hpp"
 
+#include "buckthornusher/store_rewind.hpp"
 #include "coordination/assigner.hpp"
 #include "coordination/config_sync.hpp"
 #include "coordination/evacuation_sync.hpp"
@@ -62,7 +63,8 @@
               {.kind = object_kind::evacuations,
                .watch_wait = evacuation_times_for(opts.evacuation_bound).watch_wait,
                .seed = opts.seed + 2}),
-          config({.max_age = opts.max_config_age}), evacuations(opts.evacuation_bound)
+          config({.max_age = opts.max_config_age}), evacuations(opts.evacuation_bound),
+          era(opts.lease.max_lease_duration() + restore_time)
     {
         config.hold(copy.version_of(config_object));
         for (auto const& domain : copy.evacuated_domains())
@@ -70,6 +72,8 @@
     }
 
     static constexpr duration fleet_watch_gap = 200ms;
+    // In which members learn that the store came back, and write again what it forgot.
+    static constexpr duration restore_time = 3s;
 
     coordinator_options opts;
     replica copy;
@@ -82,6 +86,8 @@
     store_reader evacuation_reader; // makes no calls unless evacuations are read
     config_sync config;
     evacuation_sync evacuations;
+    rewind_guard era;      // of the store
+    instant restores_from; // when to write again what the store forgot
     coordinator_counts counts;
     std::vector<effect> effects;
 
@@ -245,6 +251,22 @@
     void note_epoch(std::string const& peer, shard_id const& shard, std::uint64_t epoch,
                     instant now);
 
+    // ---- the store came back from an older copy ----
+
+    // Notes the era of a version from the store or from a peer.
+    void learn_era(std::uint64_t version, instant now);
+    // The version of the object in the store; 0 if the store has forgotten it.
+    std::uint64_t store_version(std::string const& name) const;
+    // Continues the write of the own record, whose outcome must become known, in this
+    // era.
+    void rebase_own_record(instant now);
+    // Whether the generation of the node's record may be taken over. By the copy that the
+    // store came back from it may own shards that it has lost.
+    bool may_inherit(member_record const& before) const;
+    // Writes again what this member knows and the store does not.
+    void restore_forgotten(instant now);
+    era_rule assignment_rule(instant now) const;
+
     // ---- evacuations ----
 
     void read_evacuations(instant now);
--- a/src/coordination/coordinator_membership.cpp
+++ b/src/coordination/coordinator_membership.cpp
@@ -60,13 +60,21 @@
                        .watchers = {},
                        .targets = opts.targets,
                        .departed = departed,
-                       .draining = false};
+                       .draining = false,
+                       .store_era = era.value()};
     if (before != nullptr)
     {
         self.generation = std::max(self.generation, before->generation + 1);
         self.departed = with_departures(before->departed);
     }
-    if (!over)
+    bool const inherits = !over && may_inherit(*before);
+    // The upstream may hold shards that the earlier process granted; others get them as
+    // soon as its generation ends.
+    auto const granted_until =
+        started + opts.lease.max_lease_duration() + opts.unfenced_wait;
+    if (!over && !inherits && now < granted_until)
+        return;
+    if (inherits)
     {
         self.generation = before->generation;
         self.inherited = true;
@@ -81,7 +89,7 @@
     current_phase = phase::registering;
     auto const* o = copy.find(name);
     write({.name = name,
-           .expected = o != nullptr && o->value ? o->version : 0,
+           .expected = o != nullptr && o->value ? store_version(name) : 0,
            .value = self},
           now);
 }
@@ -253,6 +261,7 @@
     if (current == nullptr || writer.busy(name))
         return;
     auto next = *current;
+    next.store_era = era.value();
     next.departed = with_departures(current->departed);
     if (targets_known)
     {
--- a/src/coordination/replica.cpp
+++ b/src/coordination/replica.cpp
@@ -2,6 +2,7 @@
 #include "buckthornusher/replica.hpp"
 
 #include "buckthornusher/store_era.hpp"
+#include "buckthornusher/store_rewind.hpp"
 
 #include <algorithm>
 
@@ -75,13 +76,44 @@
                                                : object_kind::fleet;
 }
 
+// Returns the value that stands after `found`, and notes whether it is more than was
+// found.
+std::optional<record> replica::value_of_both(object const& known, object const& found)
+{
+    auto const& later = found.version > known.version ? found : known;
+    auto const& earlier = found.version > known.version ? known : found;
+    if (kind_of(found.name) != object_kind::fleet || !earlier.value || !later.value)
+    {
+        if (found.version > known.version)
+            m_ahead.erase(found.name);
+        return later.value;
+    }
+    // A copy that the store came back from is older than what was known before.
+    bool const one_era = era_of_version(earlier.version) == era_of_version(later.version);
+    auto value = one_era ? merged(*earlier.value, *later.value)
+                         : merged(*later.value, *earlier.value);
+    // Two values of one version: one of them is more than the store gave.
+    if (value != *later.value || found.version == known.version)
+        m_ahead.insert(found.name);
+    else if (found.version > known.version)
+        m_ahead.erase(found.name);
+    return value;
+}
+
 bool replica::apply(object const& o)
 {
     auto& known = m_objects[o.name];
-    if (o.version <= known.version)
+    bool const is_fleet = kind_of(o.name) == object_kind::fleet;
+    if (o.version < known.version && !is_fleet)
+        return false;
+    if (o.version == known.version && (!is_fleet || o.value == known.value))
+        return false;
+    auto value = value_of_both(known, o);
+    auto const version = std::max(known.version, o.version);
+    if (version == known.version && value == known.value)
         return false;
     m_by_version.erase({known.version, o.name});
-    m_by_version.emplace(o.version, o.name);
+    m_by_version.emplace(version, o.name);
     if (known.value && std::holds_alternative<member_record>(*known.value))
         m_members.erase(std::get<member_record>(*known.value).id);
     if (known.value && std::holds_alternative<shard_group_record>(*known.value))
@@ -89,17 +121,24 @@
         auto const& group = std::get<shard_group_record>(*known.value);
         m_shard_groups[group.service][group.first_shard / shards_per_group] = nullptr;
     }
-    known = o;
+    known = {.name = o.name, .version = version, .value = std::move(value)};
+    index(known);
+    return true;
+}
+
+// Enters a changed object into what is derived from all objects.
+void replica::index(object const& o)
+{
     ++m_change_count;
     if (o.name.starts_with(member_prefix))
         ++m_member_change_count;
     if (auto const domain = evacuated_domain(o.name))
         note_evacuation(*domain, o.value.has_value());
-    if (!known.value)
-        return true;
-    if (auto const* member = std::get_if<member_record>(&*known.value))
+    if (!o.value)
+        return;
+    if (auto const* member = std::get_if<member_record>(&*o.value))
         m_members[member->id] = *member;
-    if (auto const* group = std::get_if<shard_group_record>(&*known.value))
+    if (auto const* group = std::get_if<shard_group_record>(&*o.value))
     {
         auto& groups = m_shard_groups[group->service];
         auto const number = group->first_shard / shards_per_group;
@@ -107,7 +146,19 @@
             groups.resize(number + 1);
         groups[number] = group;
     }
-    return true;
+}
+
+std::vector<std::string> replica::of_earlier_eras(std::uint64_t era) const
+{
+    std::vector<std::string> names;
+    for (auto const& [version, name] : m_by_version)
+    {
+        if (era_of_version(version) >= era)
+            break;
+        if (kind_of(name) == object_kind::fleet && find(name)->value)
+            names.push_back(name);
+    }
+    return names;
 }
 
 bool replica::apply_range(std::uint64_t from, std::uint64_t to,
@@ -163,7 +214,6 @@
 void replica::note_config_revision(std::uint64_t to)
 {
     m_config_revision = std::max(m_config_revision, to);
-    m_plain_config_revision = std::max(m_plain_config_revision, revision_of_version(to));
 }
 
 std::vector<object> replica::changed_since(std::uint64_t since) const
--- a/src/coordination/store_writer.cpp
+++ b/src/coordination/store_writer.cpp
@@ -68,6 +68,21 @@
         m_pending.erase(it);
 }
 
+void store_writer::drop_all_but(std::string const& name)
+{
+    std::erase_if(m_pending, [&](auto const& entry) { return entry.first != name; });
+}
+
+void store_writer::rebase(std::string const& name, std::uint64_t expected, instant now)
+{
+    auto const it = m_pending.find(name);
+    if (it == m_pending.end())
+        return;
+    it->second.write.expected = expected;
+    it->second.attempts = 0;
+    it->second.repeat_at = now;
+}
+
 std::vector<store_call> store_writer::repeat(std::uint64_t& next_call_id, instant now)
 {
     std::vector<store_call> calls;
--- a/src/coordination/store_writer.hpp
+++ b/src/coordination/store_writer.hpp
@@ -60,6 +60,18 @@
     // effect.
     void drop(std::string const& name);
 
+    // Drops all writes but the one of that name, whose outcome must become known. Any of
+    // them may still take effect.
+    void drop_all_but(std::string const& name);
+    // Repeats the pending write of the object, if there is one, on another version.
+    void rebase(std::string const& name, std::uint64_t expected, instant now);
+
+    // Returns the pending write of the object, or null.
+    store_write const* pending(std::string const& name) const
+    {
+        auto const it = m_pending.find(name);
+        return it == m_pending.end() ? nullptr : &it->second.write;
+    }
     std::size_t pending() const { return m_pending.size(); }
 
 private:
--- a/src/process/operator_api.cpp
+++ b/src/process/operator_api.cpp
@@ -364,6 +364,7 @@
     m.set("renewals_total", c.renewals);
     m.set("evictions_started_total", c.evictions_started);
     m.set("evictions_waiting", c.evictions_waiting);
+    m.set("store_records_restored_total", c.records_restored);
     m.set("watcher_changes_total", c.watcher_changes);
     m.set("pauses_total", c.pauses);
     m.set("store_calls_total", c.store_calls);
