A run is ended by its own time, its caller or its process, not by a node's impatience

Who ended it: 502 is answer-lost, the word of the node beside the upstream.

Cause: the node closed the connection at the moment that it had told the upstream as the end of its time, and another node's deadline is known with an error to the early side. And (the 504) a stopping node gave up an attempt at a peer that was silent for 0.8 s or evicted, could not place the request again, and answered in its place.

Change: run_end.hpp, one decision without a network. The upstream ends a run by its time; the node awaits its word 0.15 s longer. A stopping node gives an attempt up only once the peer's process is known to be another one. Running nodes repeat as before.

Tests, each failed with its part taken out: agent_test.passes_on_what_an_upstream_says_at_the_end_of_the_..., ingress_test.a_stopping_node_waits_for_the_answer_of_a_silent_peer (504 owner-lost); run_end.*.

--- a/src/process/agent.cpp
+++ b/src/process/agent.cpp
@@ -2,6 +2,7 @@
 #include "process/agent_impl.hpp"
 
 #include "buckthornusher/owner_wait.hpp"
+#include "buckthornusher/run_end.hpp"
 #include "process/boot_clock.hpp"
 #include "process/event_loop.hpp"
 #include "process/log.hpp"
@@ -330,7 +331,7 @@
                                 ? call_connection::unused
                                 : call_connection::any;
     auto const call = l->http.call(
-        make_http_request(w, *l, until - now), until - now,
+        make_http_request(w, *l, until - now), until - now + last_word_margin,
         [this, id, now](http_result r) { on_upstream_result(id, now, std::move(r)); },
         connection);
     if (auto* still = find(id))
--- a/src/process/ingress.cpp
+++ b/src/process/ingress.cpp
@@ -339,7 +339,7 @@
         auto const* m = m_coordinator->copy().node(pending->sent_to);
         if (m != nullptr && m->state != member_state::gone)
             continue;
-        if (!abandon_attempt(*pending, now))
+        if (!abandon_attempt(*pending, attempt_loss::member_gone, now))
             continue;
         pending->search.forget();
         ready.push_back(id);
--- a/src/process/ingress.hpp
+++ b/src/process/ingress.hpp
@@ -29,6 +29,7 @@
 #include "buckthornusher/placement.hpp"
 #include "buckthornusher/planned_stop.hpp"
 #include "buckthornusher/retry_budget.hpp"
+#include "buckthornusher/run_end.hpp"
 #include "buckthornusher/timer_service.hpp"
 #include "connection/caller_form.hpp"
 #include "connection/http_server.hpp"
@@ -161,7 +162,7 @@
     void on_unknown(pending_request& pending, request_unknown const& result, instant now);
     void on_moved(pending_request& pending, request_moved const& moved, instant now);
     bool acquire_retry(pending_request& pending, double reserved_share, instant now);
-    bool abandon_attempt(pending_request& pending, instant now);
+    bool abandon_attempt(pending_request& pending, attempt_loss loss, instant now);
     void dispatch_later(pending_request& pending, instant now);
     void end_attempt(pending_request& pending, bool failed, instant now);
     void note_load(std::string const& node, upstream_load load,
--- a/src/process/ingress_results.cpp
+++ b/src/process/ingress_results.cpp
@@ -223,8 +223,10 @@
 
 // Abandons the attempt at an unresponsive node if the request may be retried. Returns
 // whether it did.
-bool ingress::abandon_attempt(pending_request& pending, instant now)
+bool ingress::abandon_attempt(pending_request& pending, attempt_loss loss, instant now)
 {
+    if (!may_give_up(loss, m_stop.has_value()))
+        return false;
     pending.attempts.on_arrival();
     if (!acquire_retry(pending, 0, now))
         return false;
@@ -266,7 +268,9 @@
         if (pending == nullptr)
             continue;
         pending->trace.add("lost", {{"at", node}, {"certain", confirmed ? "yes" : "no"}});
-        if (abandon_attempt(*pending, now))
+        auto const loss =
+            confirmed ? attempt_loss::process_replaced : attempt_loss::peer_silent;
+        if (abandon_attempt(*pending, loss, now))
         {
             pending->progress.tried.insert(node);
             dispatch(*pending, now);
--- a/tests/agent_test.cpp
+++ b/tests/agent_test.cpp
@@ -256,6 +256,24 @@
     EXPECT_EQ(unknown->reason, outcome_reason::stopping);
 }
 
+// Guards against a run that its node cuts at the moment at which the upstream ends it:
+// the upstream's own word is on its way then.
+TEST_F(agent_test, passes_on_what_an_upstream_says_at_the_end_of_the_time_it_was_told)
+{
+    constexpr duration told = 300ms;
+    constexpr duration on_its_way = 30ms;
+    send("/long", told);
+    auto const sent = boot_now();
+    serve_until([&] { return replies.size() == 1; });
+    auto const timer = loop.timers().at(sent + told + on_its_way, [&](instant)
+                                        { replies[0].send({.status = 504}); });
+    serve_until([&] { return results.contains("/long"); });
+    loop.timers().cancel(timer);
+    auto const* answered = std::get_if<request_answered>(&results.at("/long"));
+    ASSERT_NE(answered, nullptr) << "its node ended the run";
+    EXPECT_EQ(answered->response.status, 504);
+}
+
 TEST_F(stopping_agent, withdraws_only_requests_that_have_not_been_sent)
 {
     auto const running = send("/running");
--- a/tests/ingress_test.cpp
+++ b/tests/ingress_test.cpp
@@ -35,6 +35,15 @@
 
     void on_message(peer_route const& route, wire::Envelope const& message)
     {
+        if (is_silent)
+        {
+            if (message.has_forward())
+                unanswered.push_back(message);
+            return;
+        }
+        // The first message that it hears again may come on another connection.
+        for (auto const& earlier : std::exchange(unanswered, {}))
+            on_message(route, earlier);
         wire::Envelope out;
         out.mutable_sender()->set_node(name);
         if (message.has_hello() && answers_hello)
@@ -61,6 +70,8 @@
 
     std::string name;
     bool answers_hello = true;
+    bool is_silent = false; // it reads messages and answers them later
+    std::vector<wire::Envelope> unanswered;
     std::vector<upstream_request> forwards;
     std::optional<request_result> next_result; // instead of its answer
     peer_socket peers;
@@ -190,6 +201,33 @@
     EXPECT_EQ(call().body, "near");
 }
 
+// Guards against a stopping node that answers 504 for a request that runs at a peer,
+// because the peer sent nothing for a while.
+TEST_F(ingress_test, a_stopping_node_waits_for_the_answer_of_a_silent_peer)
+{
+    far_node.answers_hello = false;
+    set_document("[service.s]\nkeyed = false\ndeadline_ms = 4000\n"
+                 "[[service.s.route]]\nprefix = \"/s/\"\n",
+                 2);
+    wait_for_clock("near", 1);
+    near_node.is_silent = true;
+    std::optional<http_result> result;
+    client.call({.method = "GET", .target = "/s/x"}, 10s,
+                [&](http_result r) { result = std::move(r); });
+    while (near_node.unanswered.empty())
+        loop.run_once();
+    requests.begin_stopping(planned_stop({.grace = 3s}, boot_now()));
+    constexpr duration silence = 1'200ms; // longer than that of a lost peer
+    auto const until = boot_now() + silence;
+    while (boot_now() < until)
+        loop.run_once();
+    near_node.is_silent = false;
+    while (!result)
+        loop.run_once();
+    EXPECT_EQ(result->value().status, 200);
+    EXPECT_EQ(result->value().body, "near");
+}
+
 TEST_F(ingress_test, sends_to_another_node_while_the_nearest_nodes_clock_is_unknown)
 {
     near_node.answers_hello = false;
