A reply follows its node to a new connection

Cause: a node that hears nothing from a peer for 0.8 s replaces its connection. The peer's replies went to the old one, where there is nobody, and forward_server dropped what the socket did not take, without a word.

Change: a reply whose connection is gone goes to the one on which its node was heard last, or waits until it is heard again, until its request's time is over; then it is counted and logged (reply-lost). At most 1,000 wait. Ids of attempts begin at a random number in each process, so that a reply to an earlier process of the node can match no attempt of a later one. Not covered: what ZeroMQ had taken when the connection was closed.

Test: leaving_callers.a_reply_follows_its_node_to_a_new_connection; before, there was nothing to follow with.

--- a/src/process/forward_server.cpp
+++ b/src/process/forward_server.cpp
@@ -3,10 +3,14 @@
 
 #include "process/boot_clock.hpp"
 #include "process/event_loop.hpp"
+#include "process/log.hpp"
 #include "process/request_wire.hpp"
 
 #include "wire.pb.h"
 
+#include <algorithm>
+#include <iterator>
+
 namespace buckthornusher
 {
 
@@ -16,6 +20,7 @@
 constexpr duration overloaded_retry_after = 200ms;
 
 constexpr std::uint64_t max_small_bytes = 4'096; // an answer up to this is sent at once
+constexpr std::size_t max_unsent_replies = 1'000;
 
 } // namespace
 
@@ -29,6 +34,7 @@
         if (!held->try_set(copies_of_body * in.body().size(), in.body().size()))
             return reply(
                 {.route = route,
+                 .node = message.sender().node(),
                  .attempt = in.attempt(),
                  .kind = {.service = in.service(), .request_class = in.request_class()},
                  .read_at = boot_now(),
@@ -75,20 +81,23 @@
     {
         m_requests.erase(key);
         return reply({.route = route,
+                      .node = request.sender,
                       .attempt = attempt,
                       .kind = kind,
                       .read_at = read_at,
                       .result = request_refused{.reason = outcome_reason::stale}});
     }
     bool const large = request.large_answer;
+    auto const node = request.sender;
     auto const due = request.due;
     auto const deadline = request.deadline;
     auto const id = m_agent.run(std::move(arrived.request),
-                                [this, route = route, key, kind, read_at = read_at, large,
-                                 due, deadline](request_result result)
+                                [this, route = route, node, key, kind, read_at = read_at,
+                                 large, due, deadline](request_result result)
                                 {
                                     m_requests.erase(key);
                                     send_or_hold({.route = route,
+                                                  .node = node,
                                                   .attempt = key.second,
                                                   .kind = kind,
                                                   .read_at = read_at,
@@ -171,7 +180,8 @@
     return false;
 }
 
-void forward_server::reply(outgoing_reply const& r)
+// Sends the reply on its connection. Returns false if it was certainly not sent.
+bool forward_server::send_reply(outgoing_reply const& r)
 {
     auto const now = boot_now();
     wire::Envelope out;
@@ -186,13 +196,71 @@
         m_agent.add_link_load(*load, now);
         encode(*load, *w.mutable_load());
     }
-    if (m_peers.reply(r.route, out) ||
-        !std::holds_alternative<request_answered>(r.result))
-        return;
+    if (m_peers.reply(r.route, out))
+        return true;
+    if (!std::holds_alternative<request_answered>(r.result))
+        return false;
     encode(request_unknown{.reason = outcome_reason::answer_lost}, w);
     w.clear_body();
     w.clear_headers();
-    m_peers.reply(r.route, out);
+    return m_peers.reply(r.route, out);
+}
+
+void forward_server::reply(outgoing_reply const& r)
+{
+    if (send_reply(r))
+        return;
+    auto again = r;
+    auto const heard = m_routes.find(r.node);
+    bool const has_other = heard != m_routes.end() && !(heard->second == r.route);
+    if (has_other)
+        again.route = heard->second;
+    if (has_other && send_reply(again))
+        return;
+    if (again.deadline > boot_now() && m_unsent.size() < max_unsent_replies)
+        m_unsent.push_back(std::move(again));
+    else
+        note_lost(again);
+}
+
+void forward_server::note_lost(outgoing_reply const& r)
+{
+    ++m_lost_replies;
+    log_event(log_level::warning, "reply-lost",
+              {{"to", r.node}, {"sending", std::to_string(r.attempt)}});
+}
+
+void forward_server::note_route(std::string const& node, peer_route const& route)
+{
+    auto& known = m_routes[node];
+    if (known == route)
+        return;
+    known = route;
+    auto const is_to_node = [&](outgoing_reply const& r)
+    {
+        return r.node == node;
+    };
+    std::vector<outgoing_reply> waiting;
+    std::copy_if(m_unsent.begin(), m_unsent.end(), std::back_inserter(waiting),
+                 is_to_node);
+    std::erase_if(m_unsent, is_to_node);
+    for (auto& r : waiting)
+    {
+        r.route = route;
+        reply(r);
+    }
+}
+
+void forward_server::drop_overdue(instant now)
+{
+    auto const is_overdue = [&](outgoing_reply const& r)
+    {
+        return r.deadline <= now;
+    };
+    for (auto const& r : m_unsent)
+        if (is_overdue(r))
+            note_lost(r);
+    std::erase_if(m_unsent, is_overdue);
 }
 
 void forward_server::on_cancel(peer_route const& route, wire::Envelope const& message)
--- a/src/process/forward_server.hpp
+++ b/src/process/forward_server.hpp
@@ -10,6 +10,10 @@
 // A request with a long body is refused as overloaded if the process's memory budget has
 // no room for it. An answer that cannot be sent is replaced by the word that it is lost.
 //
+// A peer that took this node for silent has closed the connection on which its requests
+// came. Their replies go to the connection on which it was heard last, or wait until it
+// is heard again, until nobody can use them any more.
+//
 // A large answer of a route with large answers waits for its turn on the VM's link
 // (link_schedule.hpp), if the link's rate is known; everything else is sent at once.
 #ifndef BUCKTHORNUSHER_PROCESS_FORWARD_SERVER_HPP
@@ -45,6 +49,12 @@
     void on_cancel(peer_route const& route, wire::Envelope const& message);
     // Begins the requests received since the last call. Returns whether there were any.
     bool begin_received();
+    // Notes the connection on which a node was just heard.
+    void note_route(std::string const& node, peer_route const& route);
+    // Gives up the replies whose requests' time is over.
+    void drop_overdue(instant now);
+    // Returns the number of replies that could not be sent in time.
+    std::uint64_t lost_replies() const { return m_lost_replies; }
     // Counts what the node has sent since the last call as the link's work. To be called
     // often: what is counted late looks like work that is still to be done.
     void count_sent(instant now);
@@ -75,6 +85,7 @@
     struct outgoing_reply
     {
         peer_route route;
+        std::string node; // that sent the request
         std::uint64_t attempt = 0;
         request_kind kind;
         instant read_at;
@@ -89,6 +100,8 @@
     void begin(received_request arrived);
     void send_or_hold(outgoing_reply r);
     void reply(outgoing_reply const& r);
+    bool send_reply(outgoing_reply const& r);
+    void note_lost(outgoing_reply const& r);
     void hold(outgoing_reply r, std::uint64_t bytes, instant now);
     bool drop_held(request_key const& key);
     void release_held(instant now);
@@ -107,7 +120,10 @@
     std::map<std::uint64_t, outgoing_reply> m_held;
     std::uint64_t m_next_held = 1;
     std::optional<timer_service::timer_id> m_release_timer;
-    std::uint64_t m_counted_bytes = 0; // of the socket's sent bytes
+    std::uint64_t m_counted_bytes = 0;          // of the socket's sent bytes
+    std::map<std::string, peer_route> m_routes; // on which each node was heard last
+    std::vector<outgoing_reply> m_unsent;       // to nodes without a connection; bounded
+    std::uint64_t m_lost_replies = 0;
 };
 
 } // namespace buckthornusher
--- a/src/process/ingress.cpp
+++ b/src/process/ingress.cpp
@@ -56,6 +56,14 @@
     return request.method == "GET";
 }
 
+// Replies to an earlier process of this node must match no attempt of this one.
+std::uint64_t first_id(std::uint64_t random)
+{
+    constexpr unsigned ids_bits = 24; // of one process
+    constexpr std::uint64_t max_random = 0xffff'ffff;
+    return ((random & max_random) << ids_bits) + 1;
+}
+
 } // namespace
 
 ingress::ingress(event_loop& loop, coordinator& coord, agent& local, peer_socket& peers,
@@ -63,7 +71,7 @@
     : m_loop(loop), m_coordinator(&coord), m_agent(local), m_peers(peers), m_table(table),
       m_metrics(counts), m_options(std::move(opts)), m_sampler(sampled_per_second),
       m_placement({}), m_offers({}), m_retries(m_options.retries),
-      m_random(std::random_device{}()),
+      m_random(std::random_device{}()), m_next_id(first_id(m_random())),
       m_link_intake({.bytes_per_second = m_options.link_bytes_per_second})
 {
 }
--- a/src/process/node.cpp
+++ b/src/process/node.cpp
@@ -454,6 +454,7 @@
         auto const now = boot_now();
         auto const& node = message.sender().node();
         coord->note_contact(node, now);
+        forwards.note_route(node, route);
         if (auto const silent = table.on_message(node, now); silent > 0us)
             log_event(log_level::info, "dependency-regained",
                       {{"kind", "peer"}, {"peer", node}, {"lost_ms", in_ms(silent)}});
@@ -533,6 +534,7 @@
         {
             next_load_report = now + load_report_period;
             counts.set("callers_left_unread_total", callers.unread_disconnects());
+            counts.set("replies_lost_total", forwards.lost_replies());
             report_memory();
             for (auto const& report : local.take_load_reports(now))
                 coord->report_load(report, now);
@@ -711,6 +713,7 @@
                           {
                               s.local.tick(t);
                               s.forwards.count_sent(t);
+                              s.forwards.drop_overdue(t);
                               s.handover.tick(t);
                               s.requests.tick(t);
                               flush_log();
--- a/tests/agent_test.cpp
+++ b/tests/agent_test.cpp
@@ -343,6 +343,40 @@
     EXPECT_EQ(forwards.unfinished(), 1U);
 }
 
+// Guards against a reply that is dropped because the node that asked has replaced the
+// connection on which its request came.
+TEST_F(leaving_callers, a_reply_follows_its_node_to_a_new_connection)
+{
+    std::vector<std::uint64_t> replied;
+    peer_socket caller(loop, "tcp://127.0.0.1:*",
+                       [&](peer_route const&, wire::Envelope const& message)
+                       {
+                           if (message.has_reply())
+                               replied.push_back(message.reply().attempt());
+                       });
+    std::optional<peer_route> heard_on;
+    peer_socket node(loop, "tcp://" + to_string(test::free_address(1)),
+                     [&](peer_route const& from, wire::Envelope const&)
+                     { heard_on = from; });
+    forward_server server(loop, local, node, table, "n");
+    auto message = forward(1, "/asked");
+    message.mutable_sender()->set_node("caller");
+    server.on_forward(route, message); // on a connection that is gone by now
+    server.begin_received();
+    serve_until([&] { return !replies.empty(); });
+    replies[0].send({.body = "done"});
+    serve_until([&] { return local.unfinished() == 0; });
+    EXPECT_TRUE(replied.empty());
+    wire::Envelope hello;
+    hello.mutable_hello();
+    caller.send("tcp://" + to_string(test::free_address(1)), hello);
+    serve_until([&] { return heard_on.has_value(); });
+    server.note_route("caller", *heard_on);
+    serve_until([&] { return !replied.empty(); });
+    EXPECT_EQ(replied, std::vector<std::uint64_t>{1});
+    EXPECT_EQ(server.lost_replies(), 0U);
+}
+
 TEST_F(leaving_callers, a_cancelled_request_that_waits_for_a_connection_is_not_sent)
 {
     auto const first = send("/first", 5s, false);
