Two comments say what holds

The comment on the bits of an epoch was off by one. Comments only; run_end_test and store_rewind_test pass.

--- a/include/buckthornusher/run_end.hpp
+++ b/include/buckthornusher/run_end.hpp
@@ -23,8 +23,8 @@
 namespace buckthornusher
 {
 
-// Beyond the time that an upstream was told. Longer than its answer takes, and than the
-// error of another node's deadline.
+// Beyond the time that an upstream was told; longer than its answer takes. It counts from
+// that time, so it does not have to cover the error of another node's deadline.
 inline constexpr duration last_word_margin = std::chrono::milliseconds(150);
 
 // What is known of an attempt at another node that got no answer yet.
--- a/src/coordination/store_rewind.cpp
+++ b/src/coordination/store_rewind.cpp
@@ -10,7 +10,7 @@
 namespace
 {
 
-// Of 48 bits, which all programs read exactly from a JSON number; the era is the rest.
+// The era is above them. Epochs stay below 2^49, exact in any program's JSON numbers.
 constexpr unsigned epoch_bits = 32;
 
 std::uint64_t first_epoch(std::uint64_t era)
